Run on the users' platform: entry and controller roles, job graphs in the log, a dispatcher

Cause: the product ran only behind its own interfaces; the users' platform speaks others, and has jobs of several steps whose workers are called by the system.

Founding and the HTTP listener move out of the daemon, which uses them too.

--- a/internal/decision/controlstate/snapshot.go
+++ b/internal/decision/controlstate/snapshot.go
@@ -60,14 +60,15 @@
 		zones: maps.Clone(s.zones), keys: maps.Clone(s.keys), intents: maps.Clone(s.intents),
 		jobs: s.jobs.Clone(), tasks: s.tasks.Clone(), workers: s.workers.Clone(), endpoints: s.endpoints.Clone(),
 	}
-	return frozen.encode
+	work := s.work.Snapshot()
+	return func() []byte { return frozen.encode(work) }
 }
 
-func (s *State) encode() []byte {
+func (s *State) encode(work *controlpb.WorkSnapshot) []byte {
 	e := &encoder{bytes: make([]byte, 0, snapshotBytes*(s.tasks.Len()+len(s.keys)+len(s.intents)))}
 	e.add(0, &controlpb.StateSnapshot{
 		Format: Format, Version: s.version, Inventory: s.config.inventoryText, Rules: s.config.rulesText,
-		NextFence: s.nextFence, NextEpoch: s.nextEpoch, Time: s.time,
+		NextFence: s.nextFence, NextEpoch: s.nextEpoch, Time: s.time, Work: work,
 	})
 	for _, name := range slices.Sorted(maps.Keys(s.zones)) {
 		zone := s.zones[name]
@@ -176,6 +177,9 @@
 			return trace.Wrap(err)
 		}
 	}
+	if err := s.work.Restore(m.GetWork()); err != nil {
+		return trace.Wrap(err)
+	}
 	s.changes, s.views = changeLog{}, newViewCache()
 	return nil
 }
--- a/internal/decision/controlstate/state.go
+++ b/internal/decision/controlstate/state.go
@@ -14,6 +14,7 @@
 	"github.com/google/btree"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
 )
 
 // Bounds of the state. A command that would exceed one is refused as unavailable, so that memory stays bounded.
@@ -55,6 +56,7 @@
 
 	jobs      *btree.BTreeG[*Job]
 	tasks     *btree.BTreeG[*Task]
+	work      *workload.State
 	workers   *btree.BTreeG[*Worker]
 	endpoints *btree.BTreeG[*Endpoint]
 	placed    map[string][]TaskID            // tasks that are charged to each worker
@@ -98,9 +100,13 @@
 		nextEpoch: 1,
 		jobKey:    newJobKey(""),
 		views:     newViewCache(),
+		work:      workload.New(),
 	}
 }
 
+// Work returns the jobs of several steps. Only the owner of this state may use them.
+func (s *State) Work() *workload.State { return s.work }
+
 // Index returns the index of the last applied command.
 func (s *State) Index() uint64 { return s.index }
 
@@ -161,6 +167,8 @@
 		return s.recordOutcome(kind.RecordOutcome)
 	case *controlpb.Command_ExpireKeys:
 		return s.expireKeys(kind.ExpireKeys)
+	case *controlpb.Command_Work:
+		return s.work.Apply(s.Time(), kind.Work)
 	case *controlpb.Command_Batch:
 		return invalid(ReasonNestedBatch, "a batch holds no batches")
 	}
--- /dev/null
+++ b/internal/decision/dispatch/pass.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/workload"
+)
+
+const (
+	// servingLoad is the share of its processors that a serving task is expected to use at its peak.
+	servingLoad = 0.65
+
+	// startsPerPass bounds the runs that one pass assigns, so that a pass stays short beside a heartbeat interval.
+	startsPerPass = 300
+)
+
+// candidate is a step with tasks that may start.
+type candidate struct {
+	step     *workload.Step
+	queue    *controlpb.WorkQueue
+	priority int32
+	due      time.Time // when the job should be finished, as far as is known
+}
+
+// pass chooses workers for tasks that wait. The most urgent steps choose first.
+func (d *Dispatcher) pass() {
+	hosts := d.hosts()
+	budget := startsPerPass
+	for _, c := range d.candidates() {
+		if budget <= 0 {
+			return
+		}
+		if c.step.GetGang() {
+			budget -= d.placeGang(c, hosts)
+		} else {
+			budget -= d.placeTasks(c, hosts)
+		}
+	}
+}
+
+// candidates returns the steps with tasks that wait, most urgent first.
+func (d *Dispatcher) candidates() []candidate {
+	wall := d.config.Wall()
+	var found []candidate
+	for _, job := range d.state.Jobs() {
+		if job.IsOver() {
+			continue
+		}
+		queue := d.state.Queue(job.Spec.GetQueue())
+		due := time.UnixMilli(job.Spec.GetAcceptedMs()).Add(d.objective(job, queue))
+		for _, steps := range job.Occurrences {
+			for _, step := range steps {
+				if step.Waiting > 0 && step.IsReady(wall) {
+					found = append(found, candidate{step: step, queue: queue, priority: queue.GetPriority(), due: due})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
+	})
+	return found
+}
+
+// objective returns the time that a job may take, by what its tasks were found to take.
+func (d *Dispatcher) objective(job *workload.Job, queue *controlpb.WorkQueue) time.Duration {
+	chain := time.Duration(len(job.Spec.GetSteps())) * d.learned.typical(job.Spec.GetQueue())
+	return time.Duration(float64(chain)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
+}
+
+// host pairs a worker with what the choice of a host looks at.
+type host struct {
+	*colocation.Host
+	worker *worker
+}
+
+// hosts returns the workers that may get new runs.
+func (d *Dispatcher) hosts() []host {
+	hosts := make([]host, 0, len(d.workers))
+	for _, life := range d.state.Workers() {
+		w := d.workers[life.GetNumber()]
+		if w == nil || !d.isUsable(w) {
+			continue
+		}
+		h := host{Host: &colocation.Host{Rack: rackOf(life), Suspect: w.failures > 0}, worker: w}
+		h.refresh()
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+// refresh follows what was placed on the host since.
+func (h *host) refresh() {
+	w := h.worker
+	h.Free = w.life.Capacity().Sub(w.used)
+	h.Serving, h.Strain = w.serving, w.strain
+	h.Spare = w.life.GetProcessors() - w.used.Processors - w.fills
+}
+
+// rackOf returns the label that names the worker's rack. The first label is its kind.
+func rackOf(life *workload.Worker) string {
+	if labels := life.GetLabels(); len(labels) > 1 {
+		return labels[1]
+	}
+	return ""
+}
+
+// kindOf classifies the tasks of a step.
+func kindOf(step *workload.Step) colocation.Kind {
+	switch {
+	case step.GetFills():
+		return colocation.Fill
+	case step.Serves():
+		return colocation.Serving
+	}
+	return colocation.Exact
+}
+
+// demand returns what a task of a step needs of a host.
+func (d *Dispatcher) demand(c candidate) colocation.Demand {
+	waited := d.config.Wall().Sub(time.UnixMilli(c.step.Job.Spec.GetAcceptedMs()))
+	return colocation.Demand{
+		Kind: kindOf(c.step), Need: c.step.Demand(), Processors: c.step.GetProcessors(), DataRack: c.step.GetDataRack(),
+		Urgent: waited > urgentAfter,
+	}
+}
+
+// urgentAfter is the time after which a fill may also go beside serving tasks. It leaves room for hosts without serving
+// tasks to become free.
+const urgentAfter = 1500 * time.Millisecond
+
+// placeTasks chooses workers for the waiting tasks of a step, and returns how many it found.
+func (d *Dispatcher) placeTasks(c candidate, hosts []host) int {
+	placed := 0
+	demand := d.demand(c)
+	for _, task := range c.step.Tasks {
+		if !task.IsWaiting() || d.reserved[task.Key()] {
+			continue
+		}
+		chosen := d.choose(c, demand, hosts, nil)
+		if chosen == nil {
+			break
+		}
+		d.assign(task, chosen.worker, task.LastRun+1)
+		chosen.refresh()
+		placed++
+	}
+	return placed
+}
+
+// choose returns the best host for a task of a step, or nil. Tasks on hosts of taken count for the limit per worker.
+func (d *Dispatcher) choose(c candidate, demand colocation.Demand, hosts []host, avoid func(*worker) bool) *host {
+	var best *host
+	var bestScore int64
+	for i := range hosts {
+		h := &hosts[i]
+		if !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
+			continue
+		}
+		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+// allows reports whether the rules of a step and its queue permit a worker.
+func (d *Dispatcher) allows(c candidate, w *worker) bool {
+	if w.life.GetPool() != c.queue.GetPool() {
+		return false
+	}
+	if label := c.step.GetRequiredLabel(); label != "" && !w.life.HasLabel(label) {
+		return false
+	}
+	if limit := c.step.GetMaxPerWorker(); limit > 0 && d.tasksOn(c.step, w) >= int(limit) {
+		return false
+	}
+	return true
+}
+
+// tasksOn counts the tasks of a step that run on a worker or are about to.
+func (d *Dispatcher) tasksOn(step *workload.Step, w *worker) int {
+	count := 0
+	for _, task := range step.Tasks {
+		for _, r := range task.Runs {
+			if r.Worker == w.life.GetNumber() {
+				count++
+			}
+		}
+	}
+	return count + w.promised[step]
+}
+
+// assign reserves room for a run and proposes it. The order is sent once the assignment is committed.
+func (d *Dispatcher) assign(task *workload.Task, w *worker, number uint32) {
+	key := workload.RunKey{Task: task.Key(), Run: number}
+	d.reserved[key.Task] = true
+	d.charge(w, task.Step, 1)
+	w.promise(task.Step, 1)
+	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.life.GetNumber()}
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
+		delete(d.reserved, key.Task)
+		d.charge(w, task.Step, -1)
+		w.promise(task.Step, -1)
+		if result == nil || result.GetCode() != controlpb.ResultCode_RESULT_OK {
+			d.config.Log.Info("assignment refused", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Reason", result.GetMessage())
+			return
+		}
+		if d.workers[w.life.GetNumber()] != w {
+			return // its life ended in the same batch; the state has taken the run back
+		}
+		r := d.addRun(key, task, w)
+		d.config.Count("RunsStarted")
+		d.config.Log.Info("run assigned", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Spare",
+			w.life.GetProcessors()-w.used.Processors-w.fills, "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
+		d.start(r)
+	})
+}
+
+// promise counts runs of a step that are proposed for a worker.
+func (w *worker) promise(step *workload.Step, sign int) {
+	if w.promised == nil {
+		w.promised = map[*workload.Step]int{}
+	}
+	w.promised[step] += sign
+	if w.promised[step] == 0 {
+		delete(w.promised, step)
+	}
+}
+
+// placeGang chooses workers for all tasks of a gang, or for none, and returns how many it found.
+func (d *Dispatcher) placeGang(c candidate, hosts []host) int {
+	number := uint32(0)
+	for _, task := range c.step.Tasks {
+		if !task.IsWaiting() || d.reserved[task.Key()] {
+			return 0 // members of the last run are still there
+		}
+		number = max(number, task.LastRun)
+	}
+	racks := []string{""}
+	if c.step.GetSameRack() {
+		racks = append(d.racks(hosts), "")
+	}
+	for _, rack := range racks {
+		if chosen := d.fitGang(c, hosts, rack); chosen != nil {
+			for i, task := range c.step.Tasks {
+				d.assign(task, chosen[i], number+1)
+			}
+			for i := range hosts {
+				hosts[i].refresh()
+			}
+			return len(chosen)
+		}
+	}
+	return 0
+}
+
+// racks returns the racks of hosts, each once.
+func (d *Dispatcher) racks(hosts []host) []string {
+	var racks []string
+	for _, h := range hosts {
+		if h.Rack != "" && !slices.Contains(racks, h.Rack) {
+			racks = append(racks, h.Rack)
+		}
+	}
+	return racks
+}
+
+// fitGang returns a worker for each task of a gang, all on one rack if one is given, or nil.
+func (d *Dispatcher) fitGang(c candidate, hosts []host, rack string) []*worker {
+	trial := slices.Clone(hosts)
+	for i := range trial {
+		h := *trial[i].Host
+		trial[i].Host = &h
+	}
+	demand := d.demand(c)
+	on := map[*worker]int{}
+	chosen := make([]*worker, 0, len(c.step.Tasks))
+	for range c.step.Tasks {
+		best := d.choose(c, demand, trial, func(w *worker) bool {
+			limit := int(c.step.GetMaxPerWorker())
+			return rack != "" && rackOf(w.life) != rack || limit > 0 && on[w] >= limit
+		})
+		if best == nil {
+			return nil
+		}
+		best.Free = best.Free.Sub(demand.Need)
+		best.Spare -= demand.Processors
+		on[best.worker]++
+		chosen = append(chosen, best.worker)
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/decision/dispatch/requests.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
+)
+
+// beat is the newest announcement of a life.
+type beat struct {
+	born     int64
+	sequence uint64
+}
+
+// Serve answers a request, or has it wait until a change is committed.
+func (d *Dispatcher) Serve(now time.Time, r *controlpb.LeaderRequest) (reply *controlpb.LeaderReply, wait bool) {
+	d.now = now
+	if d.epoch == 0 {
+		return unavailable("the leader is not ready"), false
+	}
+	switch kind := r.GetWork().GetKind().(type) {
+	case *controlpb.WorkRequest_Caller:
+		return d.serveCaller(r, kind.Caller)
+	case *controlpb.WorkRequest_Announce:
+		return d.announce(r, kind.Announce)
+	case *controlpb.WorkRequest_Leave:
+		return d.leave(kind.Leave)
+	case *controlpb.WorkRequest_ReplaceRouting:
+		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_ReplaceRouting{ReplaceRouting: kind.ReplaceRouting}}
+		return d.commit(r, change, "routing", kind.ReplaceRouting.GetVersion())
+	case *controlpb.WorkRequest_SetZoneOut:
+		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: kind.SetZoneOut}}
+		return d.commit(r, change, "zone", kind.SetZoneOut.GetZone())
+	case *controlpb.WorkRequest_BeginMaintenance:
+		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginMaintenance{BeginMaintenance: kind.BeginMaintenance}}
+		return d.commit(r, change, "maintenance", kind.BeginMaintenance.GetWave())
+	}
+	if !d.config.LeaseValid(now) {
+		return unavailable("the leader lease has run out"), false
+	}
+	return d.read(r), false
+}
+
+// read answers from the leader's state, which is the newest while its lease is valid.
+func (d *Dispatcher) read(r *controlpb.LeaderRequest) *controlpb.LeaderReply {
+	switch kind := r.GetWork().GetKind().(type) {
+	case *controlpb.WorkRequest_ReadRouting:
+		routing := d.state.Routing()
+		if routing == nil {
+			return outcome(controlpb.WorkOutcome_WORK_NOT_CONFIGURED)
+		}
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, Document: routing.GetDocument()})
+	case *controlpb.WorkRequest_ReadMaintenance:
+		wave := d.state.Maintenance(kind.ReadMaintenance.GetWave())
+		if wave == nil {
+			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
+		}
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, Completed: d.isMaintained(wave)})
+	case *controlpb.WorkRequest_Ping:
+		return outcome(controlpb.WorkOutcome_WORK_OK)
+	}
+	return &controlpb.LeaderReply{Result: &controlpb.Result{Code: controlpb.ResultCode_RESULT_INVALID, Message: "a request that this version doesn't know"}}
+}
+
+// isMaintained reports whether the maintenance of each host of a wave has begun.
+func (d *Dispatcher) isMaintained(wave *controlpb.Maintenance) bool {
+	return len(wave.GetBegun()) >= len(wave.GetHosts())
+}
+
+// commit proposes a change of an operator and answers once it is decided.
+func (d *Dispatcher) commit(r *controlpb.LeaderRequest, change *controlpb.WorkChange, what string, subject any) (*controlpb.LeaderReply, bool) {
+	d.wait(r, change, func(result *controlpb.Result) *controlpb.LeaderReply {
+		d.config.Log.Info("operator's change committed", "Change", what, "Subject", subject, "Epoch", d.epoch)
+		return &controlpb.LeaderReply{Result: result, Work: &controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK}}
+	})
+	return nil, true
+}
+
+// wait proposes a change and answers the request once it is decided.
+func (d *Dispatcher) wait(r *controlpb.LeaderRequest, change *controlpb.WorkChange, reply func(*controlpb.Result) *controlpb.LeaderReply) {
+	d.waiting[r] = true
+	d.propose(change, func(result *controlpb.Result) {
+		if result == nil {
+			d.answer(r, unknown("the leader has changed"))
+			return
+		}
+		d.answer(r, reply(result))
+	})
+}
+
+// serveCaller answers a caller's request about a job or a queue.
+func (d *Dispatcher) serveCaller(r *controlpb.LeaderRequest, c *controlpb.CallerWork) (*controlpb.LeaderReply, bool) {
+	if !d.config.LeaseValid(d.now) {
+		return unavailable("the leader lease has run out"), false
+	}
+	if d.state.Routing() == nil {
+		return outcome(controlpb.WorkOutcome_WORK_NOT_CONFIGURED), false
+	}
+	queue, id := d.state.Match(c.GetHost(), c.GetPath())
+	if queue == nil {
+		return outcome(controlpb.WorkOutcome_WORK_NO_QUEUE), false
+	}
+	switch c.GetVerb() {
+	case controlpb.CallerVerb_VERB_SUBMIT:
+		return d.submit(r, queue, id, c.GetJob())
+	case controlpb.CallerVerb_VERB_CANCEL:
+		return d.cancel(r, queue, id)
+	case controlpb.CallerVerb_VERB_READ:
+		if id == "" {
+			return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, IsCount: true, Pending: d.state.Pending(queue.GetName())}), false
+		}
+		state, _ := d.state.Lookup(id)
+		if state == controlpb.WorkState_WORK_UNKNOWN {
+			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+		}
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, State: state}), false
+	}
+	return outcome(controlpb.WorkOutcome_WORK_INVALID), false
+}
+
+// submit takes a job in. A job that was sent before is acknowledged again.
+func (d *Dispatcher) submit(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob) (*controlpb.LeaderReply, bool) {
+	if id == "" {
+		return outcome(controlpb.WorkOutcome_WORK_INVALID), false
+	}
+	if state, _ := d.state.Lookup(id); state != controlpb.WorkState_WORK_UNKNOWN {
+		return outcome(controlpb.WorkOutcome_WORK_OK), false
+	}
+	d.waiting[r] = true
+	if others, arriving := d.arriving[id]; arriving {
+		d.arriving[id] = append(others, r)
+		return nil, true
+	}
+	if retry, full := d.overloaded(queue, job); full {
+		delete(d.waiting, r)
+		d.config.Count("JobsRefused")
+		d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", "Overloaded", "RetryAfter", retry.String(),
+			"Backlog", d.backlog().String())
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retry.Milliseconds()}), false
+	}
+	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
+	d.arriving[id] = []*controlpb.LeaderRequest{r}
+	received := d.now
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}, func(result *controlpb.Result) {
+		reply := unknown("the leader has changed")
+		if result != nil {
+			d.config.Count("JobsAccepted")
+			d.config.Observe("Accept", d.now.Sub(received))
+			d.config.Log.Info("job accepted", "Job", id, "Queue", queue.GetName(), "Steps", len(job.GetSteps()), "Routing", d.state.Routing().GetVersion())
+			reply = outcome(controlpb.WorkOutcome_WORK_OK)
+		}
+		for _, waiting := range d.arriving[id] {
+			d.answer(waiting, reply)
+		}
+		delete(d.arriving, id)
+	})
+	return nil, true
+}
+
+func (d *Dispatcher) cancel(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string) (*controlpb.LeaderReply, bool) {
+	if state, _ := d.state.Lookup(id); state == controlpb.WorkState_WORK_UNKNOWN && d.arriving[id] == nil {
+		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+	}
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: id}}}
+	d.wait(r, change, func(result *controlpb.Result) *controlpb.LeaderReply {
+		if result.GetCode() == controlpb.ResultCode_RESULT_NOT_FOUND {
+			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
+		}
+		d.config.Count("JobsCancelled")
+		d.config.Log.Info("job cancelled", "Job", id, "Queue", queue.GetName())
+		return outcome(controlpb.WorkOutcome_WORK_OK)
+	})
+	return nil, true
+}
+
+// announce takes a worker's word about itself. It is acknowledged at once when it says nothing new.
+func (d *Dispatcher) announce(r *controlpb.LeaderRequest, a *controlpb.AnnounceLife) (*controlpb.LeaderReply, bool) {
+	life := a.GetLife()
+	last := d.beats[life.GetId()]
+	if life.GetBornMs() < last.born || life.GetBornMs() == last.born && a.GetSequence() < last.sequence {
+		return outcome(controlpb.WorkOutcome_WORK_OK), false // overtaken by a newer one
+	}
+	if routing := d.state.Routing(); routing != nil && d.state.Pool(life.GetPool()) == nil {
+		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+	}
+	d.beats[life.GetId()] = beat{born: life.GetBornMs(), sequence: a.GetSequence()}
+	known := d.state.WorkerByID(life.GetId())
+	if known != nil && saysNothingNew(known, life) {
+		return outcome(controlpb.WorkOutcome_WORK_OK), false
+	}
+	d.wait(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: life}}, func(result *controlpb.Result) *controlpb.LeaderReply {
+		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
+			d.lifeChanged(uint32(result.GetFence()))
+		}
+		return outcome(controlpb.WorkOutcome_WORK_OK)
+	})
+	return nil, true
+}
+
+func saysNothingNew(known *workload.Worker, life *controlpb.WorkerLife) bool {
+	return known.GetBornMs() == life.GetBornMs() && known.GetPool() == life.GetPool() &&
+		known.GetAddress() == life.GetAddress() && known.GetZone() == life.GetZone() &&
+		known.GetProcessors() == life.GetProcessors() && known.GetMemory() == life.GetMemory() &&
+		known.GetAccelerators() == life.GetAccelerators() && (known.GetLeaving() || !life.GetLeaving())
+}
+
+// leave takes a worker's notice that it ends. Its life ends shortly after the answer.
+func (d *Dispatcher) leave(l *controlpb.LeaveLife) (*controlpb.LeaderReply, bool) {
+	if known := d.state.WorkerByID(l.GetId()); known != nil {
+		if w := d.workers[known.GetNumber()]; w != nil && w.endsAt.IsZero() {
+			w.endsAt = d.now.Add(leaveDelay)
+			d.config.Log.Info("worker leaves", "Worker", l.GetId(), "Runs", len(known.Runs))
+		}
+	}
+	return outcome(controlpb.WorkOutcome_WORK_OK), false
+}
--- /dev/null
+++ b/internal/decision/dispatch/worker.go
@@ -0,0 +1,257 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
+	"galenamoor/pkg/resource"
+)
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers a look. It bounds the age of what is known of
+	// its tasks, and with lookTimeout the time after which a silent worker is noticed.
+	lookWait = 800 * time.Millisecond
+
+	// lookPause is the time between an answer and the next look, in which ends gather for one answer.
+	lookPause = 60 * time.Millisecond
+
+	// retryPause is the time after which a call without an answer is made again.
+	retryPause = 250 * time.Millisecond
+
+	// silentAfter is the silence after which a worker gets no new runs: a look, its wait, and the loss of one packet.
+	silentAfter = 1800 * time.Millisecond
+
+	// holdTime is the length of a lease. It bridges the change of a leader, which takes up to 1.8 s, and a short cut;
+	// longer ones delay the restart of what a lost worker ran.
+	holdTime = 4500 * time.Millisecond
+
+	// clockDrift is the share by which a worker's clock may be slow, with a margin for rounding.
+	clockDrift = 0.03
+
+	// lapseMargin is added to the computed end of a lease, for the time a worker takes to stop what has lapsed.
+	lapseMargin = 150 * time.Millisecond
+
+	// leaveDelay is the time between a worker's notice of its end and its end.
+	leaveDelay = 500 * time.Millisecond
+
+	// unhealthyPause is the time for which a worker that refused a call gets no new runs.
+	unhealthyPause = 2 * time.Second
+)
+
+// worker is what the leader knows of a life beyond the replicated state.
+type worker struct {
+	life    *workload.Worker
+	address netip.AddrPort
+
+	clock   time.Duration // of the worker, when its newest answer left it
+	clockAt time.Time     // when that answer was received; zero before the first one
+	expires time.Time     // all that this worker was ever granted has lapsed by then
+	heard   time.Time     // newest answer
+	endsAt  time.Time     // its life is over then; zero when it hasn't said so
+
+	looking *order.Call
+	lookAt  time.Time // of the next look
+	noting  bool      // ends are proposed and not decided
+	misses  int       // calls without an answer since the last one
+
+	used      resource.Vector // by runs and reservations
+	fills     int64           // milli-cores that fills can use
+	serving   int             // tasks that serve
+	strain    float64         // highest tail of a serving task as a share of its bound
+	strainAt  time.Time       // since when the strain is above its limit; zero when it isn't
+	pace      int             // percent of their speed at which fills work here
+	pacedAt   time.Time
+	shunUntil time.Time
+	failures  int // runs that failed in a row
+	ending    bool
+	promised  map[*workload.Step]int // runs that are proposed
+}
+
+// addWorker starts to look after a life. Before its first answer, what earlier leaders granted it counts as held.
+func (d *Dispatcher) addWorker(life *workload.Worker) {
+	if d.workers[life.GetNumber()] != nil {
+		return
+	}
+	address, err := netip.ParseAddrPort(life.GetAddress())
+	if err != nil {
+		d.config.Log.Error(err, "worker has no usable address", "Worker", life.GetId(), "Address", life.GetAddress())
+		return
+	}
+	w := &worker{life: life, address: address, lookAt: d.now, pace: fullPace}
+	held := time.Duration(float64(d.config.Limits.LongestHold) * (1 + clockDrift))
+	w.expires = d.began.Add(held + lapseMargin)
+	if d.now.Sub(d.began) > held {
+		w.expires = d.now.Add(d.config.Limits.LongestHold) // a new life, which nobody has granted anything
+	}
+	d.workers[life.GetNumber()] = w
+	for key, task := range life.Runs {
+		d.addRun(key, task, w)
+	}
+}
+
+// lifeChanged follows a committed change of a life.
+func (d *Dispatcher) lifeChanged(number uint32) {
+	d.dropEnded()
+	life := d.state.Worker(number)
+	if life == nil {
+		return
+	}
+	d.addWorker(life)
+	d.config.Log.Info("worker changed", "Worker", life.GetId(), "Number", number, "Zone", life.GetZone(), "Address", life.GetAddress(),
+		"Leaving", life.GetLeaving(), "Processors", life.GetProcessors())
+}
+
+// dropEnded forgets workers whose life is over in the replicated state.
+func (d *Dispatcher) dropEnded() {
+	for number, w := range d.workers {
+		if d.state.Worker(number) != nil {
+			continue
+		}
+		delete(d.workers, number)
+		for key, r := range d.runs {
+			if r.worker == w {
+				d.forgetRun(key, r)
+			}
+		}
+	}
+	d.dirty = true
+}
+
+// endLife proposes that a life is over.
+func (d *Dispatcher) endLife(w *worker, reason string) {
+	if w.ending {
+		return
+	}
+	w.ending = true
+	d.config.Count("WorkersLost")
+	d.config.Log.Info("worker lost", "Worker", w.life.GetId(), "Reason", reason, "Silent", d.now.Sub(w.heard).String(), "Runs", len(w.life.Runs))
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.life.GetNumber()}}}
+	d.propose(change, func(result *controlpb.Result) {
+		if result == nil {
+			w.ending = false
+			return
+		}
+		d.dropEnded()
+	})
+}
+
+// tickWorkers makes looks that are due and gives up workers whose leases have lapsed.
+func (d *Dispatcher) tickWorkers() {
+	for _, w := range d.workers {
+		switch {
+		case !w.endsAt.IsZero() && !d.now.Before(w.endsAt):
+			d.endLife(w, "it said that it ends")
+		case d.now.After(w.expires) && d.now.Sub(w.heard) > silentAfter:
+			d.endLife(w, "its leases have lapsed")
+		}
+		if w.looking == nil && !w.noting && !w.ending && !d.now.Before(w.lookAt) {
+			d.look(w)
+		}
+	}
+	for _, r := range d.runs {
+		d.tickRun(r)
+	}
+}
+
+// look asks a worker what it runs and extends its lease.
+func (d *Dispatcher) look(w *worker) {
+	call := d.newCall(order.Look, w)
+	call.EndsSeen = w.life.GetEndsSeen()
+	if w.misses == 0 && !w.clockAt.IsZero() {
+		call.Wait = lookWait
+	}
+	if len(w.life.Runs) > 0 {
+		call.Until = d.grant(w)
+	}
+	w.looking = call
+	d.config.Orders.Send(call)
+}
+
+// newCall returns a call to a worker under this leader's epoch.
+func (d *Dispatcher) newCall(kind order.Kind, w *worker) *order.Call {
+	return &order.Call{
+		Kind: kind, Worker: w.life.GetNumber(), ID: w.life.GetId(), Born: w.life.GetBornMs(), Address: w.address, Epoch: d.epoch, Sent: d.now,
+	}
+}
+
+// grant returns the time on the worker's clock until which it may hold what it runs, and remembers when that has
+// certainly passed. It returns 0, which grants nothing, without a valid leader lease or an idea of the worker's clock.
+func (d *Dispatcher) grant(w *worker) time.Duration {
+	if w.clockAt.IsZero() || !d.config.LeaseValid(d.now) {
+		return 0
+	}
+	since := d.now.Sub(w.clockAt)
+	hold := min(holdTime, d.config.Limits.LongestHold)
+	until := w.clock + since + hold
+	slowest := w.clock + time.Duration(float64(since)*(1-clockDrift))
+	expires := d.now.Add(time.Duration(float64(until-slowest)*(1+clockDrift)) + lapseMargin)
+	if expires.After(w.expires) {
+		w.expires = expires
+	}
+	return until
+}
+
+// isUsable reports whether a worker may get new runs.
+func (d *Dispatcher) isUsable(w *worker) bool {
+	return !w.clockAt.IsZero() && !w.ending && w.endsAt.IsZero() && !w.life.GetLeaving() && w.misses == 0 &&
+		d.now.Sub(w.heard) < silentAfter && !d.state.ZoneOut(w.life.GetZone()) && !d.now.Before(w.shunUntil)
+}
+
+// deliver handles the answer to a call.
+func (d *Dispatcher) deliver(a *order.Answer) {
+	w := d.workers[a.Call.Worker]
+	if w == nil || a.Call.Epoch != d.epoch {
+		return
+	}
+	d.note(w, a)
+	if a.Call.Kind == order.Look {
+		d.looked(w, a)
+		return
+	}
+	r := d.runs[a.Call.Run]
+	if r == nil || r.worker != w {
+		return
+	}
+	switch a.Call.Kind {
+	case order.Start:
+		d.startAnswered(r, a)
+	case order.Stop:
+		d.stopAnswered(r, a)
+	}
+}
+
+// note follows what any answer tells of the worker.
+func (d *Dispatcher) note(w *worker, a *order.Answer) {
+	switch a.Status {
+	case order.NoAnswer:
+		w.misses++
+		if w.misses == 1 {
+			d.config.Log.Info("worker doesn't answer", "Worker", w.life.GetId(), "Call", a.Call.Kind.String(), "Error", errorText(a.Err))
+		}
+		return
+	case order.OtherLife:
+		d.endLife(w, "another life answers at its address")
+		return
+	case order.Fenced:
+		d.config.Log.Info("worker has seen a higher epoch", "Worker", w.life.GetId(), "Epoch", d.epoch)
+		w.shunUntil = d.now.Add(time.Hour) // this leader has been replaced
+		return
+	case order.Unhealthy:
+		w.shunUntil = d.now.Add(unhealthyPause)
+	}
+	w.misses = 0
+	w.heard = d.now
+	if a.Clock > 0 && !a.Received.Before(w.clockAt) {
+		w.clock, w.clockAt = a.Clock, a.Received
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/decision/workload/maintenance.go
@@ -0,0 +1,29 @@
+package workload
+
+import (
+	"slices"
+
+	"galenamoor/internal/controlpb"
+)
+
+// beginMaintenance records a wave once, however often it is asked for.
+func (s *State) beginMaintenance(m *controlpb.Maintenance) *controlpb.Result {
+	if s.maintenance[m.GetWave()] == nil {
+		s.maintenance[m.GetWave()] = m
+	}
+	return &controlpb.Result{}
+}
+
+// hostMaintained records that the maintenance of a host has begun.
+func (s *State) hostMaintained(h *controlpb.HostMaintained) *controlpb.Result {
+	if m := s.maintenance[h.GetWave()]; m != nil && !slices.Contains(m.GetBegun(), h.GetHost()) {
+		m.Begun = append(m.Begun, h.GetHost())
+	}
+	return &controlpb.Result{}
+}
+
+// Maintenance returns a wave, or nil.
+func (s *State) Maintenance(wave uint64) *controlpb.Maintenance { return s.maintenance[wave] }
+
+// Waves returns all waves of maintenance.
+func (s *State) Waves() map[uint64]*controlpb.Maintenance { return s.maintenance }
--- a/internal/shell/command/root.go
+++ b/internal/shell/command/root.go
@@ -79,7 +79,7 @@
 	flags.StringSliceVar(&o.addresses, "address", defaultAddresses(), "control addresses of daemons, tried in turn (default from "+environmentAddress+")")
 	flags.BoolVar(&o.json, "json", false, "print JSON")
 	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "longest wait for an answer")
-	root.AddCommand(newServe(o), newCheck(o), newApply(o), newExport(o), newZone(o), newStatus(o), newJobs(o), newExplain(o), newMembers(o), newReport(o), newDemo(o), newVersion(o))
+	root.AddCommand(newServe(o), newEntry(), newController(), newCheck(o), newApply(o), newExport(o), newZone(o), newStatus(o), newJobs(o), newExplain(o), newMembers(o), newReport(o), newDemo(o), newVersion(o))
 	checkArguments(root)
 	return root
 }
--- a/internal/shell/daemon/daemon.go
+++ b/internal/shell/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/consensus"
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/shell/collector"
 	"galenamoor/internal/shell/explain"
+	"galenamoor/internal/shell/founding"
 	"galenamoor/internal/shell/gateway"
 	"galenamoor/internal/shell/kernel"
 	"galenamoor/internal/shell/logstore"
@@ -45,7 +47,7 @@
 	store     *logstore.Store // nil without a data folder
 	recovered *logstore.Recovered
 	identity  uint64
-	founded   atomic.Bool
+	founder   *founding.Founder
 	kernel    *kernel.Kernel
 	gateway   *gateway.Gateway
 	collector *collector.Collector
@@ -72,9 +74,32 @@
 		d.closeStore()
 		return nil, err
 	}
+	d.founder = d.newFounder()
 	return d, nil
 }
 
+// newFounder returns what founds a cluster with the controllers of the settings.
+func (d *Daemon) newFounder() *founding.Founder {
+	founder := &founding.Founder{
+		Host: d.settings.Host, Identity: d.identity, Transport: d.transport, Clock: d.clock, Log: d.log,
+	}
+	for _, peer := range d.settings.Members {
+		if peer.Controller {
+			founder.Controllers = append(founder.Controllers, founding.Controller{Host: peer.Host, Address: peer.Address})
+		}
+	}
+	founder.Founded.Store(d.recovered.IsUsed())
+	return founder
+}
+
+// found returns the membership to found a cluster with, or nil when this daemon restores or joins one.
+func (d *Daemon) found(ctx context.Context) (*controlpb.Membership, error) {
+	if !d.bootstrap || d.store == nil {
+		return nil, nil
+	}
+	return d.founder.Found(ctx)
+}
+
 func (d *Daemon) openStore() error {
 	d.recovered = &logstore.Recovered{Identity: rand.Uint64() | 1}
 	if d.settings.DataFolder != "" {
@@ -85,7 +110,6 @@
 		d.store, d.recovered = store, recovered
 	}
 	d.identity = d.recovered.Identity
-	d.founded.Store(d.recovered.HardState != nil || d.recovered.Snapshot != nil || len(d.recovered.Entries) > 0)
 	return nil
 }
 
@@ -138,12 +162,12 @@
 	return err
 }
 
-func (d *Daemon) newReplica(membership *membership) (*replica.Replica, error) {
+func (d *Daemon) newReplica(membership *controlpb.Membership) (*replica.Replica, error) {
 	state := controlstate.New()
 	core := replica.CoreConfig{
 		Consensus: consensus.Config{
 			ID:        d.identity,
-			Bootstrap: membership.protobuf(),
+			Bootstrap: membership,
 			Rand:      rand.New(rand.NewPCG(d.identity, d.incarnation)),
 		},
 		Machine:      state,
--- a/internal/shell/daemon/peers.go
+++ b/internal/shell/daemon/peers.go
@@ -8,6 +8,7 @@
 
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/shell/collector"
+	"galenamoor/internal/shell/founding"
 	"galenamoor/internal/shell/gateway"
 	"galenamoor/internal/shell/kernel"
 	"galenamoor/internal/shell/replica"
@@ -28,10 +29,10 @@
 
 // Decide implements transport.Handler.
 func (h *peerHandler) Decide(ctx context.Context, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
-	if request.GetQuery().GetName() == identityQuery {
-		return h.daemon.identityReply()
-	}
 	running, ok := h.daemon.running()
+	if founding.IsQuery(request) {
+		return h.daemon.founder.Reply(running.KnownMembers())
+	}
 	if !ok {
 		return unavailable("the daemon is starting")
 	}
--- a/internal/shell/daemon/run.go
+++ b/internal/shell/daemon/run.go
@@ -2,36 +2,26 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"galenamoor/internal/shell/frontdoor"
+	"galenamoor/internal/shell/listener"
 	"galenamoor/internal/shell/replica"
 )
 
-const (
-	// headerTimeout bounds slow request headers.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// closeTimeout bounds the wait for answers of the control address at a stop. Long polls are ended sooner.
-	closeTimeout = 2 * time.Second
-)
-
 // runServices runs all parts until the context ends or one fails.
 func (d *Daemon) runServices(ctx context.Context, running *replica.Replica, transportDone <-chan error) error {
 	k := d.kernel
-	calls, err := listen(d.settings.Calls, limitCalls(d.gateway, d.settings.CallsInProgress))
+	calls, err := listener.New(d.settings.Calls, limitCalls(d.gateway, d.settings.CallsInProgress))
 	if err != nil {
 		return err
 	}
 	control := &control{daemon: d, replica: running}
-	operators, err := listen(d.settings.Control, frontdoor.New(control, d.collector, d.clock).Handler())
+	operators, err := listener.New(d.settings.Control, frontdoor.New(control, d.collector, d.clock).Handler())
 	if err != nil {
-		_ = calls.server.Close()
+		_ = calls.Close()
 		return err
 	}
 	k.Go("replica", func(ctx context.Context) error {
@@ -44,8 +34,8 @@
 	k.Go("feed", func(ctx context.Context) error { return d.feed(ctx, running) })
 	k.Go("gateway", d.gateway.Run)
 	k.Go("collector", d.collector.Run)
-	k.Go("calls", calls.run)
-	k.Go("control", operators.run)
+	k.Go("calls", calls.Run)
+	k.Go("control", operators.Run)
 	k.Go("transport", func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -78,37 +68,6 @@
 	return drained
 }
 
-// listener is an HTTP server on one address.
-type listener struct {
-	server *http.Server
-	socket net.Listener
-}
-
-func listen(address netip.AddrPort, handler http.Handler) (*listener, error) {
-	socket, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, trace.Wrap(trace.ConvertSystemError(err), "listen on %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	return &listener{server: server, socket: socket}, nil
-}
-
-func (l *listener) run(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- l.server.Serve(l.socket) }()
-	select {
-	case err := <-done:
-		return trace.Wrap(err, "serve %s", l.socket.Addr())
-	case <-ctx.Done():
-	}
-	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-	defer cancel()
-	if l.server.Shutdown(closing) != nil {
-		_ = l.server.Close()
-	}
-	return nil
-}
-
 // limitCalls refuses calls above a number in progress. Such a call surely did not run.
 func limitCalls(next http.Handler, most int) http.Handler {
 	tokens := make(chan struct{}, most)
--- /dev/null
+++ b/internal/shell/logging/writer.go
@@ -0,0 +1,70 @@
+package logging
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines bounds the lines that wait for a slow reader: at 500 lines a second, some seconds.
+	queuedLines = 4096
+	// flushTimeout bounds the writing of the lines that wait at a stop.
+	flushTimeout = 200 * time.Millisecond
+)
+
+// Writer writes lines from a goroutine of its own. It drops lines, and says how many, when the reader is too slow, so
+// that logging never blocks.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// NewWriter returns a Writer. Close flushes it.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write queues a line.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes what waits, for a short time, and ends the goroutine. Nothing may be written after it.
+func (w *Writer) Close() error {
+	close(w.lines)
+	select {
+	case <-w.done:
+	case <-time.After(flushTimeout):
+	}
+	return nil
+}
+
+// run writes lines, those that wait together at once.
+func (w *Writer) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		for more := true; more; {
+			select {
+			case next, ok := <-w.lines:
+				line, more = append(line, next...), ok
+			default:
+				more = false
+			}
+		}
+		if dropped := w.dropped.Swap(0); dropped > 0 {
+			line = append(line, `{"Level":"warn","Message":"log lines dropped","Lines":`+strconv.FormatInt(dropped, 10)+"}\n"...)
+		}
+		_, _ = w.out.Write(line) // there is nowhere to report a failure
+	}
+}
--- a/internal/shell/logstore/store.go
+++ b/internal/shell/logstore/store.go
@@ -49,6 +49,11 @@
 	Truncated int64                // bytes of a torn write that were cut off
 }
 
+// IsUsed reports whether the folder's replica has taken part in a cluster.
+func (r *Recovered) IsUsed() bool {
+	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0
+}
+
 // Batch is what one Save makes durable. Unset fields are left as they are.
 type Batch struct {
 	HardState *controlpb.HardState
--- a/internal/shell/replica/forward.go
+++ b/internal/shell/replica/forward.go
@@ -5,11 +5,13 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/consensus"
 	"galenamoor/internal/shell/transport"
 )
 
@@ -211,7 +213,7 @@
 	return view.Failed != nil
 }
 
-// joinBy reports whether the seed leads.
+// joinBy asks the seed, or the leader that it names, and reports whether that one leads.
 func (r *Replica) joinBy(ctx context.Context, seed netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinLimit)
 	defer cancel()
@@ -219,7 +221,8 @@
 		Query: &controlpb.Query{Name: "members"},
 	}})
 	if members.GetResult().GetCode() != controlpb.ResultCode_RESULT_OK {
-		return false
+		leader, err := netip.ParseAddrPort(members.GetLeaderAddress())
+		return err == nil && leader != seed && r.joinBy(ctx, leader)
 	}
 	for _, old := range members.GetMembership().GetMembers() {
 		if old.GetId() == r.id {
@@ -238,6 +241,9 @@
 	answer := r.forward(ctx, to, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Membership{
 		Membership: &controlpb.MembershipChange{Kind: kind, Member: member},
 	}})
+	if kind == controlpb.MembershipChange_ADD_LEARNER && strings.Contains(answer.GetResult().GetMessage(), consensus.ErrRemoved.Error()) {
+		r.removed.Store(true)
+	}
 	outcome := kind.String() + ": " + answer.GetResult().GetMessage()
 	if outcome == r.joined {
 		return // the same refusal again
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -78,17 +78,19 @@
 
 // View is an immutable snapshot of a replica for other goroutines.
 type View struct {
-	State   *controlstate.View
-	FreshAt time.Time // when State was certainly current, by this daemon's clock
-	ID      uint64
-	Leader  uint64 // 0 when unknown
-	Leading bool
-	Voter   bool
-	Term    uint64
-	Commit  uint64
-	Applied uint64
-	Members []*controlpb.Member // address book
-	Failed  error               // why this replica takes part in nothing any more, for example DiskFailed
+	State      *controlstate.View
+	FreshAt    time.Time // when State was certainly current, by this daemon's clock
+	ID         uint64
+	Leader     uint64 // 0 when unknown
+	Leading    bool
+	Voter      bool
+	Term       uint64
+	Commit     uint64
+	Applied    uint64
+	Members    []*controlpb.Member // address book
+	Membership *controlpb.Membership
+	Peers      []consensus.PeerStatus // leader only: the other members
+	Failed     error                  // why this replica takes part in nothing any more, for example DiskFailed
 }
 
 // Fresh reports whether the state may be used for placement and calls. A daemon that isn't fresh is unready.
@@ -132,12 +134,14 @@
 	batches   *batcher // of renewals for the leader
 	usage     usageFilter
 	transfers chan chan bool
+	wakes     chan struct{}
 	view      atomic.Pointer[View]
 
 	// leaderChanged is closed and replaced after a view with another leader is published.
 	leaderChanged atomic.Pointer[chan struct{}]
 
-	joined string // last outcome that the joining goroutine logged
+	joined  string      // last outcome that the joining goroutine logged
+	removed atomic.Bool // the members have removed this identity for good
 
 	// Fields of the control goroutine.
 	calls    map[Ticket]*call
@@ -181,6 +185,7 @@
 		inbox:     make(chan *controlpb.ConsensusMessage, inboxLength),
 		requests:  make(chan *call, options.QueueLength),
 		transfers: make(chan chan bool),
+		wakes:     make(chan struct{}, 1),
 		calls:     map[Ticket]*call{},
 		toDisk:    make(chan Work, maxUnsynced),
 		fromDisk:  make(chan synced, maxUnsynced),
@@ -194,6 +199,14 @@
 // View returns the current view. It never blocks.
 func (r *Replica) View() *View { return r.view.Load() }
 
+// KnownMembers returns the address book; nil for a replica that doesn't run yet.
+func (r *Replica) KnownMembers() []*controlpb.Member {
+	if r == nil {
+		return nil
+	}
+	return r.View().Members
+}
+
 // Deliver takes a consensus message from the transport. It drops the message when too many wait.
 func (r *Replica) Deliver(m *controlpb.ConsensusMessage) {
 	select {
@@ -203,6 +216,14 @@
 	}
 }
 
+// Wake has the control goroutine look for what its coordinator was handed from outside. It never blocks.
+func (r *Replica) Wake() {
+	select {
+	case r.wakes <- struct{}{}:
+	default:
+	}
+}
+
 // Run runs the replica until the context ends or it fails. The error of a failed disk is a DiskFailed.
 func (r *Replica) Run(ctx context.Context) error {
 	diskDone := make(chan struct{})
@@ -239,6 +260,7 @@
 			r.settle(s)
 		case reply := <-r.transfers:
 			reply <- r.core.TransferLeadership(r.options.Clock.Now())
+		case <-r.wakes:
 		case <-timer.Chan():
 		}
 		r.drain()
@@ -391,17 +413,19 @@
 func (r *Replica) publish() {
 	status := r.core.Status()
 	view := &View{
-		State:   r.core.View(),
-		FreshAt: r.core.FreshAt(),
-		ID:      r.id,
-		Leader:  status.Leader,
-		Leading: status.Role == consensus.Leader && r.stopped == nil,
-		Voter:   status.Voter,
-		Term:    status.Term,
-		Commit:  status.Commit,
-		Applied: status.Applied,
-		Members: r.book,
-		Failed:  r.stopped,
+		State:      r.core.View(),
+		FreshAt:    r.core.FreshAt(),
+		ID:         r.id,
+		Leader:     status.Leader,
+		Leading:    status.Role == consensus.Leader && r.stopped == nil,
+		Voter:      status.Voter,
+		Term:       status.Term,
+		Commit:     status.Commit,
+		Applied:    status.Applied,
+		Members:    r.book,
+		Membership: r.core.Membership(),
+		Peers:      status.Peers,
+		Failed:     r.stopped,
 	}
 	last := r.view.Swap(view)
 	if last != nil && last.Leader != view.Leader {
@@ -518,6 +542,9 @@
 	}
 }
 
+// Removed reports whether the members have removed this replica's identity. It can only come back under another one.
+func (r *Replica) Removed() bool { return r.removed.Load() }
+
 // Failure returns the failure that stopped the replica, or nil.
 func (r *Replica) Failure() error { return r.View().Failed }
 
--- a/tools/generate-proto.sh
+++ b/tools/generate-proto.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates internal/controlpb from control.proto. Needs protoc (Debian package protobuf-compiler).
+# Regenerates internal/controlpb from its proto files. Needs protoc (Debian package protobuf-compiler).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$(mktemp -d)
@@ -7,4 +7,4 @@
 for tool in protoc-gen-go protoc-gen-go-grpc; do
   cp "$(go tool -modfile=tools/go.mod -n $tool)" "$bin/$tool"
 done
-PATH="$bin:$PATH" protoc --go_out=. --go_opt=module=galenamoor --go-grpc_out=. --go-grpc_opt=module=galenamoor internal/controlpb/control.proto
+PATH="$bin:$PATH" protoc --go_out=. --go_opt=module=galenamoor --go-grpc_out=. --go-grpc_opt=module=galenamoor internal/controlpb/control.proto internal/controlpb/work.proto
