Keep fills from serving tasks that they disturb; drain entries without closing idle connections

Change: disturbance.Ledger learns pairs from looks; blamed fills are stopped and kept apart. Fills may use what serving tasks leave. Stopping entries end connections with their next answer.

--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -1,12 +1,15 @@
 // Package colocation chooses hosts for tasks that share them: tasks that serve users, tasks that have processors of
 // their own, and tasks that fill what processors are left.
 //
-// The load it answers is a host full of serving tasks beside waves of tasks that fill: fills disturb serving tasks by
-// amounts that nobody declares. Serving tasks are therefore packed on few hosts, and fills go where nothing serves as long
-// as there is such a host with processors left.
+// The load it answers is a host full of serving tasks beside waves of tasks that fill: some fills disturb some serving
+// tasks. Serving tasks are therefore packed on few hosts; fills go where nothing serves first, then beside serving tasks
+// that they are known not to disturb, and last, a few at a time, beside ones of which that isn't known.
 package colocation
 
-import "galenamoor/pkg/resource"
+import (
+	"galenamoor/internal/decision/disturbance"
+	"galenamoor/pkg/resource"
+)
 
 // Kind classifies a task by what it shares.
 type Kind int
@@ -21,11 +24,11 @@
 // Demand is what a task needs of a host.
 type Demand struct {
 	Kind       Kind
-	Need       resource.Vector // of the capacity; a fill needs no processors
-	Processors int64           // milli-cores that a fill can use
-	DataRack   string          // rack of its data; empty for none
-	PreferRack string          // rack of its step's other tasks; empty for none
-	Urgent     bool            // a fill that may also go beside serving tasks
+	Need       resource.Vector    // of the capacity; a fill needs no processors
+	Processors int64              // milli-cores that a fill can use
+	DataRack   string             // rack of its data; empty for none
+	PreferRack string             // rack of its step's other tasks; empty for none
+	Companions disturbance.Rating // how it gets on with what runs on the host
 }
 
 // Host is what the choice knows of a host.
@@ -33,23 +36,30 @@
 	Free    resource.Vector // capacity without what runs
 	Spare   int64           // milli-cores that neither exact, serving nor filling tasks are expected to use
 	Serving int             // tasks that serve
+	Fills   int64           // milli-cores that fills use
 	Strain  float64         // highest tail latency of a serving task as a share of its bound; 0 when none is known
 	Rack    string
 	Suspect bool // has failed or delayed runs of late
 }
 
 const (
-	// strainLimit is the share of a bound above which no fill is put beside the serving task. Fills disturb by up to five
-	// times the undisturbed tail, which stands at about a fifth of the bound.
-	strainLimit = 0.45
+	// strainLimit is the share of a bound above which no further fill is put beside the serving task. The load of serving
+	// tasks alone takes their tails to nine tenths of their bounds.
+	strainLimit = 0.9
+
+	// unknownMost is the number of milli-cores of fills on a host up to which one may join that isn't known to get on with the serving
+	// tasks there, so that few are stopped if it disturbs them.
+	unknownMost = 20_000
 
 	// remoteCost is what a foreign rack costs a task that has its data elsewhere, in milli-cores of spare: it doubles
 	// the work.
 	remoteCost = 32_000
 	// suspectCost keeps tasks from suspect hosts while others have room.
 	suspectCost = 200_000
-	// strainCost is what a serving neighbour at its bound costs a fill.
-	strainCost = 100_000
+	// servingCost keeps fills from hosts with serving tasks while others have spare processors.
+	servingCost = 20_000
+	// unknownCost keeps fills from serving tasks of which it isn't known whether they get on.
+	unknownCost = 60_000
 )
 
 // Score rates a host for a task; the highest is best. It returns false when the host can't take the task.
@@ -64,6 +74,10 @@
 		if h.Serving > 0 {
 			score += remoteCost
 		}
+		score -= h.Fills // some of these might have to go
+		if demand.Companions == disturbance.Harmful {
+			score -= suspectCost
+		}
 	case Exact:
 		score = h.Spare
 	case Fill:
@@ -71,10 +85,16 @@
 			return 0, false
 		}
 		if h.Serving > 0 {
-			if !demand.Urgent || h.Strain > strainLimit {
+			if demand.Companions == disturbance.Harmful || h.Strain > strainLimit {
 				return 0, false
 			}
-			score -= suspectCost/2 + int64(h.Strain*strainCost)
+			if demand.Companions == disturbance.Unknown {
+				if h.Fills >= unknownMost {
+					return 0, false
+				}
+				score -= unknownCost
+			}
+			score -= servingCost
 		}
 		score += h.Spare
 	}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/decision/coordinator"
+	"galenamoor/internal/decision/disturbance"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
@@ -81,12 +82,13 @@
 	epoch   uint64 // of this leader; 0 until it is committed
 	began   time.Time
 
-	workers  map[uint32]*worker
-	runs     map[workload.RunKey]*run
-	reserved map[workload.TaskKey]bool // tasks whose next run is proposed
-	saved    map[workload.TaskKey]string
-	beats    map[string]beat
-	learned  *learned
+	workers      map[uint32]*worker
+	runs         map[workload.RunKey]*run
+	reserved     map[workload.TaskKey]bool // tasks whose next run is proposed
+	saved        map[workload.TaskKey]string
+	beats        map[string]beat
+	learned      *learned
+	disturbances *disturbance.Ledger
 
 	outbox    []item
 	proposed  map[*controlpb.Command][]item
@@ -113,6 +115,7 @@
 	d.saved = map[workload.TaskKey]string{}
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
+	d.disturbances = disturbance.New()
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]item{}
 	d.arriving = map[string][]*controlpb.LeaderRequest{}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -97,8 +97,14 @@
 func (h *host) refresh() {
 	w := h.worker
 	h.Free = w.life.Capacity().Sub(w.used)
-	h.Serving, h.Strain = w.serving, w.strain
-	h.Spare = w.life.GetProcessors() - w.used.Processors - w.fills
+	h.Serving, h.Strain, h.Fills = w.serving, w.strain, w.fills
+	h.Spare = spare(w)
+}
+
+// spare returns the milli-cores that a worker's tasks are expected to leave unused.
+func spare(w *worker) int64 {
+	unused := int64((1 - servingLoad) * float64(w.servers))
+	return w.life.GetProcessors() - w.used.Processors - w.fills + unused
 }
 
 // rackOf returns the label that names the worker's rack. The first label is its kind.
@@ -122,17 +128,11 @@
 
 // demand returns what a task of a step needs of a host.
 func (d *Dispatcher) demand(c candidate) colocation.Demand {
-	waited := d.config.Wall().Sub(time.UnixMilli(c.step.Job.Spec.GetAcceptedMs()))
 	return colocation.Demand{
 		Kind: kindOf(c.step), Need: c.step.Demand(), Processors: c.step.GetProcessors(), DataRack: c.step.GetDataRack(),
-		Urgent: waited > urgentAfter,
 	}
 }
 
-// urgentAfter is the time after which a fill may also go beside serving tasks. It leaves room for hosts without serving
-// tasks to become free.
-const urgentAfter = 1500 * time.Millisecond
-
 // placeTasks chooses workers for the waiting tasks of a step, and returns how many it found.
 func (d *Dispatcher) placeTasks(c candidate, hosts []host) int {
 	placed := 0
@@ -161,6 +161,7 @@
 		if !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
+		demand.Companions = d.companions(c.step, h.worker)
 		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
 			best, bestScore = h, score
 		}
@@ -216,7 +217,7 @@
 		r := d.addRun(key, task, w)
 		d.config.Count("RunsStarted")
 		d.config.Log.Info("run assigned", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Spare",
-			w.life.GetProcessors()-w.used.Processors-w.fills, "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
+			spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
 		d.start(r)
 	})
 }
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -35,7 +35,6 @@
 	percent  int
 	progress time.Time // when percent rose last
 	gauge    int64
-	pace     int // percent of its speed that it was told; 0 for not told
 }
 
 // addRun starts to look after a run that the replicated state holds.
@@ -63,11 +62,14 @@
 	} else {
 		w.used = w.used.Sub(step.Demand())
 	}
-	if step.GetFills() {
+	switch {
+	case step.GetFills():
 		w.fills += int64(sign) * step.GetProcessors()
-	}
-	if step.Serves() {
+		w.images[image{imageOf(step), true}] += sign
+	case step.Serves():
 		w.serving += sign
+		w.servers += int64(sign) * step.GetProcessors()
+		w.images[image{imageOf(step), false}] += sign
 	}
 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -61,9 +61,8 @@
 	fills     int64           // milli-cores that fills can use
 	serving   int             // tasks that serve
 	strain    float64         // highest tail of a serving task as a share of its bound
-	strainAt  time.Time       // since when the strain is above its limit; zero when it isn't
-	pace      int             // percent of their speed at which fills work here
-	pacedAt   time.Time
+	images    map[image]int   // serving and filling tasks by what they run
+	servers   int64           // milli-cores of tasks that serve
 	shunUntil time.Time
 	failures  int // runs that failed in a row
 	ending    bool
@@ -80,7 +79,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", life.GetId(), "Address", life.GetAddress())
 		return
 	}
-	w := &worker{life: life, address: address, lookAt: d.now, pace: fullPace}
+	w := &worker{life: life, address: address, lookAt: d.now, images: map[image]int{}}
 	held := time.Duration(float64(d.config.Limits.LongestHold) * (1 + clockDrift))
 	w.expires = d.began.Add(held + lapseMargin)
 	if d.now.Sub(d.began) > held {
--- a/internal/shell/entry/entry.go
+++ b/internal/shell/entry/entry.go
@@ -54,7 +54,7 @@
 	}
 	defer link.Close()
 	leader := leaderlink.New(link, options.Seeds, options.Clock, log)
-	callers, err := listener.New(options.Callers, limit(options.Handler(leader)))
+	callers, err := listener.New(options.Callers, limit(ctx, options.Handler(leader)))
 	if err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 		}
 	}
 	log.Info("entry started", "Callers", options.Callers.String(), "Seeds", len(options.Seeds))
-	err = parts.Run(drained(ctx, options, callers))
+	err = parts.Run(drained(ctx, options))
 	log.Info("entry stopped")
 	return err
 }
@@ -92,8 +92,9 @@
 	})
 }
 
-// limit refuses requests above a number in progress at once.
-func limit(next http.Handler) http.Handler {
+// limit refuses requests above a number in progress at once. While the process stops, connections end with the next
+// answer on them: closing idle ones would cut off requests that are on their way.
+func limit(stopping context.Context, next http.Handler) http.Handler {
 	tokens := make(chan struct{}, mostRequests)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -104,18 +105,20 @@
 			return
 		}
 		defer func() { <-tokens }()
+		if stopping.Err() != nil {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
 // drained returns a context that ends some time after ctx: open connections are served until then.
-func drained(ctx context.Context, options Options, callers *listener.Listener) context.Context {
+func drained(ctx context.Context, options Options) context.Context {
 	ended, end := context.WithCancel(context.WithoutCancel(ctx))
 	go func() {
 		defer end()
 		<-ctx.Done()
 		options.Log.Info("stopping", "Step", "drain", "Grace", options.StopGrace.String())
-		callers.CloseIdle()
 		options.Clock.Sleep(time.Duration(float64(options.StopGrace) * drainShare))
 	}()
 	return ended
--- a/internal/shell/listener/listener.go
+++ b/internal/shell/listener/listener.go
@@ -40,9 +40,6 @@
 // Close closes the socket of a listener that isn't run.
 func (l *Listener) Close() error { return l.server.Close() }
 
-// CloseIdle has connections end with the next answer on them.
-func (l *Listener) CloseIdle() { l.server.SetKeepAlivesEnabled(false) }
-
 // Run serves until the context ends, and then finishes the requests in progress.
 func (l *Listener) Run(ctx context.Context) error {
 	done := make(chan error, 1)
