--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -26,6 +26,7 @@
 	Kind       Kind
 	Need       resource.Vector    // of the capacity; a fill needs no processors
 	Processors int64              // milli-cores that a fill can use
+	Mixes      bool               // a serving task on a host that serves other images
 	DataRack   string             // rack of its data; empty for none
 	PreferRack string             // rack of its step's other tasks; empty for none
 	Companions disturbance.Rating // how it gets on with what runs on the host
@@ -51,6 +52,10 @@
 	// tasks there, so that few are stopped if it disturbs them.
 	unknownMost = 20_000
 
+	// sameImageGain ranks hosts for a serving task: those that serve its image only, then those that serve nothing, then
+	// the others.
+	sameImageGain = 1_000_000
+
 	// remoteCost is what a foreign rack costs a task that has its data elsewhere, in milli-cores of spare: it doubles
 	// the work.
 	remoteCost = 32_000
@@ -69,10 +74,13 @@
 	}
 	switch demand.Kind {
 	case Serving:
-		// Fullest first among hosts that serve already, so that serving tasks stay together.
+		// Fullest first among hosts that serve the same image, so that a fill has few images to get on with.
 		score = -h.Free.Processors
-		if h.Serving > 0 {
-			score += remoteCost
+		switch {
+		case h.Serving > 0 && !demand.Mixes:
+			score += 2 * sameImageGain
+		case h.Serving == 0:
+			score += sameImageGain
 		}
 		score -= h.Fills // some of these might have to go
 		if demand.Companions == disturbance.Harmful {
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -11,6 +11,16 @@
 // settledAfter is the time at work after which a fill counts for a tail, which is told for the last half second.
 const settledAfter = 600 * time.Millisecond
 
+const (
+	// reliefTime is the time from stopping a fill to a tail that doesn't cover it any more: the stop's grace, the half
+	// second of a tail, and a look.
+	reliefTime = 1300 * time.Millisecond
+
+	// relievedBy is the time under strain after which all fills are stopped. It leaves a stop's grace and a look of the
+	// 4 s that serving tasks may be over their bounds.
+	relievedBy = 2500 * time.Millisecond
+)
+
 // govern follows the tails of serving tasks on a worker, and stops fills that disturb them.
 func (d *Dispatcher) govern(w *worker) {
 	w.strain = 0
@@ -27,6 +37,7 @@
 		}
 	}
 	slices.Sort(images)
+	waits := d.now.Before(w.relievedAt)
 	for key := range w.life.Runs {
 		r := d.runs[key]
 		if r == nil || !r.task.Step.Serves() || r.gauge < 0 {
@@ -34,7 +45,7 @@
 		}
 		strain := float64(r.gauge) / float64(r.task.Step.GetTargetMs())
 		w.strain = max(w.strain, strain)
-		if len(fills) == 0 {
+		if len(fills) == 0 || waits {
 			continue
 		}
 		blamed := d.disturbances.Observe(d.now, imageOf(r.task.Step), strain, images)
@@ -45,9 +56,28 @@
 		for _, fill := range fills {
 			if slices.Contains(blamed, imageOf(fill.task.Step)) {
 				d.wantStop(fill, "it disturbs a serving task")
+				w.relievedAt = d.now.Add(reliefTime)
 			}
 		}
 	}
+	d.relieve(w, fills)
+}
+
+// relieve stops all fills of a worker on which a serving task has been over its bound for long, whatever is to blame.
+func (d *Dispatcher) relieve(w *worker, fills []*run) {
+	if w.strain < 1 {
+		w.strainedAt = time.Time{}
+		return
+	}
+	if w.strainedAt.IsZero() {
+		w.strainedAt = d.now
+	}
+	if d.now.Sub(w.strainedAt) < relievedBy {
+		return
+	}
+	for _, fill := range fills {
+		d.wantStop(fill, "a serving task beside it has been over its bound for long")
+	}
 }
 
 // imageOf names what the tasks of a step run.
@@ -80,6 +110,20 @@
 	return worst
 }
 
+// mixes reports whether a serving task of a step would share a worker with serving tasks of other images.
+func mixes(step *workload.Step, w *worker) bool {
+	if !step.Serves() {
+		return false
+	}
+	own := image{imageOf(step), false}
+	for other, count := range w.images {
+		if count > 0 && !other.fills && other != own {
+			return true
+		}
+	}
+	return false
+}
+
 // image is what runs on a worker, as far as it matters for its neighbours.
 type image struct {
 	name  string
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -18,12 +18,23 @@
 	startsPerPass = 300
 )
 
+// Outlooks of a job, best first. Work that can still be in time goes before work that can only be late, and both before
+// work whose time is over: without that, waves of work make everything late.
+const (
+	inTime = iota
+	late
+	hopeless
+)
+
+// lateFactor is the multiple of its objective up to which a job's work is still worth something.
+const lateFactor = 3
+
 // candidate is a step with tasks that may start.
 type candidate struct {
-	step     *workload.Step
-	queue    *controlpb.WorkQueue
-	priority int32
-	due      time.Time // when the job should be finished, as far as is known
+	step    *workload.Step
+	queue   *controlpb.WorkQueue
+	outlook int
+	due     time.Time // when the job should be finished, as far as is known
 }
 
 // pass chooses workers for tasks that wait. The most urgent steps choose first.
@@ -51,25 +62,59 @@
 			continue
 		}
 		queue := d.state.Queue(job.Spec.GetQueue())
-		due := time.UnixMilli(job.Spec.GetAcceptedMs()).Add(d.objective(job, queue))
 		for _, steps := range job.Occurrences {
 			for _, step := range steps {
 				if step.Waiting > 0 && step.IsReady(wall) {
-					found = append(found, candidate{step: step, queue: queue, priority: queue.GetPriority(), due: due})
+					found = append(found, d.candidate(wall, step, queue))
 				}
 			}
 		}
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
+		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.outlook, b.outlook), a.due.Compare(b.due))
 	})
 	return found
 }
 
-// objective returns the time that a job may take, by what its tasks were found to take.
-func (d *Dispatcher) objective(job *workload.Job, queue *controlpb.WorkQueue) time.Duration {
-	chain := time.Duration(len(job.Spec.GetSteps())) * d.learned.typical(job.Spec.GetQueue())
-	return time.Duration(float64(chain)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
+// candidate rates a step by what is left of its job's time.
+func (d *Dispatcher) candidate(wall time.Time, step *workload.Step, queue *controlpb.WorkQueue) candidate {
+	job := step.Job
+	start := job.DueAt(step.Occurrence)
+	if start.IsZero() {
+		start = time.UnixMilli(job.Spec.GetAcceptedMs())
+	}
+	typical := d.learned.typical(queue.GetName())
+	steps := job.Occurrences[step.Occurrence]
+	whole := time.Duration(chain(steps, func(*workload.Step) bool { return true })) * typical
+	left := time.Duration(chain(steps, func(s *workload.Step) bool { return s.Undone > 0 })) * typical
+	objective := time.Duration(float64(whole)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
+	c := candidate{step: step, queue: queue, due: start.Add(objective)}
+	if step.GetPerpetual() {
+		return c
+	}
+	switch ready := wall.Add(left); {
+	case ready.After(start.Add(lateFactor * objective)):
+		c.outlook = hopeless
+	case ready.After(c.due):
+		c.outlook = late
+	}
+	return c
+}
+
+// chain returns the number of steps in the longest chain of those that count.
+func chain(steps []*workload.Step, counts func(*workload.Step) bool) int {
+	lengths := make([]int, len(steps))
+	longest := 0
+	for n, step := range steps {
+		for _, before := range step.GetAfter() {
+			lengths[n] = max(lengths[n], lengths[before])
+		}
+		if counts(step) {
+			lengths[n]++
+		}
+		longest = max(longest, lengths[n])
+	}
+	return longest
 }
 
 // host pairs a worker with what the choice of a host looks at.
@@ -161,7 +206,7 @@
 		if !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
-		demand.Companions = d.companions(c.step, h.worker)
+		demand.Companions, demand.Mixes = d.companions(c.step, h.worker), mixes(c.step, h.worker)
 		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
 			best, bestScore = h, score
 		}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -15,6 +15,9 @@
 	// its tasks, and with lookTimeout the time after which a silent worker is noticed.
 	lookWait = 800 * time.Millisecond
 
+	// strainWait takes the place of lookWait where fills may disturb serving tasks, whose tails cover half a second.
+	strainWait = 450 * time.Millisecond
+
 	// lookPause is the time between an answer and the next look, in which ends gather for one answer.
 	lookPause = 60 * time.Millisecond
 
@@ -57,16 +60,18 @@
 	noting  bool      // ends are proposed and not decided
 	misses  int       // calls without an answer since the last one
 
-	used      resource.Vector // by runs and reservations
-	fills     int64           // milli-cores that fills can use
-	serving   int             // tasks that serve
-	strain    float64         // highest tail of a serving task as a share of its bound
-	images    map[image]int   // serving and filling tasks by what they run
-	servers   int64           // milli-cores of tasks that serve
-	shunUntil time.Time
-	failures  int // runs that failed in a row
-	ending    bool
-	promised  map[*workload.Step]int // runs that are proposed
+	used       resource.Vector // by runs and reservations
+	fills      int64           // milli-cores that fills can use
+	serving    int             // tasks that serve
+	strain     float64         // highest tail of a serving task as a share of its bound
+	images     map[image]int   // serving and filling tasks by what they run
+	servers    int64           // milli-cores of tasks that serve
+	strainedAt time.Time       // since when a serving task is over its bound; zero when none is
+	relievedAt time.Time       // when tails tell of the relief after fills were stopped
+	shunUntil  time.Time
+	failures   int // runs that failed in a row
+	ending     bool
+	promised   map[*workload.Step]int // runs that are proposed
 }
 
 // addWorker starts to look after a life. Before its first answer, what earlier leaders granted it counts as held.
@@ -161,6 +166,9 @@
 	call.EndsSeen = w.life.GetEndsSeen()
 	if w.misses == 0 && !w.clockAt.IsZero() {
 		call.Wait = lookWait
+		if w.serving > 0 && w.fills > 0 {
+			call.Wait = strainWait
+		}
 	}
 	if len(w.life.Runs) > 0 {
 		call.Until = d.grant(w)
--- a/internal/decision/disturbance/ledger.go
+++ b/internal/decision/disturbance/ledger.go
@@ -2,10 +2,13 @@
 //
 // The load it answers: beside some fills the tail latency of a serving task rises to many times its bound within a second,
 // beside most it doesn't change, and nobody declares which. The tail is told for the last half second, so one look is
-// enough to blame, while it takes several to clear a pair, because a disturbance comes and goes.
+// enough to blame. Of several neighbours those are blamed first for which the fewest calm looks speak.
 package disturbance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// strained is the share of its bound from which a serving task's tail is blamed on its neighbours.
@@ -13,7 +16,7 @@
 	// calm is the share of its bound below which a tail clears its neighbours.
 	calm = 0.8
 	// clearedBy is the number of calm looks after which a pair is harmless.
-	clearedBy = 6
+	clearedBy = 3
 	// blamedFor is how long a pair is kept apart. It is tried again after that, because images change.
 	blamedFor = 60 * time.Second
 	// mostPairs bounds the memory.
@@ -61,7 +64,8 @@
 }
 
 // Observe learns from a look: the tail of a victim as a share of its bound, and the aggressors that were at work beside it
-// for the whole time that the tail covers, each image once. It returns the aggressors to remove.
+// for the whole time that the tail covers, each image once. It returns the aggressors to remove. After that the caller
+// waits until a tail without them is told before it observes the victim's host again.
 func (l *Ledger) Observe(now time.Time, victim string, strain float64, aggressors []string) []string {
 	switch {
 	case strain < calm:
@@ -72,16 +76,13 @@
 	case strain < strained:
 		return nil
 	}
-	worst := Harmless
-	for _, aggressor := range aggressors {
-		worst = max(worst, l.Rate(now, victim, aggressor))
-	}
+	fewest := l.fewestCalmLooks(now, victim, aggressors)
 	var blamed []string
 	for _, aggressor := range aggressors {
-		if l.Rate(now, victim, aggressor) < worst {
-			continue // one that is known to be worse explains the strain
-		}
 		r := l.record(victim, aggressor)
+		if r.knownCalm(now) > fewest {
+			continue // one of which less is known explains the strain
+		}
 		r.calmLooks = 0
 		r.blamedUntil = now.Add(blamedFor)
 		blamed = append(blamed, aggressor)
@@ -89,6 +90,22 @@
 	return blamed
 }
 
+func (l *Ledger) fewestCalmLooks(now time.Time, victim string, aggressors []string) int {
+	fewest := math.MaxInt
+	for _, aggressor := range aggressors {
+		fewest = min(fewest, l.record(victim, aggressor).knownCalm(now))
+	}
+	return fewest
+}
+
+// knownCalm returns the looks that speak for a pair; -1 for one that is blamed.
+func (r *record) knownCalm(now time.Time) int {
+	if now.Before(r.blamedUntil) {
+		return -1
+	}
+	return r.calmLooks
+}
+
 func (l *Ledger) record(victim, aggressor string) *record {
 	key := pair{victim, aggressor}
 	r := l.pairs[key]
