--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -27,6 +27,7 @@
 	Need       resource.Vector    // of the capacity; a fill needs no processors
 	Processors int64              // milli-cores that a fill can use
 	Mixes      bool               // a serving task on a host that serves other images
+	Unsure     bool               // a fill on a host with another one of which it isn't known how it gets on
 	DataRack   string             // rack of its data; empty for none
 	PreferRack string             // rack of its step's other tasks; empty for none
 	Companions disturbance.Rating // how it gets on with what runs on the host
@@ -97,14 +98,14 @@
 				return 0, false
 			}
 			if demand.Companions == disturbance.Unknown {
-				if h.Fills >= unknownMost {
+				if h.Fills >= unknownMost || demand.Unsure {
 					return 0, false
 				}
 				score -= unknownCost
 			}
 			score -= servingCost
 		}
-		score += h.Spare
+		score -= h.Spare // fullest first, so that hosts stay free for serving tasks
 	}
 	if demand.DataRack != "" && demand.DataRack != h.Rack {
 		score -= remoteCost
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -99,6 +99,7 @@
 
 	dirty    bool // something has changed since the last pass
 	nextPass time.Time
+	reported time.Time // when the fleet was logged
 }
 
 // New returns a Dispatcher that doesn't lead.
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -12,9 +12,8 @@
 const settledAfter = 600 * time.Millisecond
 
 const (
-	// reliefTime is the time from stopping a fill to a tail that doesn't cover it any more: the stop's grace, the half
-	// second of a tail, and a look.
-	reliefTime = 1300 * time.Millisecond
+	// fullPercent is the progress that a serving task reports once it is at work.
+	fullPercent = 100
 
 	// relievedBy is the time under strain after which all fills are stopped. It leaves a stop's grace and a look of the
 	// 4 s that serving tasks may be over their bounds.
@@ -24,43 +23,58 @@
 // govern follows the tails of serving tasks on a worker, and stops fills that disturb them.
 func (d *Dispatcher) govern(w *worker) {
 	w.strain = 0
-	var fills []*run
-	var images []string
+	fills, settled := d.fillsOn(w)
+	present := d.lately(w, fills)
 	for key := range w.life.Runs {
 		r := d.runs[key]
-		if r == nil || !r.seen || r.stopWanted || !r.task.Step.GetFills() {
+		if r == nil || !r.task.Step.Serves() || r.gauge < 0 || r.percent < fullPercent {
 			continue
 		}
-		fills = append(fills, r)
-		if image := imageOf(r.task.Step); d.now.Sub(r.began) >= settledAfter && !slices.Contains(images, image) {
-			images = append(images, image)
+		strain := float64(r.gauge) / float64(r.task.Step.GetTargetMs())
+		w.strain = max(w.strain, strain)
+		own := image{imageOf(r.task.Step), false}
+		d.disturbances.Observe(d.now, own.name, strain, 1/float64(max(1, w.images[own])), settled, present)
+	}
+	for _, fill := range fills {
+		if d.companions(fill.task.Step, w) == disturbance.Harmful {
+			d.wantStop(fill, "it disturbs serving tasks")
 		}
 	}
-	slices.Sort(images)
-	waits := d.now.Before(w.relievedAt)
+	d.relieve(w, fills)
+}
+
+// fillsOn returns the fills on a worker that aren't being stopped, and their images as far as they have been at work for
+// as long as a tail covers.
+func (d *Dispatcher) fillsOn(w *worker) (fills []*run, settled []string) {
 	for key := range w.life.Runs {
 		r := d.runs[key]
-		if r == nil || !r.task.Step.Serves() || r.gauge < 0 {
-			continue
-		}
-		strain := float64(r.gauge) / float64(r.task.Step.GetTargetMs())
-		w.strain = max(w.strain, strain)
-		if len(fills) == 0 || waits {
+		if r == nil || !r.seen || r.stopWanted || !r.task.Step.GetFills() {
 			continue
 		}
-		blamed := d.disturbances.Observe(d.now, imageOf(r.task.Step), strain, images)
-		if len(blamed) > 0 {
-			d.config.Log.Info("serving task is disturbed", "Task", r.key.Task.String(), "Worker", w.life.GetId(), "Image", imageOf(r.task.Step),
-				"Strain", strain, "Blamed", blamed)
+		fills = append(fills, r)
+		if name := imageOf(r.task.Step); d.now.Sub(r.began) >= settledAfter && !slices.Contains(settled, name) {
+			settled = append(settled, name)
 		}
-		for _, fill := range fills {
-			if slices.Contains(blamed, imageOf(fill.task.Step)) {
-				d.wantStop(fill, "it disturbs a serving task")
-				w.relievedAt = d.now.Add(reliefTime)
-			}
+	}
+	slices.Sort(settled)
+	return fills, settled
+}
+
+// lately returns the images of fills that have been on a worker at some time that a tail covers.
+func (d *Dispatcher) lately(w *worker, fills []*run) []string {
+	for _, fill := range fills {
+		w.filledAt[imageOf(fill.task.Step)] = d.now
+	}
+	var present []string
+	for name, at := range w.filledAt {
+		if d.now.Sub(at) > settledAfter {
+			delete(w.filledAt, name)
+			continue
 		}
+		present = append(present, name)
 	}
-	d.relieve(w, fills)
+	slices.Sort(present)
+	return present
 }
 
 // relieve stops all fills of a worker on which a serving task has been over its bound for long, whatever is to blame.
@@ -110,6 +124,26 @@
 	return worst
 }
 
+// unsure reports whether a worker runs a fill of another image of which it isn't known whether it gets on with the serving
+// tasks there. One such image at a time shows which one disturbs.
+func (d *Dispatcher) unsure(step *workload.Step, w *worker) bool {
+	if !step.GetFills() || w.serving == 0 {
+		return false
+	}
+	own := imageOf(step)
+	for victim, victims := range w.images {
+		if victims == 0 || victim.fills {
+			continue
+		}
+		for fill, count := range w.images {
+			if count > 0 && fill.fills && fill.name != own && d.disturbances.Rate(d.now, victim.name, fill.name) != disturbance.Harmless {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // mixes reports whether a serving task of a step would share a worker with serving tasks of other images.
 func mixes(step *workload.Step, w *worker) bool {
 	if !step.Serves() {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -7,6 +7,7 @@
 
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/disturbance"
 	"galenamoor/internal/decision/workload"
 )
 
@@ -40,8 +41,10 @@
 // pass chooses workers for tasks that wait. The most urgent steps choose first.
 func (d *Dispatcher) pass() {
 	hosts := d.hosts()
+	candidates := d.candidates()
+	d.report(candidates, hosts)
 	budget := startsPerPass
-	for _, c := range d.candidates() {
+	for _, c := range candidates {
 		if budget <= 0 {
 			return
 		}
@@ -207,6 +210,7 @@
 			continue
 		}
 		demand.Companions, demand.Mixes = d.companions(c.step, h.worker), mixes(c.step, h.worker)
+		demand.Unsure = demand.Companions == disturbance.Unknown && d.unsure(c.step, h.worker)
 		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
 			best, bestScore = h, score
 		}
@@ -341,3 +345,34 @@
 	}
 	return chosen
 }
+
+// reportInterval is the time between two log lines about the whole fleet.
+const reportInterval = 2 * time.Second
+
+// report tells how the fleet stands, for whoever looks later why work waited.
+func (d *Dispatcher) report(candidates []candidate, hosts []host) {
+	if d.now.Sub(d.reported) < reportInterval {
+		return
+	}
+	d.reported = d.now
+	waiting := map[string]int{}
+	for _, c := range candidates {
+		waiting[c.queue.GetName()+" "+outlookNames[c.outlook]] += c.step.Waiting
+	}
+	var free, beside int64
+	serving := 0
+	for _, h := range hosts {
+		if h.Serving > 0 {
+			serving++
+			beside += h.Spare
+		} else {
+			free += h.Spare
+		}
+	}
+	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", serving, "SpareBesideServing", beside,
+		"SpareElsewhere", free, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
+		"Harmless", d.disturbances.Count(d.now, disturbance.Harmless), "Harmful", d.disturbances.Count(d.now, disturbance.Harmful))
+}
+
+// outlookNames name outlooks in logs.
+var outlookNames = [...]string{inTime: "in time", late: "late", hopeless: "hopeless"}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -60,14 +60,14 @@
 	noting  bool      // ends are proposed and not decided
 	misses  int       // calls without an answer since the last one
 
-	used       resource.Vector // by runs and reservations
-	fills      int64           // milli-cores that fills can use
-	serving    int             // tasks that serve
-	strain     float64         // highest tail of a serving task as a share of its bound
-	images     map[image]int   // serving and filling tasks by what they run
-	servers    int64           // milli-cores of tasks that serve
-	strainedAt time.Time       // since when a serving task is over its bound; zero when none is
-	relievedAt time.Time       // when tails tell of the relief after fills were stopped
+	used       resource.Vector      // by runs and reservations
+	fills      int64                // milli-cores that fills can use
+	serving    int                  // tasks that serve
+	strain     float64              // highest tail of a serving task as a share of its bound
+	images     map[image]int        // serving and filling tasks by what they run
+	filledAt   map[string]time.Time // when a fill of an image was last seen
+	servers    int64                // milli-cores of tasks that serve
+	strainedAt time.Time            // since when a serving task is over its bound; zero when none is
 	shunUntil  time.Time
 	failures   int // runs that failed in a row
 	ending     bool
@@ -84,7 +84,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", life.GetId(), "Address", life.GetAddress())
 		return
 	}
-	w := &worker{life: life, address: address, lookAt: d.now, images: map[image]int{}}
+	w := &worker{life: life, address: address, lookAt: d.now, images: map[image]int{}, filledAt: map[string]time.Time{}}
 	held := time.Duration(float64(d.config.Limits.LongestHold) * (1 + clockDrift))
 	w.expires = d.began.Add(held + lapseMargin)
 	if d.now.Sub(d.began) > held {
--- a/internal/decision/disturbance/ledger.go
+++ b/internal/decision/disturbance/ledger.go
@@ -1,24 +1,38 @@
 // Package disturbance learns which images of tasks that fill disturb which images of tasks that serve.
 //
 // The load it answers: beside some fills the tail latency of a serving task rises to many times its bound within a second,
-// beside most it doesn't change, and nobody declares which. The tail is told for the last half second, so one look is
-// enough to blame. Of several neighbours those are blamed first for which the fewest calm looks speak.
+// beside others it hardly changes, and nobody declares which. A disturbance comes and goes, and serving tasks strain by
+// themselves at times, so that one look proves nothing. The ledger therefore keeps, for each pair, the logarithm of the
+// odds that it disturbs.
 package disturbance
 
-import (
-	"math"
-	"time"
+import "time"
+
+// Evidence of one look, as logarithms of the ratio of its probability beside a disturbing and a harmless neighbour. They
+// are measured: of tails beside pairs that disturb, 40% are below 0.8 of the bound, 15% between 1 and 1.5, and 40% above;
+// beside other pairs 85%, 6% and 4%.
+const (
+	calmEvidence     = -0.75
+	strainedEvidence = 0.9
+	severeEvidence   = 2.3
 )
 
+// Shares of the bound that separate calm, strained and severe looks.
 const (
-	// strained is the share of its bound from which a serving task's tail is blamed on its neighbours.
+	calm     = 0.8
 	strained = 1.0
-	// calm is the share of its bound below which a tail clears its neighbours.
-	calm = 0.8
-	// clearedBy is the number of calm looks after which a pair is harmless.
-	clearedBy = 3
-	// blamedFor is how long a pair is kept apart. It is tried again after that, because images change.
-	blamedFor = 60 * time.Second
+	severe   = 1.5
+)
+
+const (
+	// harmfulOdds and harmlessOdds separate the ratings.
+	harmfulOdds  = 2.0
+	harmlessOdds = -1.5
+	// mostOdds and leastOdds bound the odds, so that a pair that changes is noticed.
+	mostOdds  = 5.0
+	leastOdds = -4.0
+	// forgotten is by how much the odds of a harmful pair fall in a second, so that it is tried again some time.
+	forgotten = 0.02
 	// mostPairs bounds the memory.
 	mostPairs = 1 << 14
 )
@@ -35,10 +49,10 @@
 
 type pair struct{ victim, aggressor string }
 
-// record is what was seen of a pair.
+// record holds the logarithm of the odds that a pair disturbs.
 type record struct {
-	calmLooks   int
-	blamedUntil time.Time
+	odds float64
+	at   time.Time // of the last evidence
 }
 
 // Ledger holds what is known of pairs of images. It is not safe for concurrent use.
@@ -55,58 +69,60 @@
 	switch {
 	case r == nil:
 		return Unknown
-	case now.Before(r.blamedUntil):
+	case r.oddsAt(now) >= harmfulOdds:
 		return Harmful
-	case r.calmLooks >= clearedBy:
+	case r.odds <= harmlessOdds:
 		return Harmless
 	}
 	return Unknown
 }
 
-// Observe learns from a look: the tail of a victim as a share of its bound, and the aggressors that were at work beside it
-// for the whole time that the tail covers, each image once. It returns the aggressors to remove. After that the caller
-// waits until a tail without them is told before it observes the victim's host again.
-func (l *Ledger) Observe(now time.Time, victim string, strain float64, aggressors []string) []string {
-	switch {
-	case strain < calm:
-		for _, aggressor := range aggressors {
-			l.record(victim, aggressor).calmLooks++
-		}
-		return nil
-	case strain < strained:
-		return nil
-	}
-	fewest := l.fewestCalmLooks(now, victim, aggressors)
-	var blamed []string
-	for _, aggressor := range aggressors {
-		r := l.record(victim, aggressor)
-		if r.knownCalm(now) > fewest {
-			continue // one of which less is known explains the strain
+// Count returns the number of pairs with a rating.
+func (l *Ledger) Count(now time.Time, rating Rating) int {
+	count := 0
+	for key := range l.pairs {
+		if l.Rate(now, key.victim, key.aggressor) == rating {
+			count++
 		}
-		r.calmLooks = 0
-		r.blamedUntil = now.Add(blamedFor)
-		blamed = append(blamed, aggressor)
 	}
-	return blamed
+	return count
 }
 
-func (l *Ledger) fewestCalmLooks(now time.Time, victim string, aggressors []string) int {
-	fewest := math.MaxInt
-	for _, aggressor := range aggressors {
-		fewest = min(fewest, l.record(victim, aggressor).knownCalm(now))
+// Observe learns from a look at one victim. Strain is its tail as a share of its bound; the weight is 1, or less when
+// several victims of the image on one host are observed together. Settled are the images of the aggressors that were
+// beside it for the whole time that the tail covers, and present those that were for some of it, each once.
+func (l *Ledger) Observe(now time.Time, victim string, strain, weight float64, settled, present []string) {
+	switch {
+	case strain < calm:
+		for _, aggressor := range settled {
+			l.add(now, victim, aggressor, weight*calmEvidence)
+		}
+	case strain >= severe:
+		l.add(now, victim, l.suspect(now, victim, present), weight*severeEvidence)
+	case strain >= strained:
+		l.add(now, victim, l.suspect(now, victim, present), weight*strainedEvidence)
 	}
-	return fewest
 }
 
-// knownCalm returns the looks that speak for a pair; -1 for one that is blamed.
-func (r *record) knownCalm(now time.Time) int {
-	if now.Before(r.blamedUntil) {
-		return -1
+// suspect returns the aggressor that most likely disturbs, or nothing.
+func (l *Ledger) suspect(now time.Time, victim string, present []string) string {
+	worst, worstOdds := "", leastOdds-1
+	for _, aggressor := range present {
+		odds := 0.0
+		if r := l.pairs[pair{victim, aggressor}]; r != nil {
+			odds = r.oddsAt(now)
+		}
+		if odds > worstOdds {
+			worst, worstOdds = aggressor, odds
+		}
 	}
-	return r.calmLooks
+	return worst
 }
 
-func (l *Ledger) record(victim, aggressor string) *record {
+func (l *Ledger) add(now time.Time, victim, aggressor string, evidence float64) {
+	if aggressor == "" {
+		return
+	}
 	key := pair{victim, aggressor}
 	r := l.pairs[key]
 	if r == nil {
@@ -116,5 +132,14 @@
 		r = &record{}
 		l.pairs[key] = r
 	}
-	return r
+	r.odds = min(mostOdds, max(leastOdds, r.oddsAt(now)+evidence))
+	r.at = now
+}
+
+// oddsAt returns the odds, less what is forgotten of a harmful pair, which isn't observed any more.
+func (r *record) oddsAt(now time.Time) float64 {
+	if r.odds <= 0 {
+		return r.odds
+	}
+	return max(0, r.odds-forgotten*now.Sub(r.at).Seconds())
 }
