logstore: sync what recovery read before relying on it

A killed process had written a record that it hadn't synced; its successor read it, began the next segment, and the loss of power that followed took the record and kept the segment. Ruled out: removal of segments, which is synced one by one.

--- a/internal/shell/logstore/files.go
+++ b/internal/shell/logstore/files.go
@@ -19,6 +19,8 @@
 	Create(name string) (File, error)
 	// Truncate cuts a file to size bytes and syncs it.
 	Truncate(name string, size int64) error
+	// Sync makes the contents of an existing file durable.
+	Sync(name string) error
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncDir makes created, renamed and removed names of a folder durable.
@@ -79,6 +81,15 @@
 	return trace.ConvertSystemError(file.Sync())
 }
 
+func (osFS) Sync(name string) error {
+	file, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer file.Close()
+	return trace.ConvertSystemError(file.Sync())
+}
+
 func (osFS) Rename(from, to string) error {
 	return trace.ConvertSystemError(os.Rename(from, to))
 }
--- a/internal/shell/logstore/memory_test.go
+++ b/internal/shell/logstore/memory_test.go
@@ -117,6 +117,10 @@
 	})
 }
 
+func (f *faultFS) Sync(name string) error {
+	return f.change(func() { f.files[name].synced = len(f.files[name].data) })
+}
+
 func (f *faultFS) Rename(from, to string) error {
 	return f.change(func() {
 		f.files[to] = f.files[from]
--- a/internal/shell/logstore/recover.go
+++ b/internal/shell/logstore/recover.go
@@ -57,12 +57,33 @@
 		return nil, trace.Wrap(err)
 	}
 	recovered.Truncated = reader.truncated
+	if err := s.syncRecovered(names); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := s.resume(reader, recovered); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return recovered, nil
 }
 
+// syncRecovered makes durable what was read. A process that was killed may have left writes and names without a sync, and
+// whatever was read is relied on from now on.
+func (s *Store) syncRecovered(names *listing) error {
+	paths := []string{s.path(identityName)}
+	for _, index := range names.snapshots {
+		paths = append(paths, s.path(snapshotName(index)))
+	}
+	for _, segment := range s.segments {
+		paths = append(paths, segment.name)
+	}
+	for _, path := range paths {
+		if err := s.fs.Sync(path); err != nil {
+			return trace.Wrap(err, "syncing %s", path)
+		}
+	}
+	return trace.Wrap(s.fs.SyncDir(s.folder), "syncing %s", s.folder)
+}
+
 // list sorts out the names in the folder and removes temporary files of an interrupted write.
 func (s *Store) list() (*listing, error) {
 	names, err := s.fs.ReadDir(s.folder)
--- a/internal/shell/logstore/store_test.go
+++ b/internal/shell/logstore/store_test.go
@@ -12,8 +12,10 @@
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
 
 	"galenamoor/internal/controlpb"
 )
@@ -213,6 +215,38 @@
 	}
 }
 
+// A process that is killed leaves writes that it didn't sync. What the next process reads of them must survive a loss of
+// power, because it relies on it. Guards against a folder with a gap between its segments, and against a forgotten vote.
+func TestKillThenPowerLoss(t *testing.T) {
+	for seed := range uint64(3) {
+		script, models := steps(rand.New(rand.NewPCG(seed, 1)), 25)
+		whole := newFaultFS()
+		session(t, whole, script)
+		for limit := range whole.units {
+			fs := newFaultFS()
+			fs.limit, fs.crash = limit, true
+			n := session(t, fs, script)
+			fs.limit, fs.crash = -1, false // the process is gone, the files are as it left them
+			what := fmt.Sprintf("seed %d, unit %d", seed, limit)
+			store, recovered, err := open(fs)
+			if err != nil {
+				t.Fatalf("%s: %v", what, trace.DebugReport(err))
+			}
+			store.Close()
+			random := rand.New(rand.NewPCG(seed, uint64(limit)))
+			again, recoveredAgain, err := open(fs.restart(random))
+			if err != nil {
+				t.Fatalf("%s: after the loss of power: %v", what, trace.DebugReport(err))
+			}
+			again.Close()
+			recovered.Truncated, recoveredAgain.Truncated = 0, 0
+			if diff := cmp.Diff(recovered, recoveredAgain, protocmp.Transform()); diff != "" {
+				t.Fatalf("%s: acknowledged %d of %d calls; the loss of power changed what was read:\n%s", what, n, len(models)-1, diff)
+			}
+		}
+	}
+}
+
 // Random scripts with restarts between calls guard against state that only a fresh store or only an old one has.
 func FuzzSession(f *testing.F) {
 	for seed := range uint64(50) {
