Start work of slow, standing and leaving workers elsewhere

Cause: workers that turn slow or whose tasks stand still hold steps until their tasks lapse or end; tasks on workers that leave end with them.

Change: runs without progress for 1.6 s, or slower than 3.5 times the typical length, move once; speculative tasks get a copy beside them; what serves on a leaving worker moves at once, the rest when it can't be done in time.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -86,6 +86,7 @@
 	runs         map[workload.RunKey]*run
 	reserved     map[workload.TaskKey]bool // tasks whose next run is proposed
 	saved        map[workload.TaskKey]string
+	moves        map[workload.TaskKey]int // of tasks that were slow
 	beats        map[string]beat
 	learned      *learned
 	disturbances *disturbance.Ledger
@@ -114,6 +115,7 @@
 	d.runs = map[workload.RunKey]*run{}
 	d.reserved = map[workload.TaskKey]bool{}
 	d.saved = map[workload.TaskKey]string{}
+	d.moves = map[workload.TaskKey]int{}
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
 	d.disturbances = disturbance.New()
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -45,6 +45,7 @@
 	candidates := d.candidates()
 	d.report(candidates, hosts)
 	budget := startsPerPass
+	d.copies(hosts)
 	full := map[shape]resource.Vector{}
 	for _, c := range candidates {
 		if budget <= 0 {
@@ -159,7 +160,7 @@
 		if w == nil || !d.isUsable(w) {
 			continue
 		}
-		h := host{Host: &colocation.Host{Rack: rackOf(life), Suspect: w.failures > 0}, worker: w}
+		h := host{Host: &colocation.Host{Rack: rackOf(life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
 		h.refresh()
 		hosts = append(hosts, h)
 	}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -197,7 +197,7 @@
 	}
 	d.wait(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: life}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
-			d.lifeChanged(uint32(result.GetFence()))
+			d.lifeChanged(uint32(result.GetFence()), d.leavesAt(a))
 		}
 		return outcome(controlpb.WorkOutcome_WORK_OK)
 	})
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -29,12 +29,14 @@
 	stopping   bool
 	stopReason string
 
-	seen     bool // a look listed it
-	missing  int  // looks since that don't list it
-	began    time.Time
-	percent  int
-	progress time.Time // when percent rose last
-	gauge    int64
+	seen         bool // a look listed it
+	missing      int  // looks since that don't list it
+	began        time.Time
+	percent      int
+	firstPercent int       // when it was seen first
+	slow         bool      // a copy may run beside it
+	progress     time.Time // when percent rose last
+	gauge        int64
 }
 
 // addRun starts to look after a run that the replicated state holds.
@@ -226,6 +228,9 @@
 	}
 	d.noteEnds(w, a.Ended)
 	d.govern(w)
+	if w.life.GetLeaving() {
+		d.leaving(w)
+	}
 }
 
 // sawRunning follows a run that is at work. One that the state doesn't hold was taken back, and is stopped.
@@ -237,7 +242,7 @@
 		return
 	}
 	if !r.seen {
-		r.seen, r.began, r.progress = true, d.now, d.now
+		r.seen, r.began, r.progress, r.firstPercent = true, d.now, d.now, running.Percent
 	}
 	r.missing = 0
 	r.startAt = time.Time{}
@@ -245,6 +250,7 @@
 		r.percent, r.progress = running.Percent, d.now
 	}
 	r.gauge = running.Gauge
+	d.judge(r)
 	if running.Checkpoint != "" {
 		key := r.key.Task
 		if r.task.Step.GetGang() {
@@ -304,7 +310,7 @@
 	}
 	d.forgetRun(e.Run, r)
 	if r.task.Done {
-		delete(d.saved, e.Run.Task)
+		d.forgetTask(e.Run.Task)
 	} else if e.Checkpoint != "" {
 		key := e.Run.Task
 		if r.task.Step.GetGang() {
--- /dev/null
+++ b/internal/decision/dispatch/straggle.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
+)
+
+// The load that this file answers: some workers turn slow or their tasks stand still while they answer as before, so that
+// a step waits for its last task. Such tasks are started elsewhere once what is left of them would take longer there.
+
+const (
+	// stillAfter is the time without progress after which a run stands still: two looks, and the hundredth of the work
+	// of the longest tasks.
+	stillAfter = 1600 * time.Millisecond
+
+	// judgedAfter is the time at work before which the speed of a run isn't judged.
+	judgedAfter = 600 * time.Millisecond
+
+	// slowFactor is the multiple of the typical length of a queue's tasks above which a run is slow. Lengths vary by a
+	// factor of two and a half.
+	slowFactor = 3.5
+
+	// suspectTime is how long a worker on which runs were slow or stood still is used last.
+	suspectTime = 4 * time.Second
+
+	// mostMoves is how often a task is moved because it is slow. One that is slow everywhere is just long.
+	mostMoves = 1
+)
+
+// judge has a run started elsewhere when it is slow or stands still.
+func (d *Dispatcher) judge(r *run) {
+	if r.stopWanted || !r.seen || r.task.Step.GetPerpetual() || r.task.Step.GetGang() || d.moves[r.key.Task] >= mostMoves {
+		return
+	}
+	reason := d.slowness(r)
+	if reason == "" {
+		return
+	}
+	w := r.worker
+	w.suspectUntil = d.now.Add(suspectTime)
+	d.dirty = true
+	if r.task.Step.GetSpeculative() {
+		r.slow = true // a copy is started beside it
+		return
+	}
+	d.moves[r.key.Task]++
+	d.wantStop(r, reason)
+}
+
+// slowness returns why a run is to be started elsewhere, or nothing.
+func (d *Dispatcher) slowness(r *run) string {
+	if d.now.Sub(r.progress) >= stillAfter {
+		return "it stands still"
+	}
+	age := d.now.Sub(r.began)
+	if age < judgedAfter {
+		return ""
+	}
+	typical := d.learned.typical(r.task.Step.Job.Spec.GetQueue())
+	done := r.percent - r.firstPercent
+	if done <= 0 {
+		done = 1
+	}
+	whole := age * 100 / time.Duration(done)
+	left := whole * time.Duration(100-r.percent) / 100
+	limit := slowFactor
+	if rack := r.task.Step.GetDataRack(); rack != "" && rack != rackOf(r.worker.life) {
+		limit *= max(1, d.config.Limits.RemoteFactor)
+	}
+	if float64(whole) < limit*float64(typical) || left < typical+typical/2 {
+		return ""
+	}
+	return "it is slow"
+}
+
+// copies starts second runs of speculative tasks that are slow, or whose worker doesn't answer.
+func (d *Dispatcher) copies(hosts []host) {
+	for _, r := range d.runs {
+		step := r.task.Step
+		if !step.GetSpeculative() || r.stopWanted || r.task.Done || len(r.task.Runs) != 1 || d.reserved[r.key.Task] || step.Job.IsOver() {
+			continue
+		}
+		if !r.slow && d.now.Sub(r.worker.heard) < silentAfter {
+			continue
+		}
+		queue := d.state.Queue(step.Job.Spec.GetQueue())
+		c := candidate{step: step, queue: queue}
+		chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool { return w == r.worker })
+		if chosen == nil {
+			continue
+		}
+		d.config.Count("CopiesStarted")
+		d.config.Log.Info("starting a copy", "Task", r.key.Task.String(), "Beside", r.key.Run, "Slow", r.slow, "Silent", d.now.Sub(r.worker.heard).String())
+		d.assign(r.task, chosen.worker, r.task.LastRun+1)
+		chosen.refresh()
+	}
+}
+
+// leaving has what runs on a worker that leaves started elsewhere, as far as it wouldn't be done in time. What serves
+// goes at once, because it is away for less time than if it ended with the worker.
+func (d *Dispatcher) leaving(w *worker) {
+	for key := range w.life.Runs {
+		r := d.runs[key]
+		if r == nil || r.stopWanted || !r.seen || r.task.Step.GetGang() {
+			continue
+		}
+		if r.task.Step.GetPerpetual() || d.now.Add(d.timeLeft(r)).After(w.leavesAt) {
+			d.wantStop(r, "its worker leaves")
+		}
+	}
+}
+
+// timeLeft returns the time that a run is expected to need still.
+func (d *Dispatcher) timeLeft(r *run) time.Duration {
+	if r.percent <= r.firstPercent {
+		return d.learned.typical(r.task.Step.Job.Spec.GetQueue())
+	}
+	return d.now.Sub(r.began) * time.Duration(100-r.percent) / time.Duration(r.percent-r.firstPercent)
+}
+
+// forgetTask drops what is only known of a task while it isn't done.
+func (d *Dispatcher) forgetTask(key workload.TaskKey) {
+	delete(d.saved, key)
+	delete(d.moves, key)
+}
+
+// leavesAt returns when a worker that says it leaves is gone, at the earliest.
+func (d *Dispatcher) leavesAt(a *controlpb.AnnounceLife) time.Time {
+	return d.now.Add(time.Duration(a.GetLeavesInMs()) * time.Millisecond)
+}
