--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -91,6 +91,9 @@
 	learned      *learned
 	disturbances *disturbance.Ledger
 
+	advices  map[*workload.Step]*advice
+	advising int // calls to the advice service under way
+
 	outbox    []item
 	proposed  map[*controlpb.Command][]item
 	arriving  map[string][]*controlpb.LeaderRequest // submissions that are proposed, by job
@@ -119,6 +122,7 @@
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
 	d.disturbances = disturbance.New()
+	d.advices, d.advising = map[*workload.Step]*advice{}, 0
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]item{}
 	d.arriving = map[string][]*controlpb.LeaderRequest{}
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -198,3 +198,143 @@
 		t.Errorf("serving tasks were over their bounds for %v in all, expected at most %v", w.overBound, limit)
 	}
 }
+
+// Members of a gang work only together: none may wait in vain for one that can't start, and the gang must run in the end.
+func TestGang(t *testing.T) {
+	w := newFleet(t, 1, 6)
+	w.workers[2].refuses = true
+	gang := exact(5, time.Second)
+	gang.Gang, gang.SameRack, gang.MaxPerWorker = true, true, 3
+	w.submit("urgent", "gang", gang)
+	w.run(8 * time.Second)
+	w.expect("gang", controlpb.WorkState_WORK_COMPLETED)
+	if w.alone > 0 {
+		t.Errorf("%d members waited for the others in vain", w.alone)
+	}
+}
+
+// A step must not wait for tasks on a worker that has turned slow or on which they stand still.
+func TestSlowAndStandingWorkers(t *testing.T) {
+	w := newFleet(t, 1, 6)
+	for i := range 10 {
+		w.submit("urgent", fmt.Sprintf("before-%d", i), exact(6, 800*time.Millisecond))
+		w.run(300 * time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	w.workers[1].slow, w.workers[2].standing = 8, true
+	for i := range 5 {
+		w.submit("urgent", fmt.Sprintf("job-%d", i), exact(6, 800*time.Millisecond))
+	}
+	w.run(5 * time.Second)
+	for i := range 5 {
+		w.expect(fmt.Sprintf("job-%d", i), controlpb.WorkState_WORK_COMPLETED)
+	}
+}
+
+// What serves must be away from a leaving worker before it is gone, and come back elsewhere.
+func TestLeavingWorker(t *testing.T) {
+	w := newFleet(t, 1, 3)
+	w.submit("urgent", "serving", serving(3, "image"))
+	w.run(time.Second)
+	leaving := w.workers[0]
+	for _, worker := range w.workers {
+		if len(worker.runs) > 0 {
+			leaving = worker
+		}
+	}
+	leaving.life.Leaving = true
+	w.run(3 * time.Second)
+	if len(leaving.runs) > 0 {
+		t.Errorf("%s leaves and still runs %d tasks", leaving.life.GetId(), len(leaving.runs))
+	}
+	serves := 0
+	for _, worker := range w.workers {
+		serves += len(worker.runs)
+	}
+	if serves != 3 {
+		t.Errorf("%d tasks serve, expected 3", serves)
+	}
+}
+
+// A host holds at most the allowed number of a step's tasks, and only hosts with the label are used.
+func TestLimitsOfSteps(t *testing.T) {
+	w := newFleet(t, 1, 4)
+	limited := exact(8, time.Second)
+	limited.MaxPerWorker, limited.RequiredLabel = 2, "r-1"
+	w.submit("urgent", "a", limited)
+	for range 30 {
+		w.run(100 * time.Millisecond)
+		for _, worker := range w.workers {
+			if allowed := map[bool]int{true: 2}[worker.life.GetLabels()[1] == "r-1"]; len(worker.runs) > allowed {
+				t.Fatalf("%s runs %d tasks, expected at most %d", worker.life.GetId(), len(worker.runs), allowed)
+			}
+		}
+	}
+	w.run(3 * time.Second)
+	w.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
+
+// Occurrences of a job with times must not start before they are due.
+func TestTimes(t *testing.T) {
+	w := newFleet(t, 1, 4)
+	start := w.now.Add(2 * time.Second)
+	w.ask(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+		Verb: controlpb.CallerVerb_VERB_SUBMIT, Host: "h", Path: "/urgent/timed", Job: &controlpb.WorkJob{
+			Steps: []*controlpb.WorkStep{exact(2, 200*time.Millisecond)}, Repeats: 3, StartAtMs: start.UnixMilli(), PeriodMs: 1000,
+		},
+	}}})
+	for k := range 3 {
+		due := start.Add(time.Duration(k) * time.Second)
+		w.run(due.Sub(w.now) - 50*time.Millisecond)
+		if started := len(w.starts); started != 2*k {
+			t.Errorf("%d tasks have started before occurrence %d is due, expected %d", started, k, 2*k)
+		}
+	}
+	w.run(2 * time.Second)
+	w.expect("timed", controlpb.WorkState_WORK_COMPLETED)
+}
+
+// A task that fails everywhere must fail its job after the allowed attempts, and not run again.
+func TestHopelessJob(t *testing.T) {
+	w := newFleet(t, 1, 4)
+	for _, worker := range w.workers {
+		worker.failing = true
+	}
+	w.submit("urgent", "a", exact(1, time.Second))
+	w.run(8 * time.Second)
+	w.expect("a", controlpb.WorkState_WORK_FAILED)
+	if attempts := w.starts["a.0.0.0"]; attempts != 3 {
+		t.Errorf("%d attempts, expected 3", attempts)
+	}
+}
+
+// Urgent work must not wait for less urgent work that has taken all processors, and that work must be done in the end.
+func TestPreemption(t *testing.T) {
+	w := newFleet(t, 1, 4)
+	long := exact(32, 20*time.Second)
+	long.Checkpoints = true
+	w.submit("batch", "long", long)
+	w.run(2 * time.Second)
+	w.submit("urgent", "a", exact(6, 500*time.Millisecond))
+	w.run(3 * time.Second)
+	w.expect("a", controlpb.WorkState_WORK_COMPLETED)
+	stopped := 0
+	for _, count := range w.starts {
+		stopped += count - 1
+	}
+	w.run(40 * time.Second)
+	w.expect("long", controlpb.WorkState_WORK_COMPLETED)
+	if stopped > 6 {
+		t.Errorf("%d runs were stopped for 6 tasks of the same size", stopped)
+	}
+}
+
+// Tasks of a queue with advice start only with a ticket, also once the first tickets have run out.
+func TestAdvice(t *testing.T) {
+	w := newFleet(t, 1, 8)
+	second := exact(6, time.Second)
+	second.After = []uint32{0}
+	w.submit("advised", "a", exact(40, time.Second), second)
+	w.run(8 * time.Second)
+	w.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
--- a/internal/decision/dispatch/learned.go
+++ b/internal/decision/dispatch/learned.go
@@ -12,14 +12,19 @@
 	firstTypical = 2 * time.Second
 	// learnShare is the weight of a new length in the running mean.
 	learnShare = 0.05
+	// learnedBy is the number of ended tasks by which the length of a queue's tasks is known.
+	learnedBy = 10
 )
 
 // learned holds what is known of queues from their tasks that have ended, because declared lengths are far off.
 type learned struct {
 	lengths map[string]time.Duration
+	counts  map[string]int
 }
 
-func newLearned() *learned { return &learned{lengths: map[string]time.Duration{}} }
+func newLearned() *learned {
+	return &learned{lengths: map[string]time.Duration{}, counts: map[string]int{}}
+}
 
 // typical returns the mean length of the tasks of a queue.
 func (l *learned) typical(queue string) time.Duration {
@@ -29,7 +34,11 @@
 	return firstTypical
 }
 
+// isKnown reports whether the length of a queue's tasks is known.
+func (l *learned) isKnown(queue string) bool { return l.counts[queue] >= learnedBy }
+
 func (l *learned) add(queue string, length time.Duration) {
+	l.counts[queue]++
 	known, ok := l.lengths[queue]
 	if !ok {
 		l.lengths[queue] = length
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -46,6 +46,7 @@
 	d.report(candidates, hosts)
 	budget := startsPerPass
 	d.copies(hosts)
+	preemptions := preemptionsPerPass
 	full := map[shape]resource.Vector{}
 	for _, c := range candidates {
 		if budget <= 0 {
@@ -54,14 +55,20 @@
 		if least, ok := full[shapeOf(c)]; ok && least.Fits(need(c.step)) {
 			continue // no host had room for less
 		}
+		if c.queue.GetAdvised() {
+			d.consult(c, hosts)
+		}
 		if c.step.GetGang() {
 			budget -= d.placeGang(c, hosts)
 		} else {
-			placed, all := d.placeTasks(c, hosts)
+			placed, missing := d.placeTasks(c, hosts)
 			budget -= placed
-			if !all {
+			if missing > 0 && c.step.GetMaxPerWorker() == 0 { // else its own tasks may be what keeps it from hosts with room
 				full[shapeOf(c)] = need(c.step)
 			}
+			if kindOf(c.step) != colocation.Fill {
+				preemptions -= d.makeRoom(c, hosts, missing, preemptions)
+			}
 		}
 	}
 }
@@ -69,12 +76,20 @@
 // shape is what decides which hosts may take a task, besides its needs.
 type shape struct {
 	pool, image, label string
+	advised            *workload.Step // steps with advice have hosts of their own
 	kind               colocation.Kind
 	limit              uint32
 }
 
 func shapeOf(c candidate) shape {
-	return shape{c.queue.GetPool(), c.step.GetImage(), c.step.GetRequiredLabel(), kindOf(c.step), c.step.GetMaxPerWorker()}
+	s := shape{
+		pool: c.queue.GetPool(), image: c.step.GetImage(), label: c.step.GetRequiredLabel(), kind: kindOf(c.step),
+		limit: c.step.GetMaxPerWorker(),
+	}
+	if c.queue.GetAdvised() {
+		s.advised = c.step
+	}
+	return s
 }
 
 // need returns what a task of a step needs, with the processors that a fill uses.
@@ -160,6 +175,7 @@
 		if w == nil || !d.isUsable(w) {
 			continue
 		}
+		w.roomTaken = nil
 		h := host{Host: &colocation.Host{Rack: rackOf(life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
 		h.refresh()
 		hosts = append(hosts, h)
@@ -207,22 +223,26 @@
 	}
 }
 
-// placeTasks chooses workers for the waiting tasks of a step, and returns how many it found, and whether for all.
-func (d *Dispatcher) placeTasks(c candidate, hosts []host) (placed int, all bool) {
+// placeTasks chooses workers for the waiting tasks of a step, and returns for how many it found one, and for how many not.
+func (d *Dispatcher) placeTasks(c candidate, hosts []host) (placed, missing int) {
 	demand := d.demand(c)
 	for _, task := range c.step.Tasks {
 		if !task.IsWaiting() || d.reserved[task.Key()] {
 			continue
 		}
-		chosen := d.choose(c, demand, hosts, nil)
+		var chosen *host
+		if missing == 0 {
+			chosen = d.choose(c, demand, hosts, nil)
+		}
 		if chosen == nil {
-			return placed, c.step.GetMaxPerWorker() > 0 // its own tasks may be what keeps it from hosts with room
+			missing++
+			continue
 		}
 		d.assign(task, chosen.worker, task.LastRun+1)
 		chosen.refresh()
 		placed++
 	}
-	return placed, true
+	return placed, missing
 }
 
 // choose returns the best host for a task of a step, or nil. Tasks on hosts of taken count for the limit per worker.
@@ -243,8 +263,12 @@
 	return best
 }
 
-// allows reports whether the rules of a step and its queue permit a worker.
+// allows reports whether the rules of a step and its queue permit a worker, and the advice service where it is asked.
 func (d *Dispatcher) allows(c candidate, w *worker) bool {
+	return d.allowsUnadvised(c, w) && (!c.queue.GetAdvised() || d.ticketFor(c.step, w) != "")
+}
+
+func (d *Dispatcher) allowsUnadvised(c candidate, w *worker) bool {
 	if w.life.GetPool() != c.queue.GetPool() {
 		return false
 	}
@@ -380,6 +404,7 @@
 		return
 	}
 	d.reported = d.now
+	d.forgetAdvice()
 	waiting := map[string]int{}
 	for _, c := range candidates {
 		waiting[c.queue.GetName()+" "+outlookNames[c.outlook]] += c.step.Waiting
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -21,6 +21,8 @@
 
 	startAt    time.Time // of the next start call; zero when none is needed
 	starting   bool      // a start call is under way
+	orderedAt  time.Time // of the first start call
+	checkpoint string    // that start calls carry, which doesn't change from one to the next
 	unanswered bool      // a start call got no answer, and may be carried out later
 	settledAt  time.Time // when the newest start or stop call was answered for good
 
@@ -124,7 +126,10 @@
 	}
 	call := d.newCall(order.Start, r.worker)
 	call.Run, call.Spec, call.Until = r.key, r.task.Step.Job.Spec.GetSpec(), until
-	call.Checkpoint = d.checkpoint(r.task)
+	if r.orderedAt.IsZero() {
+		r.orderedAt, r.checkpoint = d.now, d.checkpoint(r.task)
+	}
+	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
 	r.starting = true
 	d.config.Orders.Send(call)
 }
@@ -154,12 +159,20 @@
 	case order.NoAnswer:
 		r.unanswered = true
 		r.startAt = d.now.Add(retryPause)
+		if d.now.Sub(r.orderedAt) > d.config.Limits.GangTimeout/2 {
+			d.stopGang(r)
+		}
 	case order.Late:
 		r.startAt = d.now
-	case order.Full, order.Unhealthy, order.Invalid:
+	case order.Full, order.Unhealthy, order.Invalid, order.NoTicket:
 		d.config.Log.Info("start refused", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.life.GetId(), "Status", a.Status.String())
 		r.startAt = time.Time{}
-		r.worker.shunUntil = d.now.Add(unhealthyPause)
+		if a.Status == order.NoTicket {
+			delete(d.adviceOn(r.task.Step).tickets, r.worker.life.GetId())
+		} else {
+			r.worker.shunUntil = d.now.Add(unhealthyPause)
+		}
+		d.stopGang(r)
 		if r.unanswered {
 			d.wantStop(r, "the worker refused to start it") // an earlier order may still be carried out
 			return
@@ -168,6 +181,18 @@
 	}
 }
 
+// stopGang stops the other members of a gang of which one can't start, before they have waited for it in vain.
+func (d *Dispatcher) stopGang(r *run) {
+	if !r.task.Step.GetGang() {
+		return
+	}
+	for _, member := range r.task.Step.Tasks {
+		if other := d.runs[workload.RunKey{Task: member.Key(), Run: r.key.Run}]; other != nil {
+			d.wantStop(other, "a member of its gang can't start")
+		}
+	}
+}
+
 // drop takes back the assignment of a run that certainly isn't there and never will be.
 func (d *Dispatcher) drop(r *run) {
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_DropRun{DropRun: &controlpb.DropRun{Task: r.key.Task.Ref(), Run: r.key.Run}}}
@@ -287,7 +312,7 @@
 	slices.SortFunc(ended, func(a, b order.Ended) int { return int(a.Number) - int(b.Number) })
 	note := &controlpb.NoteEnds{Worker: w.life.GetNumber(), Through: ended[len(ended)-1].Number}
 	for _, e := range ended {
-		note.Ends = append(note.Ends, &controlpb.EndedRun{Task: e.Run.Task.Ref(), Run: e.Run.Run, How: e.How, Checkpoint: e.Checkpoint})
+		note.Ends = append(note.Ends, endedRun(&e))
 		d.learnEnd(w, &e)
 	}
 	w.noting = true
@@ -302,6 +327,10 @@
 	})
 }
 
+func endedRun(e *order.Ended) *controlpb.EndedRun {
+	return &controlpb.EndedRun{Task: e.Run.Task.Ref(), Run: e.Run.Run, How: e.How, Checkpoint: e.Checkpoint}
+}
+
 // ended follows the recorded end of a run.
 func (d *Dispatcher) ended(w *worker, e *order.Ended) {
 	r := d.runs[e.Run]
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -11,10 +11,12 @@
 // a step waits for its last task. Such tasks are started elsewhere once what is left of them would take longer there.
 
 const (
-	// stillAfter is the time without progress after which a run stands still: two looks, and the hundredth of the work
-	// of the longest tasks.
+	// stillAfter is the least time without progress after which a run stands still: two looks.
 	stillAfter = 1600 * time.Millisecond
 
+	// stillPercents is the progress that a run that stands still would have made in that time, in hundredths of its work.
+	stillPercents = 4
+
 	// judgedAfter is the time at work before which the speed of a run isn't judged.
 	judgedAfter = 600 * time.Millisecond
 
@@ -51,19 +53,18 @@
 
 // slowness returns why a run is to be started elsewhere, or nothing.
 func (d *Dispatcher) slowness(r *run) string {
-	if d.now.Sub(r.progress) >= stillAfter {
+	queue := r.task.Step.Job.Spec.GetQueue()
+	typical := d.learned.typical(queue)
+	age := d.now.Sub(r.began)
+	done := time.Duration(max(1, r.percent-r.firstPercent))
+	perPercent := max(r.progress.Sub(r.began)/done, typical/100)
+	if d.now.Sub(r.progress) >= max(stillAfter, stillPercents*perPercent) && d.learned.isKnown(queue) {
 		return "it stands still"
 	}
-	age := d.now.Sub(r.began)
-	if age < judgedAfter {
+	if age < judgedAfter || !d.learned.isKnown(queue) {
 		return ""
 	}
-	typical := d.learned.typical(r.task.Step.Job.Spec.GetQueue())
-	done := r.percent - r.firstPercent
-	if done <= 0 {
-		done = 1
-	}
-	whole := age * 100 / time.Duration(done)
+	whole := age * 100 / done
 	left := whole * time.Duration(100-r.percent) / 100
 	limit := slowFactor
 	if rack := r.task.Step.GetDataRack(); rack != "" && rack != rackOf(r.worker.life) {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -74,9 +74,10 @@
 	shunUntil    time.Time
 	failures     int // runs that failed in a row
 	ending       bool
-	leavesAt     time.Time // when a worker that leaves is gone, at the earliest
-	suspectUntil time.Time // it is used last until then
-	reborn       bool      // a later life under the same ID has answered
+	roomTaken    map[*workload.Step]bool // steps for which the current pass makes room here
+	leavesAt     time.Time               // when a worker that leaves is gone, at the earliest
+	suspectUntil time.Time               // it is used last until then
+	reborn       bool                    // a later life under the same ID has answered
 	rebornAt     time.Time
 	strays       bool                   // it runs what nobody wants, which takes room
 	promised     map[*workload.Step]int // runs that are proposed
@@ -135,15 +136,15 @@
 	d.dirty = true
 }
 
-// endLife proposes that a life is over.
-func (d *Dispatcher) endLife(w *worker, reason string) {
+// endLife proposes that a life is over. Ends are those of its runs that a later life tells of.
+func (d *Dispatcher) endLife(w *worker, reason string, ends ...*controlpb.EndedRun) {
 	if w.ending {
 		return
 	}
 	w.ending = true
 	d.config.Count("WorkersLost")
 	d.config.Log.Info("worker lost", "Worker", w.life.GetId(), "Reason", reason, "Silent", d.now.Sub(w.heard).String(), "Runs", len(w.life.Runs))
-	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.life.GetNumber()}}}
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.life.GetNumber(), Ends: ends}}}
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
 			w.ending = false
@@ -241,6 +242,10 @@
 
 // deliver handles the answer to a call.
 func (d *Dispatcher) deliver(a *order.Answer) {
+	if a.Call.Kind == order.Advise && a.Call.Epoch == d.epoch {
+		d.advised(a)
+		return
+	}
 	w := d.workers[a.Call.Worker]
 	if w == nil || a.Call.Epoch != d.epoch {
 		return
@@ -327,9 +332,16 @@
 			d.stopStray(w, running.Run)
 		}
 	}
-	if strays == 0 {
-		d.endLife(w, "it has begun another life")
+	if strays > 0 {
+		return
+	}
+	var ends []*controlpb.EndedRun
+	for _, e := range a.Ended {
+		if _, assigned := w.life.Runs[e.Run]; assigned {
+			ends = append(ends, endedRun(&e))
+		}
 	}
+	d.endLife(w, "it has begun another life", ends...)
 }
 
 // stopStray stops a run that nobody wants.
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -32,19 +32,23 @@
 	events     []event
 	sequence   int
 	requests   map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply)
-	done       map[workload.TaskKey]bool // by an end that was recorded
+	done       map[workload.TaskKey]bool // by an end that was taken note of
 
 	lose float64 // share of calls that get no answer
 	late float64 // share of the lost ones that are carried out 2 to 6 s later
 	// harm returns by how much an aggressor raises the tail of a victim; nil for not at all.
 	harm func(victim, aggressor string) float64
 
-	overBound time.Duration // summed over serving tasks
+	overBound time.Duration                  // summed over serving tasks
+	starts    map[string]int                 // by task
+	started   map[workload.TaskKey]time.Time // newest start
+	alone     int                            // members of gangs that waited for the others in vain
 }
 
 type event struct {
 	at       time.Time
 	sequence int
+	commit   bool // of a change; it is lost with the leader
 	do       func()
 }
 
@@ -59,10 +63,19 @@
 	until    time.Time
 	runs     map[workload.RunKey]*simRun
 	highest  map[workload.TaskKey]uint32 // run that has ended or was stopped
-	ended    []order.Ended
+	ended    []simEnd
 	nextEnd  uint64
 	failing  bool
-	standing bool // its tasks make no progress
+	standing bool    // its tasks make no progress
+	refuses  bool    // it refuses starts without doing anything
+	slow     float64 // by which its tasks take longer; 0 for 1
+}
+
+// simEnd is an end that isn't taken note of yet. One that was there while the worker's lease lapsed never is.
+type simEnd struct {
+	order.Ended
+	at   time.Time
+	void bool
 }
 
 type simRun struct {
@@ -70,13 +83,14 @@
 	length time.Duration
 	began  time.Time
 	worked time.Duration
-	stray  bool // ordered from an earlier life; nothing can prevent it from starting
+	waited time.Duration // for the others of its gang
+	stray  bool          // ordered from an earlier life; nothing can prevent it from starting
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1_000_000, 0), state: workload.New(),
-		requests: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){}, done: map[workload.TaskKey]bool{},
+		requests: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){}, done: map[workload.TaskKey]bool{}, starts: map[string]int{}, started: map[workload.TaskKey]time.Time{},
 	}
 	w.dispatcher = New(Config{
 		State: func() *workload.State { return w.state }, Orders: w, Mailbox: w,
@@ -94,8 +108,12 @@
 
 // after schedules a function.
 func (w *world) after(d time.Duration, do func()) {
+	w.schedule(d, false, do)
+}
+
+func (w *world) schedule(d time.Duration, commit bool, do func()) {
 	w.sequence++
-	e := event{w.now.Add(d), w.sequence, do}
+	e := event{w.now.Add(d), w.sequence, commit, do}
 	at, _ := slices.BinarySearchFunc(w.events, e, func(a, b event) int {
 		if c := a.at.Compare(b.at); c != 0 {
 			return c
@@ -123,9 +141,8 @@
 			worker.advance(step)
 		}
 		for _, command := range w.dispatcher.Tick(w.now) {
-			w.after(commitTime, func() {
+			w.schedule(commitTime, true, func() {
 				result := w.state.Apply(w.now, command.GetWork())
-				w.recordDone(command.GetWork())
 				w.dispatcher.Decided(w.now, command, result)
 			})
 		}
@@ -137,14 +154,12 @@
 	}
 }
 
-func (w *world) recordDone(batch *controlpb.WorkBatch) {
-	for _, change := range batch.GetChanges() {
-		for _, end := range change.GetNoteEnds().GetEnds() {
-			if end.GetHow() == controlpb.RunEnd_RUN_DONE {
-				ref := end.GetTask()
-				w.done[workload.TaskKey{Job: ref.GetJob(), Occurrence: ref.GetOccurrence(), Step: ref.GetStep(), Index: ref.GetIndex()}] = true
-			}
-		}
+// noteDone follows an end that the system has taken note of.
+func (w *world) noteDone(e simEnd) {
+	w.t.Helper()
+	w.done[e.Run.Task] = true
+	if started := w.started[e.Run.Task]; started.After(e.at) {
+		w.t.Errorf("%s run %d was done %v before another run started", e.Run.Task, e.Run.Run, started.Sub(e.at))
 	}
 }
 
@@ -158,8 +173,25 @@
 // Empty implements Mailbox.
 func (w *world) Empty() bool { return len(w.mailbox) == 0 }
 
+// advise answers for the advice service: every other worker may run the step, for 3 s.
+func (w *world) advise(call *order.Call) {
+	w.after(100*time.Millisecond+10*time.Millisecond*time.Duration(len(call.Names)), func() {
+		answer := &order.Answer{Status: order.OK, Tickets: map[string]string{}, ValidFor: 3 * time.Second}
+		for _, name := range call.Names {
+			if n := name[len(name)-1]; n%2 == 0 {
+				answer.Tickets[name] = call.Step.Name() + name
+			}
+		}
+		w.answer(call, answer)
+	})
+}
+
 // Send implements Orders.
 func (w *world) Send(call *order.Call) {
+	if call.Kind == order.Advise {
+		w.advise(call)
+		return
+	}
 	worker := w.find(call.Address)
 	lost := worker == nil || !worker.up || w.random.Float64() < w.lose
 	if lost && worker != nil && w.random.Float64() < w.late {
@@ -219,6 +251,7 @@
 		Queues: []*controlpb.WorkQueue{
 			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: 3, Pool: "pool", Stretch: 1.5, TargetRuntimeMs: 250},
 			{Name: "batch", Host: "h", PathPrefix: "/batch/", MaxAttempts: 3, Pool: "pool", Priority: 2, Stretch: 2, TargetRuntimeMs: 1000},
+			{Name: "advised", Host: "h", PathPrefix: "/advised/", MaxAttempts: 3, Pool: "pool", Stretch: 2, Advised: true},
 		},
 	}}})
 }
@@ -296,6 +329,8 @@
 		return order.Stale
 	case call.Until <= clock:
 		return order.Late
+	case s.refuses:
+		return order.Unhealthy
 	}
 	if call.Born == s.life.GetBornMs() {
 		s.world.checkStart(s, key)
@@ -304,6 +339,13 @@
 	if task == nil {
 		return order.Invalid
 	}
+	if task.Step.Job.Spec.GetQueue() == "advised" && call.Ticket != task.Step.Name()+s.life.GetId() {
+		return order.NoTicket
+	}
+	s.world.starts[key.Task.String()]++
+	if call.Born == s.life.GetBornMs() {
+		s.world.started[key.Task] = s.world.now
+	}
 	s.runs[key] = &simRun{task: task, began: s.world.now, length: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, stray: call.Born != s.life.GetBornMs()}
 	return order.OK
 }
@@ -319,13 +361,21 @@
 	delete(s.runs, key)
 	s.highest[key.Task] = max(s.highest[key.Task], key.Run)
 	s.nextEnd++
-	s.ended = append(s.ended, order.Ended{Number: s.nextEnd, Run: key, How: how})
+	s.ended = append(s.ended, simEnd{Ended: order.Ended{Number: s.nextEnd, Run: key, How: how}, at: s.world.now})
 }
 
 func (s *simWorker) look(call *order.Call, clock time.Duration) *order.Answer {
 	answer := &order.Answer{Status: order.OK, Clock: clock}
-	s.ended = slices.DeleteFunc(s.ended, func(e order.Ended) bool { return e.Number <= call.EndsSeen })
-	answer.Ended = slices.Clone(s.ended)
+	s.ended = slices.DeleteFunc(s.ended, func(e simEnd) bool {
+		seen := e.Number <= call.EndsSeen
+		if seen && !e.void && e.How == controlpb.RunEnd_RUN_DONE {
+			s.world.noteDone(e)
+		}
+		return seen
+	})
+	for _, e := range s.ended {
+		answer.Ended = append(answer.Ended, e.Ended)
+	}
 	for key, r := range s.runs {
 		row := order.Running{Run: key, Percent: 100, Gauge: -1}
 		if r.task.Step.Serves() {
@@ -354,6 +404,11 @@
 	if !s.up {
 		return
 	}
+	if s.world.now.After(s.until) {
+		for i := range s.ended {
+			s.ended[i].void = true
+		}
+	}
 	for key, r := range s.runs {
 		switch {
 		case s.world.now.After(s.until):
@@ -365,7 +420,13 @@
 		if s.standing {
 			continue
 		}
-		r.worked += step
+		if !s.world.isTogether(r, key, step) {
+			if r.waited < 0 {
+				s.end(key, controlpb.RunEnd_RUN_ALONE)
+			}
+			continue
+		}
+		r.worked += time.Duration(float64(step) / max(1, s.slow))
 		switch {
 		case s.failing && r.worked > 100*time.Millisecond:
 			s.end(key, controlpb.RunEnd_RUN_FAILED)
@@ -375,6 +436,30 @@
 	}
 }
 
+// isTogether reports whether all members of a gang are there. One that has waited for the others for too long ends.
+func (w *world) isTogether(r *simRun, key workload.RunKey, step time.Duration) bool {
+	if !r.task.Step.GetGang() || r.worked > 0 {
+		return true
+	}
+	present := 0
+	for _, worker := range w.workers {
+		for other := range worker.runs {
+			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+				present++
+			}
+		}
+	}
+	if present == len(r.task.Step.Tasks) {
+		return true
+	}
+	r.waited += step
+	if r.waited > 3*time.Second {
+		w.alone++
+		r.waited = -time.Hour
+	}
+	return false
+}
+
 // checkStart checks the promises that a start could break.
 func (w *world) checkStart(on *simWorker, key workload.RunKey) {
 	w.t.Helper()
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -14,14 +14,15 @@
 
 // Kinds of calls.
 const (
-	Start Kind = iota // start a run
-	Stop              // stop a run, which saves a checkpoint if it can
-	Look              // tell what runs and what has ended, and extend the lease
-	Pace              // let a run work at a part of its speed
+	Start  Kind = iota // start a run
+	Stop               // stop a run, which saves a checkpoint if it can
+	Look               // tell what runs and what has ended, and extend the lease
+	Pace               // let a run work at a part of its speed
+	Advise             // tell which workers may run a step; asked of the advice service, not of a worker
 )
 
 // String returns the name of the kind for logs.
-func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Pace"}[k] }
+func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Pace", "Advise"}[k] }
 
 // Call is one call to a worker. It must not be changed once it is sent.
 type Call struct {
@@ -38,6 +39,10 @@
 	Spec       string          // of Start
 	Checkpoint string          // of Start: where to resume; empty for the beginning
 	Percent    int             // of Pace: share of the speed, 0 to 100
+	Ticket     string          // of Start: the advice service's, where the queue needs one
+
+	Step  *workload.Step // of Advise
+	Names []string       // of Advise: workers by ID
 
 	// Until is when everything on the worker lapses, on the worker's clock; 0 leaves the lease as it is.
 	Until time.Duration
@@ -60,11 +65,12 @@
 	Full                    // the worker has no room
 	Unhealthy               // the worker refused without doing anything
 	Invalid                 // the worker can't carry out the call at all
+	NoTicket                // the start carried no valid ticket
 )
 
 // String returns the name of the status for logs.
 func (s Status) String() string {
-	return [...]string{"NoAnswer", "OK", "OtherLife", "Fenced", "Stale", "Late", "Full", "Unhealthy", "Invalid"}[s]
+	return [...]string{"NoAnswer", "OK", "OtherLife", "Fenced", "Stale", "Late", "Full", "Unhealthy", "Invalid", "NoTicket"}[s]
 }
 
 // Answer is the outcome of a call.
@@ -72,11 +78,13 @@
 	Call     *Call
 	Status   Status
 	Received time.Time
-	Clock    time.Duration // the worker's clock when it answered; 0 when unknown
-	Born     int64         // of OtherLife: when the life began that answered under the same ID; 0 for another ID
-	Running  []Running     // of Look
-	Ended    []Ended       // of Look
-	Err      error         // why there is no answer
+	Clock    time.Duration     // the worker's clock when it answered; 0 when unknown
+	Born     int64             // of OtherLife: when the life began that answered under the same ID; 0 for another ID
+	Running  []Running         // of Look
+	Ended    []Ended           // of Look
+	Tickets  map[string]string // of Advise: by ID of the workers that may run the step
+	ValidFor time.Duration     // of Advise: from when the tickets were given
+	Err      error             // why there is no answer
 }
 
 // Running is a run at work on a worker.
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -113,6 +113,11 @@
 // Serves reports whether tasks of the step serve users of their own.
 func (s *Step) Serves() bool { return s.GetPerpetual() && s.GetTargetMs() > 0 }
 
+// Name returns the name under which the advice service knows the step.
+func (s *Step) Name() string {
+	return s.Job.Spec.GetId() + "." + strconv.Itoa(int(s.Occurrence)) + "." + strconv.Itoa(int(s.Number))
+}
+
 // Key returns the name of the task.
 func (t *Task) Key() TaskKey {
 	return TaskKey{Job: t.Step.Job.Spec.GetId(), Occurrence: t.Step.Occurrence, Step: t.Step.Number, Index: t.Index}
@@ -311,9 +316,15 @@
 	}
 }
 
-// noteFailure counts a failed attempt. A gang fails as a whole, once for a run that its members share.
+// noteFailure counts a failed attempt. A gang fails as a whole.
 func (s *State) noteFailure(t *Task) {
-	t.Failures++
+	if t.Step.GetGang() {
+		for _, member := range t.Step.Tasks {
+			member.Failures++
+		}
+	} else {
+		t.Failures++
+	}
 	queue := s.queues[t.Step.Job.Spec.GetQueue()]
 	if !t.Step.GetPerpetual() && queue.GetMaxAttempts() > 0 && t.Failures >= queue.GetMaxAttempts() && !t.Step.Job.IsOver() {
 		t.Step.Job.Failed = true
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -75,6 +75,11 @@
 			clear(s.givenUp)
 		}
 		s.givenUp[w.GetId()] = w.GetBornMs()
+		for _, ended := range end.GetEnds() {
+			if t := s.Task(keyOf(ended.GetTask())); t != nil {
+				s.noteEnd(w, t, ended)
+			}
+		}
 		s.removeWorker(w)
 	}
 	return &controlpb.Result{}
--- a/internal/shell/orderer/orderer.go
+++ b/internal/shell/orderer/orderer.go
@@ -15,6 +15,9 @@
 	// callTimeout bounds a call. Workers answer within milliseconds; a second covers a lost packet or two.
 	callTimeout = time.Second
 
+	// adviceTimeout bounds a call to the advice service, which handles calls in turn and takes time for each worker.
+	adviceTimeout = 5 * time.Second
+
 	// mostCalls bounds the calls under way. Calls above it count as not answered.
 	mostCalls = 4096
 )
@@ -51,7 +54,11 @@
 	}
 	go func() {
 		defer func() { <-o.slots }()
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout+call.Wait)
+		timeout := callTimeout + call.Wait
+		if call.Kind == order.Advise {
+			timeout = adviceTimeout
+		}
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
 		answer := o.client.Call(ctx, call)
 		answer.Call, answer.Received = call, o.clock.Now()
