--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -62,6 +62,9 @@
 	// passInterval is the time between two passes when nothing has changed, for what depends on time alone.
 	passInterval = 100 * time.Millisecond
 
+	// scanInterval is the time between two looks through all workers and runs for what is due.
+	scanInterval = 25 * time.Millisecond
+
 	// batchChanges bounds the changes of one log entry, so that an entry stays far below a heartbeat interval's work.
 	batchChanges = 500
 )
@@ -83,6 +86,7 @@
 	began   time.Time
 
 	workers      map[uint32]*worker
+	roster       []*worker // the same by number, for choices that don't depend on the order of a map
 	runs         map[workload.RunKey]*run
 	reserved     map[workload.TaskKey]bool // tasks whose next run is proposed
 	saved        map[workload.TaskKey]string
@@ -101,9 +105,11 @@
 	ready     []coordinator.Answer
 	waiting   map[*controlpb.LeaderRequest]bool
 
-	dirty    bool // something has changed since the last pass
-	nextPass time.Time
-	reported time.Time // when the fleet was logged
+	dirty      bool // something has changed since the last pass
+	nextPass   time.Time
+	nextScan   time.Time // of all workers and runs, for what is due
+	nextCopies time.Time
+	reported   time.Time // when the fleet was logged
 }
 
 // New returns a Dispatcher that doesn't lead.
@@ -114,7 +120,7 @@
 }
 
 func (d *Dispatcher) reset() {
-	d.workers = map[uint32]*worker{}
+	d.workers, d.roster = map[uint32]*worker{}, nil
 	d.runs = map[workload.RunKey]*run{}
 	d.reserved = map[workload.TaskKey]bool{}
 	d.saved = map[workload.TaskKey]string{}
@@ -191,7 +197,10 @@
 		for _, a := range d.config.Mailbox.Take() {
 			d.deliver(a)
 		}
-		d.tickWorkers()
+		if !now.Before(d.nextScan) {
+			d.nextScan = now.Add(scanInterval)
+			d.tickWorkers()
+		}
 		if d.dirty || !now.Before(d.nextPass) {
 			d.dirty = false
 			d.nextPass = now.Add(passInterval)
@@ -206,13 +215,10 @@
 	if len(d.outbox) > 0 || d.dirty || !d.config.Mailbox.Empty() {
 		return d.now
 	}
-	next := d.nextPass
-	for _, w := range d.workers {
-		if w.looking == nil && w.lookAt.Before(next) {
-			next = w.lookAt
-		}
+	if d.nextScan.Before(d.nextPass) {
+		return d.nextScan
 	}
-	return next
+	return d.nextPass
 }
 
 // Ready returns answers to requests that waited.
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -15,6 +15,9 @@
 	// fullPercent is the progress that a serving task reports once it is at work.
 	fullPercent = 100
 
+	// watchedStrain is the share of its bound from which a serving task beside fills is looked at more often.
+	watchedStrain = 0.8
+
 	// relievedBy is the time under strain after which all fills are stopped. It leaves a stop's grace and a look of the
 	// 4 s that serving tasks may be over their bounds.
 	relievedBy = 2500 * time.Millisecond
@@ -35,9 +38,13 @@
 		own := image{imageOf(r.task.Step), false}
 		d.disturbances.Observe(d.now, own.name, strain, 1/float64(max(1, w.images[own])), settled, present)
 	}
+	w.watched = w.strain >= watchedStrain && len(fills) > 0
 	for _, fill := range fills {
-		if d.companions(fill.task.Step, w) == disturbance.Harmful {
+		switch d.companions(fill.task.Step, w) {
+		case disturbance.Harmful:
 			d.wantStop(fill, "it disturbs serving tasks")
+		case disturbance.Unknown:
+			w.watched = true
 		}
 	}
 	d.relieve(w, fills)
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -45,7 +45,10 @@
 	candidates := d.candidates()
 	d.report(candidates, hosts)
 	budget := startsPerPass
-	d.copies(hosts)
+	if !d.now.Before(d.nextCopies) {
+		d.nextCopies = d.now.Add(copyInterval)
+		d.copies(hosts)
+	}
 	preemptions := preemptionsPerPass
 	full := map[shape]resource.Vector{}
 	for _, c := range candidates {
@@ -170,13 +173,12 @@
 // hosts returns the workers that may get new runs.
 func (d *Dispatcher) hosts() []host {
 	hosts := make([]host, 0, len(d.workers))
-	for _, life := range d.state.Workers() {
-		w := d.workers[life.GetNumber()]
-		if w == nil || !d.isUsable(w) {
+	for _, w := range d.roster {
+		if !d.isUsable(w) {
 			continue
 		}
 		w.roomTaken = nil
-		h := host{Host: &colocation.Host{Rack: rackOf(life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
+		h := host{Host: &colocation.Host{Rack: rackOf(w.life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
 		h.refresh()
 		hosts = append(hosts, h)
 	}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -232,7 +232,7 @@
 		d.lookedAgain(w, a)
 		return
 	}
-	w.lookAt = d.now.Add(lookPause)
+	w.lookAt = d.now.Add(d.pauseAfter())
 	if a.Status != order.OK {
 		w.lookAt = d.now.Add(retryPause)
 		return
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -24,9 +24,15 @@
 	// factor of two and a half.
 	slowFactor = 3.5
 
+	// busyShare is the share of its processors above which a fill isn't slow for want of them.
+	busyShare = 0.6
+
 	// suspectTime is how long a worker on which runs were slow or stood still is used last.
 	suspectTime = 4 * time.Second
 
+	// copyInterval is the time between two looks through all runs for ones that need a copy.
+	copyInterval = 100 * time.Millisecond
+
 	// mostMoves is how often a task is moved because it is slow. One that is slow everywhere is just long.
 	mostMoves = 1
 )
@@ -64,6 +70,9 @@
 	if age < judgedAfter || !d.learned.isKnown(queue) {
 		return ""
 	}
+	if r.task.Step.GetFills() && float64(r.gauge) < busyShare*float64(r.task.Step.GetProcessors()) {
+		return "" // the others on its worker leave it little
+	}
 	whole := age * 100 / done
 	left := whole * time.Duration(100-r.percent) / 100
 	limit := slowFactor
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"galenamoor/internal/controlpb"
@@ -15,11 +16,17 @@
 	// its tasks, and with lookTimeout the time after which a silent worker is noticed.
 	lookWait = 800 * time.Millisecond
 
-	// strainWait takes the place of lookWait where fills may disturb serving tasks, whose tails cover half a second.
+	// strainWait takes the place of lookWait where serving tasks are strained, or fills of which it isn't known whether they
+	// disturb them. Tails cover half a second.
 	strainWait = 450 * time.Millisecond
 
-	// lookPause is the time between an answer and the next look, in which ends gather for one answer.
+	// lookPause is the time between an answer and the next look, in which ends gather for one answer. It grows with the
+	// fleet, so that looks take a bounded part of a leader's processor.
 	lookPause = 60 * time.Millisecond
+	// pauseWorkers is the number of workers up to which lookPause holds.
+	pauseWorkers = 150
+	// longestPause bounds the pause, because the next steps of jobs wait for ends.
+	longestPause = 250 * time.Millisecond
 
 	// retryPause is the time after which a call without an answer is made again.
 	retryPause = 250 * time.Millisecond
@@ -79,6 +86,7 @@
 	suspectUntil time.Time               // it is used last until then
 	reborn       bool                    // a later life under the same ID has answered
 	rebornAt     time.Time
+	watched      bool                   // tails are looked at more often
 	strays       bool                   // it runs what nobody wants, which takes room
 	promised     map[*workload.Step]int // runs that are proposed
 }
@@ -100,6 +108,7 @@
 		w.expires = d.now.Add(d.config.Limits.LongestHold) // a new life, which nobody has granted anything
 	}
 	d.workers[life.GetNumber()] = w
+	d.roster = append(d.roster, w) // numbers rise
 	for key, task := range life.Runs {
 		d.addRun(key, task, w)
 	}
@@ -127,6 +136,7 @@
 			continue
 		}
 		delete(d.workers, number)
+		d.roster = slices.DeleteFunc(d.roster, func(other *worker) bool { return other == w })
 		for key, r := range d.runs {
 			if r.worker == w {
 				d.forgetRun(key, r)
@@ -183,7 +193,7 @@
 	call.EndsSeen = w.life.GetEndsSeen()
 	if w.misses == 0 && !w.clockAt.IsZero() {
 		call.Wait = lookWait
-		if w.serving > 0 && w.fills > 0 {
+		if w.watched {
 			call.Wait = strainWait
 		}
 	}
@@ -194,6 +204,11 @@
 	d.config.Orders.Send(call)
 }
 
+// pauseAfter returns the time from an answer to the next look.
+func (d *Dispatcher) pauseAfter() time.Duration {
+	return min(longestPause, lookPause*time.Duration(max(pauseWorkers, len(d.workers)))/pauseWorkers)
+}
+
 // newCall returns a call to a worker under this leader's epoch.
 func (d *Dispatcher) newCall(kind order.Kind, w *worker) *order.Call {
 	return &order.Call{
@@ -318,7 +333,7 @@
 
 // lookedAgain ends the earlier life once the later one runs nothing that was ordered from the earlier one.
 func (d *Dispatcher) lookedAgain(w *worker, a *order.Answer) {
-	w.lookAt = d.now.Add(lookPause)
+	w.lookAt = d.now.Add(d.pauseAfter())
 	if a.Status != order.OK || a.Call.Born != 0 {
 		if d.now.Sub(w.rebornAt) > 2*d.config.Limits.LongestHold {
 			d.endLife(w, "its later life can't be asked, and every lease has run out")
--- a/internal/decision/voters/steward.go
+++ b/internal/decision/voters/steward.go
@@ -39,7 +39,7 @@
 func (s *Steward) Next(now time.Time, self uint64, members []*controlpb.Member, peers map[uint64]Peer) *controlpb.MembershipChange {
 	s.follow(now, self, members, peers)
 	var learner, silent *controlpb.Member
-	voting := 0
+	voting, learning := 0, 0
 	for _, m := range members {
 		isActive := m.GetId() == self || peers[m.GetId()].Active
 		switch {
@@ -48,8 +48,11 @@
 			if !isActive && now.Sub(s.silentSince[m.GetId()]) >= replaceAfter && silent == nil {
 				silent = m
 			}
-		case isActive && learner == nil:
-			learner = m
+		case isActive:
+			learning++
+			if learner == nil {
+				learner = m
+			}
 		case !isActive && now.Sub(s.silentSince[m.GetId()]) >= forgetAfter:
 			return remove(m)
 		}
@@ -62,7 +65,8 @@
 			return remove(m) // the host came back without its disk
 		}
 	}
-	if voting < Most {
+	// An even number of voters bears no more losses than the odd number below it.
+	if voting < Most && (voting%2 == 0 || learning > 1) {
 		return &controlpb.MembershipChange{Kind: controlpb.MembershipChange_PROMOTE, Member: learner}
 	}
 	if silent != nil {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -24,17 +24,15 @@
 
 // ParseTaskKey reads the name of a task.
 func ParseTaskKey(name string) (TaskKey, error) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return TaskKey{}, fmt.Errorf("task name %q: expected four parts", name)
-	}
-	key := TaskKey{Job: parts[0]}
+	job, rest, _ := strings.Cut(name, ".")
+	key := TaskKey{Job: job}
 	for i, target := range []*uint32{&key.Occurrence, &key.Step, &key.Index} {
-		number, err := strconv.ParseUint(parts[i+1], 10, 32)
-		if err != nil {
-			return TaskKey{}, fmt.Errorf("task name %q: %w", name, err)
+		part, after, found := strings.Cut(rest, ".")
+		number, err := strconv.ParseUint(part, 10, 32)
+		if err != nil || found != (i < 2) {
+			return TaskKey{}, fmt.Errorf("task name %q: expected a job and three numbers", name)
 		}
-		*target = uint32(number)
+		*target, rest = uint32(number), after
 	}
 	return key, nil
 }
--- a/internal/shell/orderer/orderer.go
+++ b/internal/shell/orderer/orderer.go
@@ -39,7 +39,7 @@
 	answers []*order.Answer
 }
 
-// New returns an Orderer whose calls end with the context. It calls wake after each answer.
+// New returns an Orderer whose calls end with the context. It calls wake when there are answers to take.
 func New(ctx context.Context, client Client, clock clockwork.Clock, wake func()) *Orderer {
 	return &Orderer{ctx: ctx, client: client, clock: clock, wake: wake, slots: make(chan struct{}, mostCalls)}
 }
@@ -68,9 +68,12 @@
 
 func (o *Orderer) put(answer *order.Answer) {
 	o.mutex.Lock()
+	isFirst := len(o.answers) == 0
 	o.answers = append(o.answers, answer)
 	o.mutex.Unlock()
-	o.wake()
+	if isFirst {
+		o.wake()
+	}
 }
 
 // Take returns the answers since the last call.
--- a/internal/shell/replica/core.go
+++ b/internal/shell/replica/core.go
@@ -42,7 +42,7 @@
 
 	// ownInterval is the shortest time between two proposals of the coordinator, which puts what has gathered into one
 	// batch. At 380 starts a second, proposals every millisecond took 360 appends a second to each member.
-	ownInterval = 10 * time.Millisecond
+	ownInterval = 20 * time.Millisecond
 )
 
 // Overloaded is the message of RESULT_UNAVAILABLE when a queue is full. Such a request isn't retried by daemons, which
