--- /dev/null
+++ b/internal/decision/workload/script_test.go
@@ -0,0 +1,222 @@
+package workload
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"google.golang.org/protobuf/proto"
+
+	"galenamoor/internal/controlpb"
+)
+
+// Each data file is a session: changes, one a line, and what the state is asked. After each line the state is taken
+// through a snapshot, so that nothing may depend on what a snapshot leaves out.
+func TestSessions(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	for _, path := range paths {
+		archive, err := txtar.ParseFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range archive.Files {
+			t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar")+"/"+file.Name, func(t *testing.T) {
+				runSession(t, string(file.Data))
+			})
+		}
+	}
+}
+
+func runSession(t *testing.T, text string) {
+	s := &session{t: t, state: New(), now: time.Unix(1_000_000, 0)}
+	for number, line := range strings.Split(text, "\n") {
+		command, want, _ := strings.Cut(line, "->")
+		words := strings.Fields(command)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		got := s.run(words)
+		if want = strings.TrimSpace(want); got != want {
+			t.Errorf("line %d: %s: %q, expected %q", number+1, strings.TrimSpace(command), got, want)
+		}
+		s.throughSnapshot()
+	}
+}
+
+type session struct {
+	t     *testing.T
+	state *State
+	now   time.Time
+}
+
+// throughSnapshot replaces the state by one that was restored from its encoded snapshot.
+func (s *session) throughSnapshot() {
+	s.t.Helper()
+	encoded, err := proto.Marshal(s.state.Snapshot())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	decoded := &controlpb.WorkSnapshot{}
+	if err := proto.Unmarshal(encoded, decoded); err != nil {
+		s.t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(decoded); err != nil {
+		s.t.Fatal(err)
+	}
+	restored.time = s.state.time
+	s.state = restored
+}
+
+// run runs a command and returns what it answers; nothing for a change that is accepted.
+func (s *session) run(words []string) string {
+	s.t.Helper()
+	switch words[0] {
+	case "wait":
+		d, err := time.ParseDuration(words[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.now = s.now.Add(d)
+		return ""
+	case "state":
+		state, _ := s.state.Lookup(words[1])
+		return strings.ToLower(strings.TrimPrefix(state.String(), "WORK_"))
+	case "task":
+		return s.describe(s.state.Task(s.key(words[1])))
+	case "worker":
+		return s.describeWorker(words[1])
+	case "match":
+		queue, rest := s.state.Match(words[1], words[2])
+		return strings.TrimSpace(queue.GetName() + " " + rest)
+	case "pending":
+		return strconv.FormatUint(s.state.Pending(words[1]), 10)
+	case "version":
+		return strconv.FormatUint(s.state.Routing().GetVersion(), 10)
+	}
+	result := s.state.Apply(s.now, &controlpb.WorkBatch{Changes: []*controlpb.WorkChange{s.change(words)}}).GetResults()[0]
+	if result.GetCode() != controlpb.ResultCode_RESULT_OK {
+		return strings.ToLower(strings.TrimPrefix(result.GetCode().String(), "RESULT_"))
+	}
+	return ""
+}
+
+func (s *session) describe(task *Task) string {
+	if task == nil {
+		return "none"
+	}
+	var words []string
+	if task.Done {
+		words = append(words, "done")
+	}
+	for _, r := range task.Runs {
+		words = append(words, fmt.Sprintf("run %d on %d", r.Number, r.Worker))
+	}
+	if task.Failures > 0 {
+		words = append(words, fmt.Sprintf("failures %d", task.Failures))
+	}
+	if task.Checkpoint != "" {
+		words = append(words, "checkpoint "+task.Checkpoint)
+	}
+	if len(words) == 0 {
+		return "waits"
+	}
+	return strings.Join(words, ", ")
+}
+
+func (s *session) describeWorker(id string) string {
+	w := s.state.WorkerByID(id)
+	if w == nil {
+		return "none"
+	}
+	line := fmt.Sprintf("%d ends %d runs %d", w.GetNumber(), w.GetEndsSeen(), len(w.Runs))
+	if w.GetLeaving() {
+		line += " leaving"
+	}
+	if w.GetResumed() {
+		line += " resumed"
+	}
+	return line
+}
+
+func (s *session) key(name string) TaskKey {
+	s.t.Helper()
+	key, err := ParseTaskKey(name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return key
+}
+
+func (s *session) number(word string) uint64 {
+	s.t.Helper()
+	n, err := strconv.ParseUint(word, 10, 64)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+// change reads a change from its words.
+func (s *session) change(words []string) *controlpb.WorkChange {
+	s.t.Helper()
+	options := words[1:]
+	has := func(option string) bool { return slices.Contains(options, option) }
+	switch words[0] {
+	case "route": // route VERSION QUEUE...
+		routing := &controlpb.Routing{Version: s.number(options[0]), Pools: []*controlpb.WorkPool{{Name: "pool"}}}
+		for _, name := range options[1:] {
+			routing.Queues = append(routing.Queues, &controlpb.WorkQueue{Name: name, Host: "h", PathPrefix: "/" + name + "/", MaxAttempts: 2, Pool: "pool"})
+		}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_ReplaceRouting{ReplaceRouting: routing}}
+	case "announce": // announce ID BORN ADDRESS [leaving]
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: &controlpb.WorkerLife{
+			Id: options[0], BornMs: int64(s.number(options[1])), Address: options[2], Pool: "pool", Zone: "z", Leaving: has("leaving"),
+		}}}
+	case "zone": // zone NAME out|in
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: &controlpb.SetZoneOut{Zone: options[0], Out: has("out")}}}
+	case "lose": // lose NUMBER
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: uint32(s.number(options[0]))}}}
+	case "submit": // submit ID QUEUE COUNT... [gang] [perpetual] [speculative]; each step follows the one before
+		job := &controlpb.WorkJob{Id: options[0], Queue: options[1]}
+		for _, word := range options[2:] {
+			count, err := strconv.ParseUint(word, 10, 32)
+			if err != nil {
+				break
+			}
+			step := &controlpb.WorkStep{Count: uint32(count), Gang: has("gang"), Perpetual: has("perpetual"), Speculative: has("speculative")}
+			if n := len(job.Steps); n > 0 {
+				step.After = []uint32{uint32(n - 1)}
+			}
+			job.Steps = append(job.Steps, step)
+		}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}
+	case "cancel":
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: options[0]}}}
+	case "start": // start TASK RUN WORKER
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: &controlpb.StartRun{
+			Task: s.key(options[0]).Ref(), Run: uint32(s.number(options[1])), Worker: uint32(s.number(options[2])),
+		}}}
+	case "drop": // drop TASK RUN
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_DropRun{DropRun: &controlpb.DropRun{Task: s.key(options[0]).Ref(), Run: uint32(s.number(options[1]))}}}
+	case "end": // end WORKER NUMBER TASK RUN HOW [CHECKPOINT]
+		how := controlpb.RunEnd(controlpb.RunEnd_value["RUN_"+strings.ToUpper(options[4])])
+		end := &controlpb.EndedRun{Task: s.key(options[2]).Ref(), Run: uint32(s.number(options[3])), How: how}
+		if len(options) > 5 {
+			end.Checkpoint = options[5]
+		}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_NoteEnds{NoteEnds: &controlpb.NoteEnds{
+			Worker: uint32(s.number(options[0])), Through: s.number(options[1]), Ends: []*controlpb.EndedRun{end},
+		}}}
+	}
+	s.t.Fatalf("command %q is unknown", words[0])
+	return nil
+}
