--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -95,6 +95,7 @@
 	learned      *learned
 	disturbances *disturbance.Ledger
 
+	trials   map[trial]int // hosts on which a fill is tried beside a serving image
 	advices  map[*workload.Step]*advice
 	advising int // calls to the advice service under way
 
@@ -128,6 +129,7 @@
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
 	d.disturbances = disturbance.New()
+	d.trials = map[trial]int{}
 	d.advices, d.advising = map[*workload.Step]*advice{}, 0
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]item{}
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -131,26 +131,77 @@
 	return worst
 }
 
-// unsure reports whether a worker runs a fill of another image of which it isn't known whether it gets on with the serving
-// tasks there. One such image at a time shows which one disturbs.
-func (d *Dispatcher) unsure(step *workload.Step, w *worker) bool {
-	if !step.GetFills() || w.serving == 0 {
-		return false
+// trialHosts is the number of hosts on which a fill is tried at once beside an image that it isn't known to get on with. A
+// few looks at these tell, and the others aren't disturbed meanwhile.
+const trialHosts = 3
+
+// trial is a fill beside a serving image of which it isn't known whether they get on.
+type trial struct{ victim, fill string }
+
+// countTrials counts the hosts on which each trial is under way.
+func (d *Dispatcher) countTrials() {
+	clear(d.trials)
+	for _, w := range d.roster {
+		if w.serving > 0 && w.fills > 0 {
+			d.eachTrial(w, func(t trial) { d.trials[t]++ })
+		}
 	}
-	own := imageOf(step)
+}
+
+// eachTrial calls a function with each trial that is under way on a worker.
+func (d *Dispatcher) eachTrial(w *worker, visit func(trial)) {
 	for victim, victims := range w.images {
 		if victims == 0 || victim.fills {
 			continue
 		}
 		for fill, count := range w.images {
-			if count > 0 && fill.fills && fill.name != own && d.disturbances.Rate(d.now, victim.name, fill.name) != disturbance.Harmless {
-				return true
+			if count > 0 && fill.fills && d.disturbances.Rate(d.now, victim.name, fill.name) == disturbance.Unknown {
+				visit(trial{victim.name, fill.name})
 			}
 		}
 	}
+}
+
+// unsure reports whether a fill that isn't known to get on with the serving tasks of a worker shouldn't be tried there:
+// because another image is being tried there, so that it wouldn't show which one disturbs, or because enough other hosts
+// try the same.
+func (d *Dispatcher) unsure(step *workload.Step, w *worker) bool {
+	if !step.GetFills() || w.serving == 0 {
+		return false
+	}
+	own := imageOf(step)
+	isTried, refused := false, false
+	d.eachTrial(w, func(t trial) {
+		if t.fill == own {
+			isTried = true
+		} else {
+			refused = true
+		}
+	})
+	if refused || isTried {
+		return refused
+	}
+	for victim, victims := range w.images {
+		if victims > 0 && !victim.fills && d.trials[trial{victim.name, own}] >= trialHosts {
+			return true
+		}
+	}
 	return false
 }
 
+// noteTrials counts the trials that a new fill on a worker begins.
+func (d *Dispatcher) noteTrials(step *workload.Step, w *worker) {
+	own := image{imageOf(step), true}
+	if !step.GetFills() || w.images[own] > 1 {
+		return
+	}
+	for victim, victims := range w.images {
+		if victims > 0 && !victim.fills && d.disturbances.Rate(d.now, victim.name, own.name) == disturbance.Unknown {
+			d.trials[trial{victim.name, own.name}]++
+		}
+	}
+}
+
 // mixes reports whether a serving task of a step would share a worker with serving tasks of other images.
 func mixes(step *workload.Step, w *worker) bool {
 	if !step.Serves() {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -48,6 +48,7 @@
 	if !d.now.Before(d.nextCopies) {
 		d.nextCopies = d.now.Add(copyInterval)
 		d.copies(hosts)
+		d.countTrials()
 	}
 	preemptions := preemptionsPerPass
 	full := map[shape]resource.Vector{}
@@ -301,6 +302,7 @@
 	key := workload.RunKey{Task: task.Key(), Run: number}
 	d.reserved[key.Task] = true
 	d.charge(w, task.Step, 1)
+	d.noteTrials(task.Step, w)
 	w.promise(task.Step, 1)
 	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.life.GetNumber()}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
