--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -95,9 +95,10 @@
 	learned      *learned
 	disturbances *disturbance.Ledger
 
-	trials   map[trial]int // hosts on which a fill is tried beside a serving image
-	advices  map[*workload.Step]*advice
-	advising int // calls to the advice service under way
+	trials      map[trial]int // hosts on which a fill is tried beside a serving image
+	leastUrgent int32         // priority of the least urgent run that holds processors
+	advices     map[*workload.Step]*advice
+	advising    int // calls to the advice service under way
 
 	outbox    []item
 	proposed  map[*controlpb.Command][]item
@@ -107,6 +108,7 @@
 	waiting   map[*controlpb.LeaderRequest]bool
 
 	dirty      bool // something has changed since the last pass
+	choices    int  // hosts that the current pass may still rate
 	nextPass   time.Time
 	nextScan   time.Time // of all workers and runs, for what is due
 	nextCopies time.Time
@@ -160,6 +162,9 @@
 	for _, life := range d.state.Workers() {
 		d.addWorker(life)
 	}
+	for _, known := range d.state.Pairs() {
+		d.disturbances.Restore(d.now, disturbance.Pair{Victim: known.GetVictim(), Aggressor: known.GetAggressor(), Odds: known.GetOdds()})
+	}
 }
 
 // Stop stops leading. What was asked for and isn't decided may take effect under another leader.
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -216,7 +216,7 @@
 // A step must not wait for tasks on a worker that has turned slow or on which they stand still.
 func TestSlowAndStandingWorkers(t *testing.T) {
 	w := newFleet(t, 1, 6)
-	for i := range 10 {
+	for i := range 12 {
 		w.submit("urgent", fmt.Sprintf("before-%d", i), exact(6, 800*time.Millisecond))
 		w.run(300 * time.Millisecond)
 	}
@@ -338,3 +338,21 @@
 	w.run(8 * time.Second)
 	w.expect("a", controlpb.WorkState_WORK_COMPLETED)
 }
+
+// What was learned of pairs must survive the leader, so that serving tasks aren't disturbed again after each change.
+func TestLearningSurvivesTheLeader(t *testing.T) {
+	w := newFleet(t, 1, 6)
+	w.harm = func(string, string) float64 { return 2 }
+	w.submit("urgent", "serving", serving(24, "image"))
+	w.run(2 * time.Second)
+	for i := range 4 {
+		w.submit("batch", fmt.Sprintf("job-%d", i), fill(4, "fill", 2*time.Second))
+	}
+	w.run(6 * time.Second)
+	learned := w.overBound
+	w.changeLeader()
+	w.run(8 * time.Second)
+	if again := w.overBound - learned; again > learned/2 {
+		t.Errorf("serving tasks were over their bounds for %v before the change of the leader and for %v after it", learned, again)
+	}
+}
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/disturbance"
 	"galenamoor/internal/decision/workload"
 )
@@ -113,24 +114,53 @@
 // be part of.
 func (d *Dispatcher) companions(step *workload.Step, w *worker) disturbance.Rating {
 	worst := disturbance.Harmless
-	fills, serves := step.GetFills(), step.Serves()
-	if !fills && !serves {
-		return worst
-	}
-	image := imageOf(step)
-	for other, count := range w.images {
-		if count == 0 || other.fills == fills {
-			continue
+	switch {
+	case step.GetFills():
+		own := imageOf(step)
+		for _, victim := range w.victims {
+			worst = max(worst, d.disturbances.Rate(d.now, victim, own))
 		}
-		if fills {
-			worst = max(worst, d.disturbances.Rate(d.now, other.name, image))
-		} else {
-			worst = max(worst, d.disturbances.Rate(d.now, image, other.name))
+	case step.Serves():
+		own := imageOf(step)
+		for _, fill := range w.aggressors {
+			worst = max(worst, d.disturbances.Rate(d.now, own, fill))
 		}
 	}
 	return worst
 }
 
+// countImage counts a task of an image on a worker, or one less.
+func (w *worker) countImage(i image, sign int) {
+	w.images[i] += sign
+	if count := w.images[i]; count > 1 || count == 1 && sign < 0 {
+		return
+	}
+	if w.images[i] == 0 {
+		delete(w.images, i)
+	}
+	w.victims, w.aggressors = w.victims[:0], w.aggressors[:0]
+	for other := range w.images {
+		if other.fills {
+			w.aggressors = append(w.aggressors, other.name)
+		} else {
+			w.victims = append(w.victims, other.name)
+		}
+	}
+	slices.Sort(w.victims)
+	slices.Sort(w.aggressors)
+}
+
+// recordPairs proposes what has been learned of pairs, for the next leader.
+func (d *Dispatcher) recordPairs() {
+	learned := &controlpb.LearnPairs{}
+	for _, p := range d.disturbances.TakeChanged(d.now) {
+		learned.Pairs = append(learned.Pairs, &controlpb.ImagePair{Victim: p.Victim, Aggressor: p.Aggressor, Odds: p.Odds})
+	}
+	if len(learned.GetPairs()) > 0 {
+		d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_LearnPairs{LearnPairs: learned}}, func(*controlpb.Result) {})
+	}
+}
+
 // trialHosts is the number of hosts on which a fill is tried at once beside an image that it isn't known to get on with. A
 // few looks at these tell, and the others aren't disturbed meanwhile.
 const trialHosts = 3
@@ -150,13 +180,10 @@
 
 // eachTrial calls a function with each trial that is under way on a worker.
 func (d *Dispatcher) eachTrial(w *worker, visit func(trial)) {
-	for victim, victims := range w.images {
-		if victims == 0 || victim.fills {
-			continue
-		}
-		for fill, count := range w.images {
-			if count > 0 && fill.fills && d.disturbances.Rate(d.now, victim.name, fill.name) == disturbance.Unknown {
-				visit(trial{victim.name, fill.name})
+	for _, victim := range w.victims {
+		for _, fill := range w.aggressors {
+			if d.disturbances.Rate(d.now, victim, fill) == disturbance.Unknown {
+				visit(trial{victim, fill})
 			}
 		}
 	}
@@ -181,8 +208,8 @@
 	if refused || isTried {
 		return refused
 	}
-	for victim, victims := range w.images {
-		if victims > 0 && !victim.fills && d.trials[trial{victim.name, own}] >= trialHosts {
+	for _, victim := range w.victims {
+		if d.trials[trial{victim, own}] >= trialHosts {
 			return true
 		}
 	}
@@ -195,9 +222,9 @@
 	if !step.GetFills() || w.images[own] > 1 {
 		return
 	}
-	for victim, victims := range w.images {
-		if victims > 0 && !victim.fills && d.disturbances.Rate(d.now, victim.name, own.name) == disturbance.Unknown {
-			d.trials[trial{victim.name, own.name}]++
+	for _, victim := range w.victims {
+		if d.disturbances.Rate(d.now, victim, own.name) == disturbance.Unknown {
+			d.trials[trial{victim, own.name}]++
 		}
 	}
 }
@@ -207,13 +234,8 @@
 	if !step.Serves() {
 		return false
 	}
-	own := image{imageOf(step), false}
-	for other, count := range w.images {
-		if count > 0 && !other.fills && other != own {
-			return true
-		}
-	}
-	return false
+	own := imageOf(step)
+	return len(w.victims) > 1 || len(w.victims) == 1 && w.victims[0] != own
 }
 
 // image is what runs on a worker, as far as it matters for its neighbours.
--- a/internal/decision/dispatch/learned.go
+++ b/internal/decision/dispatch/learned.go
@@ -10,41 +10,59 @@
 const (
 	// firstTypical is taken for the length of a task of a queue of which none has ended yet.
 	firstTypical = 2 * time.Second
-	// learnShare is the weight of a new length in the running mean.
+	// learnShare is the least weight of a new length in the running mean.
 	learnShare = 0.05
-	// learnedBy is the number of ended tasks by which the length of a queue's tasks is known.
-	learnedBy = 10
+	// learnedBy is the number of ended tasks by which the lengths of a queue's tasks are known. The first to end are the
+	// shortest, so that fewer would mislead.
+	learnedBy = 60
+	// oddLength is the multiple of the mean above which a length says more about the worker than about the queue.
+	oddLength = 4
 )
 
 // learned holds what is known of queues from their tasks that have ended, because declared lengths are far off.
 type learned struct {
-	lengths map[string]time.Duration
-	counts  map[string]int
+	queues map[string]*lengths
 }
 
-func newLearned() *learned {
-	return &learned{lengths: map[string]time.Duration{}, counts: map[string]int{}}
+// lengths are those of the tasks of a queue.
+type lengths struct {
+	count   int
+	mean    time.Duration
+	longest time.Duration
 }
 
+func newLearned() *learned { return &learned{queues: map[string]*lengths{}} }
+
 // typical returns the mean length of the tasks of a queue.
 func (l *learned) typical(queue string) time.Duration {
-	if length, ok := l.lengths[queue]; ok {
-		return length
+	if known := l.queues[queue]; known != nil {
+		return known.mean
 	}
 	return firstTypical
 }
 
-// isKnown reports whether the length of a queue's tasks is known.
-func (l *learned) isKnown(queue string) bool { return l.counts[queue] >= learnedBy }
+// longest returns the length that a queue's tasks on sound workers don't exceed, and whether it is known.
+func (l *learned) longest(queue string) (longest time.Duration, ok bool) {
+	known := l.queues[queue]
+	if known == nil || known.count < learnedBy {
+		return 0, false
+	}
+	return known.longest, true
+}
 
 func (l *learned) add(queue string, length time.Duration) {
-	l.counts[queue]++
-	known, ok := l.lengths[queue]
-	if !ok {
-		l.lengths[queue] = length
+	known := l.queues[queue]
+	if known == nil {
+		known = &lengths{}
+		l.queues[queue] = known
+	}
+	if known.count >= learnedBy && length > oddLength*known.mean {
 		return
 	}
-	l.lengths[queue] = known + time.Duration(learnShare*float64(length-known))
+	known.count++
+	weight := max(learnShare, 1/float64(known.count))
+	known.mean += time.Duration(weight * float64(length-known.mean))
+	known.longest = max(known.longest, length)
 }
 
 const (
@@ -64,7 +82,9 @@
 	switch e.How {
 	case controlpb.RunEnd_RUN_DONE:
 		w.failures = 0
-		d.learned.add(r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
+		if !r.orderedAt.IsZero() && r.checkpoint == "" { // else its beginning isn't known
+			d.learned.add(r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
+		}
 	case controlpb.RunEnd_RUN_FAILED:
 		w.failures++
 		if w.failures >= failuresInRow {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -18,12 +18,18 @@
 
 	// startsPerPass bounds the runs that one pass assigns, so that a pass stays short beside a heartbeat interval.
 	startsPerPass = 300
+
+	// choicesPerPass bounds the hosts that one pass rates, so that a pass stays short when thousands of tasks wait that no
+	// host can take: rating one takes some 200 ns.
+	choicesPerPass = 40_000
 )
 
 // Outlooks of a job, best first. Work that can still be in time goes before work that can only be late, and both before
-// work whose time is over: without that, waves of work make everything late.
+// work whose time is over: without that, waves of work make everything late. What lasts comes after short work that can be
+// in time, which gives its room back soon, and before the rest.
 const (
 	inTime = iota
+	lasting
 	late
 	hopeless
 )
@@ -49,14 +55,17 @@
 		d.nextCopies = d.now.Add(copyInterval)
 		d.copies(hosts)
 		d.countTrials()
+		d.findLeastUrgent()
 	}
 	preemptions := preemptionsPerPass
-	full := map[shape]resource.Vector{}
+	full := map[shape][]resource.Vector{}
+	d.choices = choicesPerPass
 	for _, c := range candidates {
-		if budget <= 0 {
+		if budget <= 0 || d.choices <= 0 {
 			return
 		}
-		if least, ok := full[shapeOf(c)]; ok && least.Fits(need(c.step)) {
+		wanted := need(c.step)
+		if slices.ContainsFunc(full[shapeOf(c)], func(less resource.Vector) bool { return less.Fits(wanted) }) {
 			continue // no host had room for less
 		}
 		if c.queue.GetAdvised() {
@@ -68,7 +77,7 @@
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placed
 			if missing > 0 && c.step.GetMaxPerWorker() == 0 { // else its own tasks may be what keeps it from hosts with room
-				full[shapeOf(c)] = need(c.step)
+				full[shapeOf(c)] = append(full[shapeOf(c)], wanted)
 			}
 			if kindOf(c.step) != colocation.Fill {
 				preemptions -= d.makeRoom(c, hosts, missing, preemptions)
@@ -138,6 +147,7 @@
 	objective := time.Duration(float64(whole)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
 	c := candidate{step: step, queue: queue, due: start.Add(objective)}
 	if step.GetPerpetual() {
+		c.outlook = lasting
 		return c
 	}
 	switch ready := wall.Add(left); {
@@ -257,6 +267,7 @@
 		if !colocation.HasRoom(demand, h.Host) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
+		d.choices--
 		demand.Companions, demand.Mixes = d.companions(c.step, h.worker), mixes(c.step, h.worker)
 		demand.Unsure = demand.Companions == disturbance.Unknown && d.unsure(c.step, h.worker)
 		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
@@ -409,6 +420,7 @@
 	}
 	d.reported = d.now
 	d.forgetAdvice()
+	d.recordPairs()
 	waiting := map[string]int{}
 	for _, c := range candidates {
 		waiting[c.queue.GetName()+" "+outlookNames[c.outlook]] += c.step.Waiting
@@ -429,4 +441,4 @@
 }
 
 // outlookNames name outlooks in logs.
-var outlookNames = [...]string{inTime: "in time", late: "late", hopeless: "hopeless"}
+var outlookNames = [...]string{inTime: "in time", lasting: "lasting", late: "late", hopeless: "hopeless"}
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -17,6 +17,9 @@
 // makeRoom stops less urgent runs for the waiting tasks of a step, on as many hosts as the step has tasks that found
 // none, and returns on how many.
 func (d *Dispatcher) makeRoom(c candidate, hosts []host, missing, budget int) int {
+	if c.queue.GetPriority() >= d.leastUrgent {
+		return 0
+	}
 	made := 0
 	for made < min(missing, budget) {
 		victims, pending := d.cheapestVictims(c, hosts)
@@ -41,6 +44,7 @@
 	demand := c.step.Demand()
 	best := -1.0
 	for i := range hosts {
+		d.choices--
 		w := hosts[i].worker
 		if !d.allows(c, w) || w.roomTaken[c.step] {
 			continue
@@ -91,6 +95,16 @@
 	return victims, lost, demand.Fits(free)
 }
 
+// findLeastUrgent notes the priority of the least urgent run that holds processors, above which nothing can be stopped.
+func (d *Dispatcher) findLeastUrgent() {
+	d.leastUrgent = 0
+	for _, r := range d.runs {
+		if step := r.task.Step; !step.GetFills() && !step.GetPerpetual() {
+			d.leastUrgent = max(d.leastUrgent, d.state.Queue(step.Job.Spec.GetQueue()).GetPriority())
+		}
+	}
+}
+
 // loss returns the processor time, in core-seconds, that is lost when a run is stopped.
 func (d *Dispatcher) loss(r *run) float64 {
 	age := d.now.Sub(r.began)
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -69,11 +69,11 @@
 	switch {
 	case step.GetFills():
 		w.fills += int64(sign) * step.GetProcessors()
-		w.images[image{imageOf(step), true}] += sign
+		w.countImage(image{imageOf(step), true}, sign)
 	case step.Serves():
 		w.serving += sign
 		w.servers += int64(sign) * step.GetProcessors()
-		w.images[image{imageOf(step), false}] += sign
+		w.countImage(image{imageOf(step), false}, sign)
 	}
 }
 
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -20,9 +20,8 @@
 	// judgedAfter is the time at work before which the speed of a run isn't judged.
 	judgedAfter = 600 * time.Millisecond
 
-	// slowFactor is the multiple of the typical length of a queue's tasks above which a run is slow. Lengths vary by a
-	// factor of two and a half.
-	slowFactor = 3.5
+	// slowFactor is the multiple of the longest length of a queue's tasks on sound workers above which a run is slow.
+	slowFactor = 1.5
 
 	// busyShare is the share of its processors above which a fill isn't slow for want of them.
 	busyShare = 0.6
@@ -61,13 +60,17 @@
 func (d *Dispatcher) slowness(r *run) string {
 	queue := r.task.Step.Job.Spec.GetQueue()
 	typical := d.learned.typical(queue)
+	longest, known := d.learned.longest(queue)
+	if !known {
+		return ""
+	}
 	age := d.now.Sub(r.began)
 	done := time.Duration(max(1, r.percent-r.firstPercent))
 	perPercent := max(r.progress.Sub(r.began)/done, typical/100)
-	if d.now.Sub(r.progress) >= max(stillAfter, stillPercents*perPercent) && d.learned.isKnown(queue) {
+	if d.now.Sub(r.progress) >= max(stillAfter, stillPercents*perPercent) {
 		return "it stands still"
 	}
-	if age < judgedAfter || !d.learned.isKnown(queue) {
+	if age < judgedAfter {
 		return ""
 	}
 	if r.task.Step.GetFills() && float64(r.gauge) < busyShare*float64(r.task.Step.GetProcessors()) {
@@ -79,7 +82,7 @@
 	if rack := r.task.Step.GetDataRack(); rack != "" && rack != rackOf(r.worker.life) {
 		limit *= max(1, d.config.Limits.RemoteFactor)
 	}
-	if float64(whole) < limit*float64(typical) || left < typical+typical/2 {
+	if float64(whole) < limit*float64(longest) || left < typical+typical/2 {
 		return ""
 	}
 	return "it is slow"
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -70,25 +70,26 @@
 	noting  bool      // ends are proposed and not decided
 	misses  int       // calls without an answer since the last one
 
-	used         resource.Vector      // by runs and reservations
-	fills        int64                // milli-cores that fills can use
-	serving      int                  // tasks that serve
-	strain       float64              // highest tail of a serving task as a share of its bound
-	images       map[image]int        // serving and filling tasks by what they run
-	filledAt     map[string]time.Time // when a fill of an image was last seen
-	servers      int64                // milli-cores of tasks that serve
-	strainedAt   time.Time            // since when a serving task is over its bound; zero when none is
-	shunUntil    time.Time
-	failures     int // runs that failed in a row
-	ending       bool
-	roomTaken    map[*workload.Step]bool // steps for which the current pass makes room here
-	leavesAt     time.Time               // when a worker that leaves is gone, at the earliest
-	suspectUntil time.Time               // it is used last until then
-	reborn       bool                    // a later life under the same ID has answered
-	rebornAt     time.Time
-	watched      bool                   // tails are looked at more often
-	strays       bool                   // it runs what nobody wants, which takes room
-	promised     map[*workload.Step]int // runs that are proposed
+	used                resource.Vector      // by runs and reservations
+	fills               int64                // milli-cores that fills can use
+	serving             int                  // tasks that serve
+	strain              float64              // highest tail of a serving task as a share of its bound
+	images              map[image]int        // serving and filling tasks by what they run
+	victims, aggressors []string             // names of the serving and the filling ones, in order
+	filledAt            map[string]time.Time // when a fill of an image was last seen
+	servers             int64                // milli-cores of tasks that serve
+	strainedAt          time.Time            // since when a serving task is over its bound; zero when none is
+	shunUntil           time.Time
+	failures            int // runs that failed in a row
+	ending              bool
+	roomTaken           map[*workload.Step]bool // steps for which the current pass makes room here
+	leavesAt            time.Time               // when a worker that leaves is gone, at the earliest
+	suspectUntil        time.Time               // it is used last until then
+	reborn              bool                    // a later life under the same ID has answered
+	rebornAt            time.Time
+	watched             bool                   // tails are looked at more often
+	strays              bool                   // it runs what nobody wants, which takes room
+	promised            map[*workload.Step]int // runs that are proposed
 }
 
 // addWorker starts to look after a life. Before its first answer, what earlier leaders granted it counts as held.
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -56,6 +56,7 @@
 type simWorker struct {
 	world    *world
 	life     *controlpb.WorkerLife
+	lastBorn int64 // of the life before
 	began    time.Time
 	up       bool
 	cut      bool // calls reach it, and their answers are lost
@@ -76,6 +77,9 @@
 	order.Ended
 	at   time.Time
 	void bool
+	// old tells that the run was ordered from a life before the last one. The dispatcher has settled that life with the
+	// last one, and can't know that its order is still to be carried out in this one.
+	old bool
 }
 
 type simRun struct {
@@ -85,6 +89,7 @@
 	worked time.Duration
 	waited time.Duration // for the others of its gang
 	stray  bool          // ordered from an earlier life; nothing can prevent it from starting
+	old    bool          // ordered from a life before the last one
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -158,7 +163,7 @@
 func (w *world) noteDone(e simEnd) {
 	w.t.Helper()
 	w.done[e.Run.Task] = true
-	if started := w.started[e.Run.Task]; started.After(e.at) {
+	if started := w.started[e.Run.Task]; started.After(e.at) && !e.old {
 		w.t.Errorf("%s run %d was done %v before another run started", e.Run.Task, e.Run.Run, started.Sub(e.at))
 	}
 }
@@ -283,6 +288,7 @@
 
 // begin starts a life of a worker, which knows nothing of earlier ones.
 func (s *simWorker) begin(life *controlpb.WorkerLife) {
+	s.lastBorn = life.GetBornMs()
 	life.BornMs = s.world.now.UnixMilli()
 	s.life, s.began, s.up = life, s.world.now, true
 	s.fence, s.until, s.nextEnd, s.ended = 0, time.Time{}, 0, nil
@@ -346,7 +352,7 @@
 	if call.Born == s.life.GetBornMs() {
 		s.world.started[key.Task] = s.world.now
 	}
-	s.runs[key] = &simRun{task: task, began: s.world.now, length: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, stray: call.Born != s.life.GetBornMs()}
+	s.runs[key] = &simRun{task: task, began: s.world.now, length: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, stray: call.Born != s.life.GetBornMs(), old: call.Born != s.life.GetBornMs() && call.Born != s.lastBorn}
 	return order.OK
 }
 
@@ -358,10 +364,11 @@
 }
 
 func (s *simWorker) end(key workload.RunKey, how controlpb.RunEnd) {
+	old := s.runs[key].old
 	delete(s.runs, key)
 	s.highest[key.Task] = max(s.highest[key.Task], key.Run)
 	s.nextEnd++
-	s.ended = append(s.ended, simEnd{Ended: order.Ended{Number: s.nextEnd, Run: key, How: how}, at: s.world.now})
+	s.ended = append(s.ended, simEnd{Ended: order.Ended{Number: s.nextEnd, Run: key, How: how}, at: s.world.now, old: old})
 }
 
 func (s *simWorker) look(call *order.Call, clock time.Duration) *order.Answer {
--- a/internal/decision/disturbance/ledger.go
+++ b/internal/decision/disturbance/ledger.go
@@ -6,7 +6,12 @@
 // odds that it disturbs.
 package disturbance
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Evidence of one look, as logarithms of the ratio of its probability beside a disturbing and a harmless neighbour. They
 // are measured: of tails beside pairs that disturb, 40% are below 0.8 of the bound, 15% between 1 and 1.5, and 40% above;
@@ -53,6 +58,13 @@
 type record struct {
 	odds float64
 	at   time.Time // of the last evidence
+	told Rating    // that TakeChanged told last
+}
+
+// Pair is what is known of one pair.
+type Pair struct {
+	Victim, Aggressor string
+	Odds              float64 // logarithm of the odds that the aggressor disturbs the victim
 }
 
 // Ledger holds what is known of pairs of images. It is not safe for concurrent use.
@@ -104,6 +116,28 @@
 	}
 }
 
+// Restore takes what is known of a pair from elsewhere.
+func (l *Ledger) Restore(now time.Time, p Pair) {
+	key := pair{p.Victim, p.Aggressor}
+	l.pairs[key] = &record{odds: min(mostOdds, max(leastOdds, p.Odds)), at: now}
+	l.pairs[key].told = l.Rate(now, p.Victim, p.Aggressor)
+}
+
+// TakeChanged returns the pairs whose rating has changed since they were returned last, in a fixed order.
+func (l *Ledger) TakeChanged(now time.Time) []Pair {
+	var changed []Pair
+	for key, r := range l.pairs {
+		if rating := l.Rate(now, key.victim, key.aggressor); rating != r.told {
+			r.told = rating
+			changed = append(changed, Pair{key.victim, key.aggressor, r.oddsAt(now)})
+		}
+	}
+	slices.SortFunc(changed, func(a, b Pair) int {
+		return cmp.Or(strings.Compare(a.Victim, b.Victim), strings.Compare(a.Aggressor, b.Aggressor))
+	})
+	return changed
+}
+
 // suspect returns the aggressor that most likely disturbs, or nothing.
 func (l *Ledger) suspect(now time.Time, victim string, present []string) string {
 	worst, worstOdds := "", leastOdds-1
@@ -129,7 +163,7 @@
 		if len(l.pairs) >= mostPairs {
 			clear(l.pairs)
 		}
-		r = &record{}
+		r = &record{told: Unknown}
 		l.pairs[key] = r
 	}
 	r.odds = min(mostOdds, max(leastOdds, r.oddsAt(now)+evidence))
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -19,6 +19,7 @@
 		LastWorker: s.lastWorker,
 		Finished:   slices.Clone(s.endings),
 		GivenUp:    maps.Clone(s.givenUp),
+		Pairs:      s.Pairs(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.queues)) {
 		snapshot.KnownQueues = append(snapshot.KnownQueues, s.queues[name])
@@ -68,6 +69,7 @@
 	for _, queue := range snapshot.GetKnownQueues() {
 		s.queues[queue.GetName()] = queue
 	}
+	s.learnPairs(&controlpb.LearnPairs{Pairs: snapshot.GetPairs()})
 	if givenUp := snapshot.GetGivenUp(); givenUp != nil {
 		s.givenUp = maps.Clone(givenUp)
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -7,8 +7,10 @@
 package workload
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"galenamoor/internal/controlpb"
@@ -24,6 +26,9 @@
 
 	// givenUpMost bounds the lives that are remembered as given up; most never come back.
 	givenUpMost = 4096
+
+	// pairsMost bounds the pairs of images.
+	pairsMost = 1 << 14
 )
 
 // State is the replicated state. It is deterministic and not safe for concurrent use.
@@ -43,6 +48,7 @@
 	finished    map[string]*controlpb.FinishedWork
 	endings     []*controlpb.FinishedWork // oldest first
 	maintenance map[uint64]*controlpb.Maintenance
+	pairs       map[imagePair]float64 // logarithms of odds that the second disturbs the first
 	epoch       uint64
 	time        int64 // Unix milliseconds of the newest command
 }
@@ -59,6 +65,7 @@
 		jobs:        map[string]*Job{},
 		finished:    map[string]*controlpb.FinishedWork{},
 		maintenance: map[uint64]*controlpb.Maintenance{},
+		pairs:       map[imagePair]float64{},
 	}
 }
 
@@ -96,6 +103,8 @@
 	case *controlpb.WorkChange_BeginEpoch:
 		s.epoch++
 		return &controlpb.Result{Fence: s.epoch}
+	case *controlpb.WorkChange_LearnPairs:
+		return s.learnPairs(kind.LearnPairs)
 	case *controlpb.WorkChange_BeginMaintenance:
 		return s.beginMaintenance(kind.BeginMaintenance)
 	case *controlpb.WorkChange_HostMaintained:
@@ -162,6 +171,32 @@
 	return count
 }
 
+// imagePair names a pair of images.
+type imagePair struct{ victim, aggressor string }
+
+// learnPairs keeps what a leader has learned of pairs of images.
+func (s *State) learnPairs(learned *controlpb.LearnPairs) *controlpb.Result {
+	for _, pair := range learned.GetPairs() {
+		if len(s.pairs) >= pairsMost {
+			clear(s.pairs)
+		}
+		s.pairs[imagePair{pair.GetVictim(), pair.GetAggressor()}] = pair.GetOdds()
+	}
+	return &controlpb.Result{}
+}
+
+// Pairs returns what leaders have learned of pairs of images, in a fixed order.
+func (s *State) Pairs() []*controlpb.ImagePair {
+	pairs := make([]*controlpb.ImagePair, 0, len(s.pairs))
+	for pair, odds := range s.pairs {
+		pairs = append(pairs, &controlpb.ImagePair{Victim: pair.victim, Aggressor: pair.aggressor, Odds: odds})
+	}
+	slices.SortFunc(pairs, func(a, b *controlpb.ImagePair) int {
+		return cmp.Or(strings.Compare(a.GetVictim(), b.GetVictim()), strings.Compare(a.GetAggressor(), b.GetAggressor()))
+	})
+	return pairs
+}
+
 func (s *State) setZoneOut(change *controlpb.SetZoneOut) *controlpb.Result {
 	if change.GetOut() {
 		s.zonesOut[change.GetZone()] = true
--- a/internal/shell/logging/writer.go
+++ b/internal/shell/logging/writer.go
@@ -10,6 +10,8 @@
 const (
 	// queuedLines bounds the lines that wait for a slow reader: at 500 lines a second, some seconds.
 	queuedLines = 4096
+	// writeBytes is the length above which lines that wait aren't gathered for one write any more.
+	writeBytes = 2 << 10
 	// flushTimeout bounds the writing of the lines that wait at a stop.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -54,10 +56,11 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
-		for more := true; more; {
+		for more := len(line) < writeBytes; more; {
 			select {
 			case next, ok := <-w.lines:
-				line, more = append(line, next...), ok
+				line = append(line, next...)
+				more = ok && len(line) < writeBytes
 			default:
 				more = false
 			}
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -30,6 +30,9 @@
 	// by a long queue.
 	roundLimit = 256
 
+	// longRound is the time above which a round of the control goroutine is logged: the interval of heartbeats.
+	longRound = 100 * time.Millisecond
+
 	// maxUnsynced bounds the works that wait for the disk.
 	maxUnsynced = 64
 
@@ -271,14 +274,28 @@
 		case <-timer.Chan():
 			r.checkSuspension()
 		}
+		began := r.options.Clock.Now()
 		r.drain()
-		r.core.Tick(r.options.Clock.Now())
+		drained := r.options.Clock.Now()
+		r.core.Tick(drained)
+		ticked := r.options.Clock.Now()
 		r.carryOut()
 		r.publish()
+		r.noteRound(began, drained, ticked)
 		r.setTimer(timer)
 	}
 }
 
+// noteRound logs a round of the control goroutine that took so long that heartbeats were late.
+func (r *Replica) noteRound(began, drained, ticked time.Time) {
+	ended := r.options.Clock.Now()
+	if ended.Sub(began) < longRound {
+		return
+	}
+	r.options.Log.Info("control was held up", "Host", r.options.Host, "Replica", r.id, "Role", r.role, "Requests", drained.Sub(began).String(),
+		"Decisions", ticked.Sub(drained).String(), "Commits", ended.Sub(ticked).String(), "Queued", len(r.requests), "Unsynced", r.unsynced)
+}
+
 // checkSuspension has a leader step down after its host was suspended.
 func (r *Replica) checkSuspension() {
 	if r.options.Suspended == nil || !r.options.Suspended() {
