--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -356,3 +356,17 @@
 		t.Errorf("serving tasks were over their bounds for %v before the change of the leader and for %v after it", learned, again)
 	}
 }
+
+// The first tasks to end are the shortest. A new leader must not take the others for slow.
+func TestShortTasksEndFirst(t *testing.T) {
+	w := newFleet(t, 1, 40)
+	for i := range 25 {
+		w.submit("batch", fmt.Sprintf("job-%d", i), exact(8, time.Duration(200+160*i)*time.Millisecond))
+	}
+	w.run(12 * time.Second)
+	for task, starts := range w.starts {
+		if starts > 1 {
+			t.Errorf("%s was started %d times on sound workers", task, starts)
+		}
+	}
+}
--- a/internal/decision/dispatch/learned.go
+++ b/internal/decision/dispatch/learned.go
@@ -12,9 +12,10 @@
 	firstTypical = 2 * time.Second
 	// learnShare is the least weight of a new length in the running mean.
 	learnShare = 0.05
-	// learnedBy is the number of ended tasks by which the lengths of a queue's tasks are known. The first to end are the
-	// shortest, so that fewer would mislead.
-	learnedBy = 60
+	// learnedBy is the number of ended tasks by which the lengths of a queue's tasks are known, and learnedAfter the time
+	// since the first of them, as a multiple of the longest. The first to end are the shortest, so that less would mislead.
+	learnedBy    = 60
+	learnedAfter = 5
 	// oddLength is the multiple of the mean above which a length says more about the worker than about the queue.
 	oddLength = 4
 )
@@ -27,6 +28,7 @@
 // lengths are those of the tasks of a queue.
 type lengths struct {
 	count   int
+	since   time.Time // when the first one ended
 	mean    time.Duration
 	longest time.Duration
 }
@@ -42,18 +44,18 @@
 }
 
 // longest returns the length that a queue's tasks on sound workers don't exceed, and whether it is known.
-func (l *learned) longest(queue string) (longest time.Duration, ok bool) {
+func (l *learned) longest(now time.Time, queue string) (longest time.Duration, ok bool) {
 	known := l.queues[queue]
-	if known == nil || known.count < learnedBy {
+	if known == nil || known.count < learnedBy || now.Sub(known.since) < learnedAfter*known.longest {
 		return 0, false
 	}
 	return known.longest, true
 }
 
-func (l *learned) add(queue string, length time.Duration) {
+func (l *learned) add(now time.Time, queue string, length time.Duration) {
 	known := l.queues[queue]
 	if known == nil {
-		known = &lengths{}
+		known = &lengths{since: now}
 		l.queues[queue] = known
 	}
 	if known.count >= learnedBy && length > oddLength*known.mean {
@@ -83,7 +85,7 @@
 	case controlpb.RunEnd_RUN_DONE:
 		w.failures = 0
 		if !r.orderedAt.IsZero() && r.checkpoint == "" { // else its beginning isn't known
-			d.learned.add(r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
+			d.learned.add(d.now, r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
 		}
 	case controlpb.RunEnd_RUN_FAILED:
 		w.failures++
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -60,7 +60,7 @@
 func (d *Dispatcher) slowness(r *run) string {
 	queue := r.task.Step.Job.Spec.GetQueue()
 	typical := d.learned.typical(queue)
-	longest, known := d.learned.longest(queue)
+	longest, known := d.learned.longest(d.now, queue)
 	if !known {
 		return ""
 	}
