Learn how much of their processors serving tasks use

Change: fills on full hosts that get all their processors lower the estimate, fills that are short raise it. Calls and settings that nothing uses are removed; the time after which all fills are stopped follows the platform's bound.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -48,14 +48,12 @@
 
 // Limits are the promises between the system and its workers.
 type Limits struct {
-	LongestHold    time.Duration // of a lease
-	StopGrace      time.Duration // within which a stopped run ends
-	GangTimeout    time.Duration // that a member of a gang waits for the others
-	RestoreTime    time.Duration // to resume from a checkpoint
-	CheckpointTime time.Duration // between two checkpoints
-	Heartbeat      time.Duration // between two announcements of a worker
-	HarmTime       time.Duration // for which a serving task may exceed its bound because of fills
-	RemoteFactor   float64       // by which work far from its data takes longer
+	LongestHold  time.Duration // of a lease
+	StopGrace    time.Duration // within which a stopped run ends
+	GangTimeout  time.Duration // that a member of a gang waits for the others
+	RestoreTime  time.Duration // to resume from a checkpoint
+	HarmTime     time.Duration // for which a serving task may exceed its bound because of fills
+	RemoteFactor float64       // by which work far from its data takes longer
 }
 
 const (
@@ -94,6 +92,7 @@
 	beats        map[string]beat
 	learned      *learned
 	disturbances *disturbance.Ledger
+	servingLoad  float64 // share of their processors that serving tasks are taken to use
 
 	trials      map[trial]int // hosts on which a fill is tried beside a serving image
 	leastUrgent int32         // priority of the least urgent run that holds processors
@@ -131,6 +130,7 @@
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
 	d.disturbances = disturbance.New()
+	d.servingLoad = firstServingLoad
 	d.trials = map[trial]int{}
 	d.advices, d.advising = map[*workload.Step]*advice{}, 0
 	d.outbox = nil
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -19,9 +19,11 @@
 	// watchedStrain is the share of its bound from which a serving task beside fills is looked at more often.
 	watchedStrain = 0.8
 
-	// relievedBy is the time under strain after which all fills are stopped. It leaves a stop's grace and a look of the
-	// 4 s that serving tasks may be over their bounds.
-	relievedBy = 2500 * time.Millisecond
+	// reliefTime is what is left of the time for which serving tasks may be over their bounds when all fills are stopped:
+	// a stop's grace, a look, and the half second of a tail.
+	reliefTime = 1500 * time.Millisecond
+	// leastHarm is the least time over the bound after which all fills are stopped, whatever the platform allows.
+	leastHarm = 500 * time.Millisecond
 )
 
 // govern follows the tails of serving tasks on a worker, and stops fills that disturb them.
@@ -94,7 +96,7 @@
 	if w.strainedAt.IsZero() {
 		w.strainedAt = d.now
 	}
-	if d.now.Sub(w.strainedAt) < relievedBy {
+	if d.now.Sub(w.strainedAt) < max(leastHarm, d.config.Limits.HarmTime-reliefTime) {
 		return
 	}
 	for _, fill := range fills {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// servingLoad is the share of its processors that a serving task is expected to use at its peak.
-	servingLoad = 0.65
-
 	// startsPerPass bounds the runs that one pass assigns, so that a pass stays short beside a heartbeat interval.
 	startsPerPass = 300
 
@@ -190,24 +187,18 @@
 		}
 		w.roomTaken = nil
 		h := host{Host: &colocation.Host{Rack: rackOf(w.life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
-		h.refresh()
+		d.refresh(&h)
 		hosts = append(hosts, h)
 	}
 	return hosts
 }
 
-// refresh follows what was placed on the host since.
-func (h *host) refresh() {
+// refresh follows what was placed on a host since.
+func (d *Dispatcher) refresh(h *host) {
 	w := h.worker
 	h.Free = w.life.Capacity().Sub(w.used)
 	h.Serving, h.Strain, h.Fills = w.serving, w.strain, w.fills
-	h.Spare = spare(w)
-}
-
-// spare returns the milli-cores that a worker's tasks are expected to leave unused.
-func spare(w *worker) int64 {
-	unused := int64((1 - servingLoad) * float64(w.servers))
-	return w.life.GetProcessors() - w.used.Processors - w.fills + unused
+	h.Spare = d.spare(w)
 }
 
 // rackOf returns the label that names the worker's rack. The first label is its kind.
@@ -252,7 +243,7 @@
 			continue
 		}
 		d.assign(task, chosen.worker, task.LastRun+1)
-		chosen.refresh()
+		d.refresh(chosen)
 		placed++
 	}
 	return placed, missing
@@ -330,7 +321,7 @@
 		r := d.addRun(key, task, w)
 		d.config.Count("RunsStarted")
 		d.config.Log.Info("run assigned", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Spare",
-			spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
+			d.spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
 		d.start(r)
 	})
 }
@@ -365,7 +356,7 @@
 				d.assign(task, chosen[i], number+1)
 			}
 			for i := range hosts {
-				hosts[i].refresh()
+				d.refresh(&hosts[i])
 			}
 			return len(chosen)
 		}
@@ -437,7 +428,7 @@
 	}
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", serving, "SpareBesideServing", beside,
 		"SpareElsewhere", free, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
-		"Harmless", d.disturbances.Count(d.now, disturbance.Harmless), "Harmful", d.disturbances.Count(d.now, disturbance.Harmful))
+		"ServingLoad", d.servingLoad, "Harmless", d.disturbances.Count(d.now, disturbance.Harmless), "Harmful", d.disturbances.Count(d.now, disturbance.Harmful))
 }
 
 // outlookNames name outlooks in logs.
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -22,7 +22,7 @@
 )
 
 // String returns the name of the kind for logs.
-func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Pace", "Advise"}[k] }
+func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Advise"}[k] }
 
 // Call is one call to a worker. It must not be changed once it is sent.
 type Call struct {
@@ -35,10 +35,9 @@
 	Fence   uint64 // workers do nothing for a fence below the highest one that they have seen
 	Sent    time.Time
 
-	Run        workload.RunKey // of all kinds but Look
+	Run        workload.RunKey // of Start and Stop
 	Spec       string          // of Start
 	Checkpoint string          // of Start: where to resume; empty for the beginning
-	Percent    int             // of Pace: share of the speed, 0 to 100
 	Ticket     string          // of Start: the advice service's, where the queue needs one
 
 	Step  *workload.Step // of Advise
--- a/internal/shell/entry/entry.go
+++ b/internal/shell/entry/entry.go
@@ -136,5 +136,3 @@
 		}
 	}
 }
-
-var _ leaderlink.Transport = (*transport.Transport)(nil)
