--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -92,12 +92,12 @@
 	beats        map[string]beat
 	learned      *learned
 	disturbances *disturbance.Ledger
-	servingLoad  float64 // share of their processors that serving tasks are taken to use
 
-	trials      map[trial]int // hosts on which a fill is tried beside a serving image
-	leastUrgent int32         // priority of the least urgent run that holds processors
-	advices     map[*workload.Step]*advice
-	advising    int // calls to the advice service under way
+	trials           map[trial]int // hosts on which a fill is tried beside a serving image
+	leastUrgent      int32         // priority of the least urgent run that can be stopped for another
+	leastUrgentExact int32         // the same of runs that hold processors
+	advices          map[*workload.Step]*advice
+	advising         int // calls to the advice service under way
 
 	outbox    []item
 	proposed  map[*controlpb.Command][]item
@@ -130,7 +130,6 @@
 	d.beats = map[string]beat{}
 	d.learned = newLearned()
 	d.disturbances = disturbance.New()
-	d.servingLoad = firstServingLoad
 	d.trials = map[trial]int{}
 	d.advices, d.advising = map[*workload.Step]*advice{}, 0
 	d.outbox = nil
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// servingLoad is the share of its processors that a serving task is taken to use. Tails of tasks that use more show it.
+	servingLoad = 0.65
+
 	// startsPerPass bounds the runs that one pass assigns, so that a pass stays short beside a heartbeat interval.
 	startsPerPass = 300
 
@@ -22,11 +25,9 @@
 )
 
 // Outlooks of a job, best first. Work that can still be in time goes before work that can only be late, and both before
-// work whose time is over: without that, waves of work make everything late. What lasts comes after short work that can be
-// in time, which gives its room back soon, and before the rest.
+// work whose time is over: without that, waves of work make everything late.
 const (
 	inTime = iota
-	lasting
 	late
 	hopeless
 )
@@ -144,8 +145,7 @@
 	objective := time.Duration(float64(whole)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
 	c := candidate{step: step, queue: queue, due: start.Add(objective)}
 	if step.GetPerpetual() {
-		c.outlook = lasting
-		return c
+		return c // what lasts must not be away for longer than it takes to start it
 	}
 	switch ready := wall.Add(left); {
 	case ready.After(start.Add(lateFactor * objective)):
@@ -187,18 +187,24 @@
 		}
 		w.roomTaken = nil
 		h := host{Host: &colocation.Host{Rack: rackOf(w.life), Suspect: w.failures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
-		d.refresh(&h)
+		h.refresh()
 		hosts = append(hosts, h)
 	}
 	return hosts
 }
 
 // refresh follows what was placed on a host since.
-func (d *Dispatcher) refresh(h *host) {
+func (h *host) refresh() {
 	w := h.worker
 	h.Free = w.life.Capacity().Sub(w.used)
 	h.Serving, h.Strain, h.Fills = w.serving, w.strain, w.fills
-	h.Spare = d.spare(w)
+	h.Spare = spare(w)
+}
+
+// spare returns the milli-cores that a worker's tasks are expected to leave unused.
+func spare(w *worker) int64 {
+	unused := int64((1 - servingLoad) * float64(w.servers))
+	return w.life.GetProcessors() - w.used.Processors - w.fills + unused
 }
 
 // rackOf returns the label that names the worker's rack. The first label is its kind.
@@ -243,7 +249,7 @@
 			continue
 		}
 		d.assign(task, chosen.worker, task.LastRun+1)
-		d.refresh(chosen)
+		chosen.refresh()
 		placed++
 	}
 	return placed, missing
@@ -321,7 +327,7 @@
 		r := d.addRun(key, task, w)
 		d.config.Count("RunsStarted")
 		d.config.Log.Info("run assigned", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Spare",
-			d.spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
+			spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
 		d.start(r)
 	})
 }
@@ -356,7 +362,7 @@
 				d.assign(task, chosen[i], number+1)
 			}
 			for i := range hosts {
-				d.refresh(&hosts[i])
+				hosts[i].refresh()
 			}
 			return len(chosen)
 		}
@@ -428,8 +434,8 @@
 	}
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", serving, "SpareBesideServing", beside,
 		"SpareElsewhere", free, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
-		"ServingLoad", d.servingLoad, "Harmless", d.disturbances.Count(d.now, disturbance.Harmless), "Harmful", d.disturbances.Count(d.now, disturbance.Harmful))
+		"Harmless", d.disturbances.Count(d.now, disturbance.Harmless), "Harmful", d.disturbances.Count(d.now, disturbance.Harmful))
 }
 
 // outlookNames name outlooks in logs.
-var outlookNames = [...]string{inTime: "in time", lasting: "lasting", late: "late", hopeless: "hopeless"}
+var outlookNames = [...]string{inTime: "in time", late: "late", hopeless: "hopeless"}
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -46,6 +46,9 @@
 	for i := range hosts {
 		d.choices--
 		w := hosts[i].worker
+		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentExact {
+			continue // only fills could go, and they hold no processors
+		}
 		if !d.allows(c, w) || w.roomTaken[c.step] {
 			continue
 		}
@@ -95,12 +98,19 @@
 	return victims, lost, demand.Fits(free)
 }
 
-// findLeastUrgent notes the priority of the least urgent run that holds processors, above which nothing can be stopped.
+// findLeastUrgent notes the priority of the least urgent run that can be stopped for another, and of the least urgent one
+// that holds processors, above which a search would find nothing.
 func (d *Dispatcher) findLeastUrgent() {
-	d.leastUrgent = 0
+	d.leastUrgent, d.leastUrgentExact = 0, 0
 	for _, r := range d.runs {
-		if step := r.task.Step; !step.GetFills() && !step.GetPerpetual() {
-			d.leastUrgent = max(d.leastUrgent, d.state.Queue(step.Job.Spec.GetQueue()).GetPriority())
+		step := r.task.Step
+		if step.GetPerpetual() {
+			continue
+		}
+		priority := d.state.Queue(step.Job.Spec.GetQueue()).GetPriority()
+		d.leastUrgent = max(d.leastUrgent, priority)
+		if !step.GetFills() {
+			d.leastUrgentExact = max(d.leastUrgentExact, priority)
 		}
 	}
 }
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -253,7 +253,6 @@
 	}
 	d.noteEnds(w, a.Ended)
 	d.govern(w)
-	d.learnLoad(w)
 	if w.life.GetLeaving() {
 		d.leaving(w)
 	}
