--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -53,8 +53,10 @@
 	Workers    dispatch.Limits
 	Client     orderer.Client
 	Handler    func(leader *replica.Replica) http.Handler
-	Clock      clockwork.Clock
-	Log        logr.Logger
+	// Reloads brings new seeds.
+	Reloads <-chan []netip.AddrPort
+	Clock   clockwork.Clock
+	Log     logr.Logger
 }
 
 // controller is one process.
@@ -168,6 +170,7 @@
 	c.parts.Go("replica", running.Run)
 	c.parts.Go("control", control.Run)
 	c.parts.Go("steward", func(ctx context.Context) error { return c.steward(ctx, running) })
+	c.parts.Go("reload", func(ctx context.Context) error { return c.reload(ctx, running) })
 	c.parts.Go("transport", func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -242,7 +245,7 @@
 		Transport: c.transport,
 		Clock:     c.Clock,
 		Log:       c.Log,
-		Seeds:     c.otherSeeds(),
+		Seeds:     c.others(c.Seeds),
 		Suspended: func() bool { return c.suspended(detector) },
 	})
 	return running, trace.Wrap(err, "start replica")
@@ -258,9 +261,10 @@
 	return suspended
 }
 
-func (c *controller) otherSeeds() []netip.AddrPort {
+// others returns seeds without this process itself.
+func (c *controller) others(seeds []netip.AddrPort) []netip.AddrPort {
 	var others []netip.AddrPort
-	for _, seed := range c.Seeds {
+	for _, seed := range seeds {
 		if seed != c.Peers {
 			others = append(others, seed)
 		}
@@ -268,6 +272,19 @@
 	return others
 }
 
+// reload follows changes of the settings.
+func (c *controller) reload(ctx context.Context, running *replica.Replica) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case seeds := <-c.Reloads:
+			c.Log.Info("settings reloaded", "Seeds", len(seeds))
+			running.SetSeeds(c.others(seeds))
+		}
+	}
+}
+
 // steward keeps the membership in order while this process leads, and ends the process's replica once it was removed.
 func (c *controller) steward(ctx context.Context, running *replica.Replica) error {
 	steward := voters.New()
--- a/internal/shell/replica/forward.go
+++ b/internal/shell/replica/forward.go
@@ -196,7 +196,7 @@
 
 // joinByAny asks the seeds in turn until one of them, the leader, takes the request.
 func (r *Replica) joinByAny(ctx context.Context) {
-	for _, seed := range r.options.Seeds {
+	for _, seed := range *r.seeds.Load() {
 		if r.isMember() || ctx.Err() != nil || r.joinBy(ctx, seed) {
 			return
 		}
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -142,6 +142,7 @@
 	usage     usageFilter
 	transfers chan chan bool
 	wakes     chan struct{}
+	seeds     atomic.Pointer[[]netip.AddrPort]
 	view      atomic.Pointer[View]
 
 	// leaderChanged is closed and replaced after a view with another leader is published.
@@ -197,6 +198,7 @@
 		toDisk:    make(chan Work, maxUnsynced),
 		fromDisk:  make(chan synced, maxUnsynced),
 	}
+	r.SetSeeds(options.Seeds)
 	r.batches = &batcher{replica: r, sender: rand.Uint64()}
 	r.announceLeader()
 	r.publish()
@@ -223,6 +225,9 @@
 	}
 }
 
+// SetSeeds replaces the addresses of other daemons that a replica asks to admit it.
+func (r *Replica) SetSeeds(seeds []netip.AddrPort) { r.seeds.Store(&seeds) }
+
 // Wake has the control goroutine look for what its coordinator was handed from outside. It never blocks.
 func (r *Replica) Wake() {
 	select {
