--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -392,3 +392,27 @@
 		t.Errorf("%d of 4 tasks serve", serves)
 	}
 }
+
+// A flood of less urgent jobs must not take the room of urgent ones, and no flood may grow without bound.
+func TestFlood(t *testing.T) {
+	w := newFleet(t, 1, 1)
+	accepted := map[string]int{}
+	for _, queue := range []string{"batch", "urgent"} {
+		for i := range mostJobs {
+			request := &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: &controlpb.WorkRequest{
+				Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+					Verb: controlpb.CallerVerb_VERB_SUBMIT, Host: "h", Path: fmt.Sprintf("/%s/%s-%d", queue, queue, i),
+					Job: &controlpb.WorkJob{Steps: []*controlpb.WorkStep{exact(1, time.Hour)}},
+				}},
+			}}}
+			if reply, wait := w.dispatcher.Serve(w.now, request); wait {
+				accepted[queue]++
+			} else if reply.GetWork().GetRetryAfterMs() == 0 {
+				t.Fatalf("refused without a time to come back: %v", reply)
+			}
+		}
+	}
+	if want := int(lessUrgentShare * mostJobs); accepted["batch"] != want || accepted["urgent"] != mostJobs-want {
+		t.Errorf("accepted %v, expected %d and %d", accepted, want, mostJobs-want)
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -132,11 +132,11 @@
 		d.arriving[id] = append(others, r)
 		return nil, true
 	}
-	if retry, full := d.overloaded(queue, job); full {
+	if retry, full := d.overloaded(queue); full {
 		delete(d.waiting, r)
 		d.config.Count("JobsRefused")
 		d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", "Overloaded", "RetryAfter", retry.String(),
-			"Backlog", d.backlog().String())
+			"Unfinished", d.unfinished())
 		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retry.Milliseconds()}), false
 	}
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
