--- /dev/null
+++ b/internal/decision/dispatch/gang.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"slices"
+
+	"galenamoor/internal/decision/workload"
+)
+
+// placeGang chooses workers for all tasks of a gang, or for none, and returns how many it found.
+func (d *Dispatcher) placeGang(c candidate, hosts []host) int {
+	number := uint32(0)
+	for _, task := range c.step.Tasks {
+		if !task.IsWaiting() || d.reserved[task.Key()] {
+			return 0 // members of the last run are still there
+		}
+		number = max(number, task.LastRun)
+	}
+	racks := []string{""}
+	if c.step.GetSameRack() {
+		racks = append(d.racks(hosts), "")
+	}
+	for _, rack := range racks {
+		if chosen := d.fitGang(c, hosts, rack); chosen != nil {
+			for i, task := range c.step.Tasks {
+				d.assign(task, chosen[i], number+1)
+			}
+			for i := range hosts {
+				hosts[i].refresh()
+			}
+			return len(chosen)
+		}
+	}
+	return 0
+}
+
+// racks returns the racks of hosts, each once.
+func (d *Dispatcher) racks(hosts []host) []string {
+	var racks []string
+	for _, h := range hosts {
+		if h.Rack != "" && !slices.Contains(racks, h.Rack) {
+			racks = append(racks, h.Rack)
+		}
+	}
+	return racks
+}
+
+// fitGang returns a worker for each task of a gang, all on one rack if one is given, or nil.
+func (d *Dispatcher) fitGang(c candidate, hosts []host, rack string) []*worker {
+	trial := slices.Clone(hosts)
+	for i := range trial {
+		h := *trial[i].Host
+		trial[i].Host = &h
+	}
+	demand := d.demand(c)
+	on := map[*worker]int{}
+	chosen := make([]*worker, 0, len(c.step.Tasks))
+	for range c.step.Tasks {
+		best := d.choose(c, demand, trial, func(w *worker) bool {
+			limit := int(c.step.GetMaxPerWorker())
+			return rack != "" && rackOf(w.life) != rack || limit > 0 && on[w] >= limit
+		})
+		if best == nil {
+			return nil
+		}
+		best.Free = best.Free.Sub(demand.Need)
+		best.Spare -= demand.Processors
+		on[best.worker]++
+		chosen = append(chosen, best.worker)
+	}
+	return chosen
+}
+
+// stopGang stops the other members of a gang of which one can't start, before they have waited for it in vain.
+func (d *Dispatcher) stopGang(r *run) {
+	if !r.task.Step.GetGang() {
+		return
+	}
+	for _, member := range r.task.Step.Tasks {
+		if other := d.runs[workload.RunKey{Task: member.Key(), Run: r.key.Run}]; other != nil {
+			d.wantStop(other, "a member of its gang can't start")
+		}
+	}
+}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -181,18 +181,6 @@
 	}
 }
 
-// stopGang stops the other members of a gang of which one can't start, before they have waited for it in vain.
-func (d *Dispatcher) stopGang(r *run) {
-	if !r.task.Step.GetGang() {
-		return
-	}
-	for _, member := range r.task.Step.Tasks {
-		if other := d.runs[workload.RunKey{Task: member.Key(), Run: r.key.Run}]; other != nil {
-			d.wantStop(other, "a member of its gang can't start")
-		}
-	}
-}
-
 // drop takes back the assignment of a run that certainly isn't there and never will be.
 func (d *Dispatcher) drop(r *run) {
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_DropRun{DropRun: &controlpb.DropRun{Task: r.key.Task.Ref(), Run: r.key.Run}}}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -70,26 +70,29 @@
 	noting  bool      // ends are proposed and not decided
 	misses  int       // calls without an answer since the last one
 
-	used                resource.Vector      // by runs and reservations
-	fills               int64                // milli-cores that fills can use
-	serving             int                  // tasks that serve
-	strain              float64              // highest tail of a serving task as a share of its bound
-	images              map[image]int        // serving and filling tasks by what they run
-	victims, aggressors []string             // names of the serving and the filling ones, in order
-	filledAt            map[string]time.Time // when a fill of an image was last seen
-	servers             int64                // milli-cores of tasks that serve
-	strainedAt          time.Time            // since when a serving task is over its bound; zero when none is
-	shunUntil           time.Time
-	failures            int // runs that failed in a row
-	ending              bool
+	// What it holds, with what is proposed.
+	used                resource.Vector         // by runs and reservations
+	fills               int64                   // milli-cores that fills can use
+	serving             int                     // tasks that serve
+	strain              float64                 // highest tail of a serving task as a share of its bound
+	servers             int64                   // milli-cores of tasks that serve
+	images              map[image]int           // serving and filling tasks by what they run
+	victims, aggressors []string                // names of the serving and the filling ones, in order
+	filledAt            map[string]time.Time    // when a fill of an image was last seen
+	strainedAt          time.Time               // since when a serving task is over its bound; zero when none is
+	watched             bool                    // tails are looked at more often
+	promised            map[*workload.Step]int  // runs that are proposed
 	roomTaken           map[*workload.Step]bool // steps for which the current pass makes room here
-	leavesAt            time.Time               // when a worker that leaves is gone, at the earliest
-	suspectUntil        time.Time               // it is used last until then
-	reborn              bool                    // a later life under the same ID has answered
-	rebornAt            time.Time
-	watched             bool                   // tails are looked at more often
-	strays              bool                   // it runs what nobody wants, which takes room
-	promised            map[*workload.Step]int // runs that are proposed
+
+	// Why it is used last or not at all.
+	failures     int // runs that failed in a row
+	suspectUntil time.Time
+	shunUntil    time.Time
+	strays       bool      // it runs what nobody wants, which takes room
+	leavesAt     time.Time // when a worker that leaves is gone, at the earliest
+	reborn       bool      // a later life under the same ID has answered
+	rebornAt     time.Time
+	ending       bool // the end of its life is proposed
 }
 
 // addWorker starts to look after a life. Before its first answer, what earlier leaders granted it counts as held.
@@ -313,61 +316,6 @@
 	}
 }
 
-// reborn stops using a worker of which a later life has answered under the same ID. Orders that were meant for the earlier
-// life may have started something in the later one, which knew of no fence. They do nothing any more once the later life
-// has seen a higher fence, and what they have started is stopped before its tasks may start elsewhere.
-func (d *Dispatcher) reborn(w *worker) {
-	if w.reborn || w.ending {
-		return
-	}
-	w.reborn, w.rebornAt, w.lookAt = true, d.now, d.now
-	d.config.Log.Info("worker has begun another life", "Worker", w.life.GetId(), "Runs", len(w.life.Runs))
-}
-
-// lookAgain asks the later life what it runs, under a fence that voids earlier orders.
-func (d *Dispatcher) lookAgain(w *worker) {
-	call := d.newCall(order.Look, w)
-	call.Born = 0
-	w.looking = call
-	d.config.Orders.Send(call)
-}
-
-// lookedAgain ends the earlier life once the later one runs nothing that was ordered from the earlier one.
-func (d *Dispatcher) lookedAgain(w *worker, a *order.Answer) {
-	w.lookAt = d.now.Add(d.pauseAfter())
-	if a.Status != order.OK || a.Call.Born != 0 {
-		if d.now.Sub(w.rebornAt) > 2*d.config.Limits.LongestHold {
-			d.endLife(w, "its later life can't be asked, and every lease has run out")
-		}
-		return
-	}
-	strays := 0
-	for _, running := range a.Running {
-		if _, assigned := w.life.Runs[running.Run]; assigned {
-			strays++
-			d.stopStray(w, running.Run)
-		}
-	}
-	if strays > 0 {
-		return
-	}
-	var ends []*controlpb.EndedRun
-	for _, e := range a.Ended {
-		if _, assigned := w.life.Runs[e.Run]; assigned {
-			ends = append(ends, endedRun(&e))
-		}
-	}
-	d.endLife(w, "it has begun another life", ends...)
-}
-
-// stopStray stops a run that nobody wants.
-func (d *Dispatcher) stopStray(w *worker, key workload.RunKey) {
-	call := d.newCall(order.Stop, w)
-	call.Run = key
-	d.config.Log.Info("stopping stray run", "Task", key.Task.String(), "Run", key.Run, "Worker", w.life.GetId())
-	d.config.Orders.Send(call)
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
