--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -29,7 +29,6 @@
 	Mixes      bool               // a serving task on a host that serves other images
 	Unsure     bool               // a fill on a host with another one of which it isn't known how it gets on
 	DataRack   string             // rack of its data; empty for none
-	PreferRack string             // rack of its step's other tasks; empty for none
 	Companions disturbance.Rating // how it gets on with what runs on the host
 }
 
@@ -112,9 +111,6 @@
 	if demand.DataRack != "" && demand.DataRack != h.Rack {
 		score -= remoteCost
 	}
-	if demand.PreferRack != "" && demand.PreferRack != h.Rack {
-		score -= 2 * remoteCost
-	}
 	if h.Suspect {
 		score -= suspectCost
 	}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -134,13 +134,18 @@
 	d.config.Orders.Send(call)
 }
 
-// checkpoint returns where a task resumes. All members of a gang get the same.
-func (d *Dispatcher) checkpoint(t *workload.Task) string {
+// savedKey returns the key under which a task's checkpoint is kept. The members of a gang share one.
+func savedKey(t *workload.Task) workload.TaskKey {
 	key := t.Key()
 	if t.Step.GetGang() {
 		key.Index = 0
 	}
-	if saved := d.saved[key]; saved != "" {
+	return key
+}
+
+// checkpoint returns where a task resumes. All members of a gang get the same.
+func (d *Dispatcher) checkpoint(t *workload.Task) string {
+	if saved := d.saved[savedKey(t)]; saved != "" {
 		return saved
 	}
 	return t.Checkpoint
@@ -265,11 +270,7 @@
 	r.gauge = running.Gauge
 	d.judge(r)
 	if running.Checkpoint != "" {
-		key := r.key.Task
-		if r.task.Step.GetGang() {
-			key.Index = 0
-		}
-		d.saved[key] = running.Checkpoint
+		d.saved[savedKey(r.task)] = running.Checkpoint
 	}
 }
 
@@ -329,11 +330,7 @@
 	if r.task.Done {
 		d.forgetTask(e.Run.Task)
 	} else if e.Checkpoint != "" {
-		key := e.Run.Task
-		if r.task.Step.GetGang() {
-			key.Index = 0
-		}
-		d.saved[key] = e.Checkpoint
+		d.saved[savedKey(r.task)] = e.Checkpoint
 	}
 	d.config.Count("RunsEnded." + e.How.String())
 	d.config.Log.Info("run ended", "Task", e.Run.Task.String(), "Run", e.Run.Run, "Worker", w.life.GetId(), "How", e.How.String(),
--- a/internal/decision/workload/maintenance.go
+++ b/internal/decision/workload/maintenance.go
@@ -24,6 +24,3 @@
 
 // Maintenance returns a wave, or nil.
 func (s *State) Maintenance(wave uint64) *controlpb.Maintenance { return s.maintenance[wave] }
-
-// Waves returns all waves of maintenance.
-func (s *State) Waves() map[uint64]*controlpb.Maintenance { return s.maintenance }
--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -179,14 +179,7 @@
 			return trace.Wrap(err, "serve peers")
 		}
 	})
-	if c.Metrics.IsValid() {
-		metrics, err := listener.New(c.Metrics, http.DefaultServeMux)
-		if err != nil {
-			c.Log.Error(err, "metrics are not served", "Step", "start")
-		} else {
-			c.parts.Go("metrics", metrics.Run)
-		}
-	}
+	c.parts.Go("metrics", listener.Metrics(c.Metrics, c.Log))
 	c.Log.Info("controller started", "Replica", c.recovered.Identity, "Control", c.Control.String(), "Entries", len(c.recovered.Entries),
 		"Truncated", c.recovered.Truncated)
 	err = c.parts.Run(handedOver(ctx, running, c.Log))
--- a/internal/shell/entry/entry.go
+++ b/internal/shell/entry/entry.go
@@ -69,14 +69,7 @@
 	parts.Go("callers", callers.Run)
 	parts.Go("readiness", readiness.Run)
 	parts.Go("reload", func(ctx context.Context) error { return reload(ctx, options, leader) })
-	if options.Metrics.IsValid() {
-		metrics, err := listener.New(options.Metrics, http.DefaultServeMux)
-		if err != nil {
-			log.Error(err, "metrics are not served", "Step", "start")
-		} else {
-			parts.Go("metrics", metrics.Run)
-		}
-	}
+	parts.Go("metrics", listener.Metrics(options.Metrics, log))
 	log.Info("entry started", "Callers", options.Callers.String(), "Seeds", len(options.Seeds))
 	err = parts.Run(drained(ctx, options))
 	log.Info("entry stopped")
--- a/internal/shell/listener/listener.go
+++ b/internal/shell/listener/listener.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 )
 
@@ -56,3 +57,19 @@
 	}
 	return nil
 }
+
+// Metrics returns a function that serves the process's metrics at an address until its context ends. A process runs on
+// without them when the address isn't valid or can't be opened.
+func Metrics(address netip.AddrPort, log logr.Logger) func(context.Context) error {
+	if address.IsValid() {
+		metrics, err := New(address, http.DefaultServeMux)
+		if err == nil {
+			return metrics.Run
+		}
+		log.Error(err, "metrics are not served", "Step", "start")
+	}
+	return func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}
+}
