Don't repeat starts on leaving workers and in zones that are out

Cause: an order to start whose answer was lost was repeated every 250 ms until it was answered, also after its worker had said that it leaves or its zone had been taken out.

Change: such a run is stopped instead, because an earlier order may still be carried out, and started elsewhere once that is settled. TestNoRepetitionAfterNotice failed before for both notices.

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -256,6 +256,46 @@
 	}
 }
 
+// An order whose answer is lost must not be repeated once its worker leaves or its zone is out: the repetition would be a
+// start there, long after the notice was acknowledged.
+func TestNoRepetitionAfterNotice(t *testing.T) {
+	for _, notice := range []string{"leaving", "zone"} {
+		t.Run(notice, func(t *testing.T) {
+			w := newFleet(t, 1, 4)
+			w.lose = 1
+			w.submit("urgent", "a", exact(12, time.Second))
+			w.run(100 * time.Millisecond)
+			for _, worker := range w.workers {
+				if worker.life.GetZone() != "zone-0" {
+					continue
+				}
+				if notice == "leaving" {
+					worker.life.Leaving = true
+				}
+			}
+			if notice == "zone" {
+				w.setZone("zone-0", true)
+			}
+			w.run(1600 * time.Millisecond) // all workers have announced themselves
+			w.lose = 0
+			before := len(w.starts)
+			for range 300 {
+				w.run(10 * time.Millisecond)
+				for _, worker := range w.workers {
+					if worker.life.GetZone() == "zone-0" && len(worker.runs) > 0 {
+						t.Fatalf("%s starts %d tasks after the notice", worker.life.GetId(), len(worker.runs))
+					}
+				}
+			}
+			w.run(5 * time.Second)
+			if before > 0 {
+				t.Errorf("%d starts while every call was lost", before)
+			}
+			w.expect("a", controlpb.WorkState_WORK_COMPLETED)
+		})
+	}
+}
+
 // A host holds at most the allowed number of a step's tasks, and only hosts with the label are used.
 func TestLimitsOfSteps(t *testing.T) {
 	w := newFleet(t, 1, 4)
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -117,8 +117,13 @@
 		"Percent", r.percent, "Age", d.now.Sub(r.began).String())
 }
 
-// start orders a worker to start a run. The same order may be repeated until it is answered.
+// start orders a worker to start a run. The same order may be repeated until it is answered, unless the worker may not be
+// given work any more: then it is stopped, because an earlier order may still be carried out.
 func (d *Dispatcher) start(r *run) {
+	if reason := d.startBar(r.worker); reason != "" {
+		d.wantStop(r, reason)
+		return
+	}
 	until := d.grant(r.worker)
 	if until == 0 || r.worker.ending {
 		r.startAt = d.now.Add(retryPause)
@@ -134,6 +139,17 @@
 	d.config.Orders.Send(call)
 }
 
+// startBar returns why nothing may be started on a worker any more, or nothing.
+func (d *Dispatcher) startBar(w *worker) string {
+	switch {
+	case w.life.GetLeaving():
+		return "its worker leaves"
+	case d.state.ZoneOut(w.life.GetZone()):
+		return "its zone is out of service"
+	}
+	return ""
+}
+
 // savedKey returns the key under which a task's checkpoint is kept. The members of a gang share one.
 func savedKey(t *workload.Task) workload.TaskKey {
 	key := t.Key()
