Replace lost voters within seconds, and don't let losses add up

When a second learner came, both were promoted, and the group was left with five voters of which two were gone.

Change: a learner takes a voter's place after 2 s of silence, the two changes that this takes follow each other at once, and voters that nobody can replace are removed after 12 s while the group stays as large as the tolerated losses ask. The number of tolerated losses comes from the platform's settings, so that the grown sites grow to five before they replace anybody.

Also: the names of the kinds of calls lacked Pace, so that naming Advise panicked.

--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -22,7 +22,7 @@
 )
 
 // String returns the name of the kind for logs.
-func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Advise"}[k] }
+func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Pace", "Advise"}[k] }
 
 // Call is one call to a worker. It must not be changed once it is sent.
 type Call struct {
--- a/internal/decision/voters/steward.go
+++ b/internal/decision/voters/steward.go
@@ -14,9 +14,13 @@
 	// Most is the number of voters that the group grows to. Five bear the loss of a zone that holds two of them.
 	Most = 5
 
-	// replaceAfter is the silence after which a learner takes a voter's place. A restart, a freeze or a cut is usually
-	// over by then.
-	replaceAfter = 12 * time.Second
+	// replaceAfter is the silence after which a learner takes a voter's place. A killed process is back within a second,
+	// and the platform counts a loss as over 4 s after the successor's start: by then another host may be lost.
+	replaceAfter = 2 * time.Second
+
+	// shrinkAfter is the silence after which a voter is removed that no learner can replace. A restart, a freeze or a cut
+	// is usually over by then.
+	shrinkAfter = 12 * time.Second
 
 	// forgetAfter is the silence after which a learner is removed.
 	forgetAfter = 60 * time.Second
@@ -29,52 +33,76 @@
 
 // Steward proposes one change of the membership at a time. It is not safe for concurrent use.
 type Steward struct {
+	least       int
 	silentSince map[uint64]time.Time
 }
 
-// New returns a Steward that has heard of nobody.
-func New() *Steward { return &Steward{silentSince: map[uint64]time.Time{}} }
+// New returns a Steward that has heard of nobody. The group is to bear the loss of so many disks at once.
+func New(tolerated int) *Steward {
+	return &Steward{least: min(Most, 2*tolerated+1), silentSince: map[uint64]time.Time{}}
+}
 
 // Next returns the change that the leader should propose now, or nil.
 func (s *Steward) Next(now time.Time, self uint64, members []*controlpb.Member, peers map[uint64]Peer) *controlpb.MembershipChange {
 	s.follow(now, self, members, peers)
-	var learner, silent *controlpb.Member
+	var learner, silent *controlpb.Member // the first active learner, and the voter that has been silent for longest
 	voting, learning := 0, 0
 	for _, m := range members {
-		isActive := m.GetId() == self || peers[m.GetId()].Active
+		silence := s.silence(now, m)
 		switch {
 		case m.GetVoter():
 			voting++
-			if !isActive && now.Sub(s.silentSince[m.GetId()]) >= replaceAfter && silent == nil {
+			if silence > 0 && (silent == nil || silence > s.silence(now, silent)) {
 				silent = m
 			}
-		case isActive:
+		case silence >= forgetAfter:
+			return remove(m)
+		case silence == 0:
 			learning++
 			if learner == nil {
 				learner = m
 			}
-		case !isActive && now.Sub(s.silentSince[m.GetId()]) >= forgetAfter:
-			return remove(m)
 		}
 	}
-	if learner == nil {
-		return nil
+	if learner != nil {
+		return s.useLearner(now, self, members, learner, silent, voting, learning)
 	}
+	// Without it, losses that are never made up for would add up until no majority is left. A group that is larger than
+	// it must be keeps every change on enough disks without the lost ones.
+	if silent != nil && voting > s.least && s.silence(now, silent) >= shrinkAfter {
+		return remove(silent)
+	}
+	return nil
+}
+
+// useLearner returns the change that puts an active learner to use, or nil while it only stands by.
+func (s *Steward) useLearner(
+	now time.Time, self uint64, members []*controlpb.Member, learner, silent *controlpb.Member, voting, learning int,
+) *controlpb.MembershipChange {
 	for _, m := range members {
 		if m.GetVoter() && m.GetId() != self && m.GetAddress() == learner.GetAddress() {
 			return remove(m) // the host came back without its disk
 		}
 	}
+	if silent != nil && voting >= s.least && s.silence(now, silent) >= replaceAfter {
+		return remove(silent)
+	}
 	// An even number of voters bears no more losses than the odd number below it.
-	if voting < Most && (voting%2 == 0 || learning > 1) {
+	if voting < Most && (voting%2 == 0 || learning > 1 || voting < s.least) {
 		return &controlpb.MembershipChange{Kind: controlpb.MembershipChange_PROMOTE, Member: learner}
 	}
-	if silent != nil {
-		return remove(silent)
-	}
 	return nil
 }
 
+// silence returns for how long a member has been silent.
+func (s *Steward) silence(now time.Time, m *controlpb.Member) time.Duration {
+	since, ok := s.silentSince[m.GetId()]
+	if !ok {
+		return 0
+	}
+	return max(1, now.Sub(since)) // one that has fallen silent just now isn't active
+}
+
 // follow remembers since when members are silent.
 func (s *Steward) follow(now time.Time, self uint64, members []*controlpb.Member, peers map[uint64]Peer) {
 	known := map[uint64]bool{}
--- a/internal/decision/voters/steward_test.go
+++ b/internal/decision/voters/steward_test.go
@@ -11,8 +11,9 @@
 	"galenamoor/internal/controlpb"
 )
 
-// Each session lists members, one a line "ID voter|learner ADDRESS [silent]", and after "->" the change that is expected
-// after the members were so for a time. Guards against groups that lose their majority, and against ones that grow to an
+// Each session lists members, one a line "ID voter|learner ADDRESS [silent]", after "for" a time, after "tolerates" the
+// losses that the group must bear, 1 if left out, and after "->" the change that is expected after the members were so for
+// that time. Guards against groups that lose their majority, and against ones that grow to an
 // even number.
 func TestSessions(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/groups.txtar")
@@ -22,7 +23,7 @@
 	for _, file := range archive.Files {
 		t.Run(file.Name, func(t *testing.T) {
 			text, want, _ := strings.Cut(string(file.Data), "->")
-			wait, members := time.Duration(0), []*controlpb.Member(nil)
+			wait, tolerated, members := time.Duration(0), 1, []*controlpb.Member(nil)
 			peers := map[uint64]Peer{}
 			for line := range strings.Lines(text) {
 				words := strings.Fields(line)
@@ -33,6 +34,13 @@
 					}
 					continue
 				}
+				if len(words) == 2 && words[0] == "tolerates" {
+					tolerated, err = strconv.Atoi(words[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					continue
+				}
 				if len(words) < 3 {
 					continue
 				}
@@ -43,7 +51,7 @@
 				members = append(members, &controlpb.Member{Id: id, Voter: words[1] == "voter", Address: words[2]})
 				peers[id] = Peer{Active: len(words) == 3}
 			}
-			steward := New()
+			steward := New(tolerated)
 			now := time.Unix(0, 0)
 			steward.Next(now, 1, members, peers)
 			if got := describe(steward.Next(now.Add(wait), 1, members, peers)); got != strings.TrimSpace(want) {
--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -34,6 +34,9 @@
 const (
 	// stewardInterval is the time between two looks at the membership.
 	stewardInterval = 500 * time.Millisecond
+	// stewardPause is the time from one change of the membership to the next look. Replacing a voter takes two changes, and
+	// another loss between them would leave no majority.
+	stewardPause = 50 * time.Millisecond
 	// membershipTimeout bounds one change of the membership.
 	membershipTimeout = time.Second
 )
@@ -51,6 +54,7 @@
 	Bootstrap  bool
 	DataFolder string
 	Workers    dispatch.Limits
+	Tolerated  int // hosts whose loss at once must be borne
 	Client     orderer.Client
 	Handler    func(leader *replica.Replica) http.Handler
 	// Reloads brings new seeds.
@@ -280,13 +284,15 @@
 
 // steward keeps the membership in order while this process leads, and ends the process's replica once it was removed.
 func (c *controller) steward(ctx context.Context, running *replica.Replica) error {
-	steward := voters.New()
+	steward := voters.New(c.Tolerated)
+	wait := stewardInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-c.Clock.After(stewardInterval):
+		case <-c.Clock.After(wait):
 		}
+		wait = stewardInterval
 		if running.Removed() {
 			return errRemoved
 		}
@@ -295,7 +301,7 @@
 			return trace.Wrap(view.Failed, "the replica has failed; the process starts anew")
 		}
 		if !view.Leading {
-			steward = voters.New()
+			steward = voters.New(c.Tolerated)
 			continue
 		}
 		peers := map[uint64]voters.Peer{}
@@ -304,6 +310,7 @@
 		}
 		if change := steward.Next(c.Clock.Now(), view.ID, view.Membership.GetMembers(), peers); change != nil {
 			c.change(ctx, running, change)
+			wait = stewardPause
 		}
 	}
 }
