Send callers' requests only to a leader that answers, and refuse at once in long outages

Cause: an entry sent requests to whichever member was next in its list while the leader was lost. A later request waited 1.2 s before it was refused, also when there had been no leader for seconds.

Change: a leader is one that has answered a ping as such, and is doubted after 300 ms without any answer. Until one is found requests wait, at most for as long as an election takes from the loss on; after that they are refused at once, with a Retry-After as long as the outage has lasted. Entries learn the members from pings. A look that nobody answered is refused as not run, because it has no effect.

--- a/internal/shell/controller/peers.go
+++ b/internal/shell/controller/peers.go
@@ -39,11 +39,15 @@
 		return &controlpb.LeaderReply{Result: &controlpb.Result{Code: controlpb.ResultCode_RESULT_UNAVAILABLE, Message: "the daemon is starting"}}
 	}
 	reply := running.Decide(ctx, request)
-	if reply.GetResult().GetCode() != controlpb.ResultCode_RESULT_UNAVAILABLE {
+	decided := reply.GetResult().GetCode() != controlpb.ResultCode_RESULT_UNAVAILABLE
+	if decided && request.GetWork().GetPing() == nil {
 		return reply
 	}
 	view := running.View()
-	told := &controlpb.LeaderReply{Result: reply.GetResult(), Membership: &controlpb.Membership{Members: view.Members}}
+	told := &controlpb.LeaderReply{Result: reply.GetResult(), Work: reply.GetWork(), Membership: &controlpb.Membership{Members: view.Members}}
+	if decided {
+		return told // entries learn from pings whom to ask when this leader is lost, because all seeds may be gone by then
+	}
 	if leader, ok := view.LeaderAddress(); ok && view.Leader != view.ID {
 		told.LeaderAddress = leader.String()
 	}
--- a/internal/shell/leaderlink/link.go
+++ b/internal/shell/leaderlink/link.go
@@ -1,12 +1,14 @@
 // Package leaderlink carries requests of a process that isn't a member of the control group to its leader.
+//
+// The load it answers: a leader is lost while callers hand work in. What was sent to it may have been decided, and its
+// caller can't be told otherwise. Requests are therefore sent only to a member that has said that it leads and answers;
+// all others wait for a short while and are then refused as not run.
 package leaderlink
 
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +28,13 @@
 	// when to come back. It is longer than most elections.
 	refuseAfter = 1200 * time.Millisecond
 
-	// pauseFirst and pauseMost bound the pauses between attempts.
-	pauseFirst = 25 * time.Millisecond
-	pauseMost  = 150 * time.Millisecond
+	// electionMost is the time that an election takes at most. When the search for a leader has taken longer, most of the
+	// control group is lost, and requests are refused at once.
+	electionMost = 1800 * time.Millisecond
+
+	// mostRetryAfter bounds the time after which callers are told to come back. An outage is expected to go on for as long
+	// as it has lasted; callers that come back sooner spend their few retries on it.
+	mostRetryAfter = 4 * time.Second
 
 	// pingInterval is the time between two looks for the leader when there is no traffic.
 	pingInterval = time.Second
@@ -45,13 +51,19 @@
 	clock     clockwork.Clock
 	log       logr.Logger
 
-	mutex  sync.Mutex
-	seeds  []netip.AddrPort
-	known  []netip.AddrPort // members, as last told
-	leader netip.AddrPort   // not valid when unknown
-	next   int              // position in the list of those to ask
-	heard  time.Time        // last decision of a leader
-	lost   bool             // logged that there is no leader
+	mutex     sync.Mutex
+	seeds     []netip.AddrPort
+	known     []netip.AddrPort // members, as last told
+	leader    netip.AddrPort   // has said that it leads; not valid when unknown
+	hint      netip.AddrPort   // whom another member takes for the leader; not valid when nobody said so
+	next      int              // position in the list of those to ask
+	heard     time.Time        // last decision of a leader
+	lost      bool             // logged that there is no leader
+	searching chan struct{}    // closed when the search under way ends; nil when there is none
+	since     time.Time        // when the first search began since a leader was known; zero while one is
+
+	unanswered      int       // requests that were sent and not answered
+	unansweredSince time.Time // when the oldest of them was sent, or the leader's last answer if that is newer
 }
 
 // New returns a Link that knows only seeds.
@@ -80,125 +92,101 @@
 // twice, so they have to be idempotent. The result is RESULT_UNAVAILABLE when the request surely wasn't decided, and
 // RESULT_UNKNOWN when it may have been.
 func (l *Link) Do(ctx context.Context, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
-	pause := pauseFirst
 	began := l.clock.Now()
+	refused := failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "no leader is known")
 	var uncertain *controlpb.LeaderReply
 	for {
-		reply := l.attempt(ctx, request)
-		switch reply.GetResult().GetCode() {
-		case controlpb.ResultCode_RESULT_UNAVAILABLE:
-		case controlpb.ResultCode_RESULT_UNKNOWN:
-			uncertain = reply
-		default:
-			return reply
+		patience := min(refuseAfter-l.clock.Since(began), electionMost-l.searchedFor())
+		if uncertain != nil {
+			patience = attemptTimeout // until the context ends: nobody else can find out what became of it
 		}
-		gaveUp := uncertain == nil && l.clock.Since(began) >= refuseAfter
-		select {
-		case <-ctx.Done():
-			gaveUp = true
-		case <-l.clock.After(pause/2 + rand.N(pause)):
-		}
-		if gaveUp && uncertain != nil {
+		to, ok := l.awaitLeader(ctx, patience)
+		switch {
+		case !ok && uncertain == nil:
+			refused.Work = &controlpb.WorkReply{RetryAfterMs: min(mostRetryAfter, l.searchedFor()).Milliseconds()}
+			return refused
+		case !ok && ctx.Err() != nil:
 			return uncertain
+		case !ok:
+			continue
 		}
-		if gaveUp {
+		reply := l.attempt(ctx, to, request)
+		switch code := reply.GetResult().GetCode(); {
+		case code == controlpb.ResultCode_RESULT_UNAVAILABLE:
+			refused = reply
+		case code != controlpb.ResultCode_RESULT_UNKNOWN:
 			return reply
+		case changesState(request):
+			uncertain = reply
+		default: // a look that nobody answered has done nothing
+			refused = failure(controlpb.ResultCode_RESULT_UNAVAILABLE, reply.GetResult().GetMessage())
 		}
-		pause = min(2*pause, pauseMost)
 	}
 }
 
-// attempt asks the leader, or the next member when it isn't known.
-func (l *Link) attempt(ctx context.Context, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
-	to, ok := l.target()
-	if !ok {
-		return failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "no member of the control group is known")
+// searchedFor returns for how long a leader has been searched for in vain.
+func (l *Link) searchedFor() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.since.IsZero() {
+		return 0
 	}
+	return l.clock.Since(l.since)
+}
+
+// changesState reports whether a caller's request changes anything when it is decided.
+func changesState(request *controlpb.LeaderRequest) bool {
+	return request.GetWork().GetCaller().GetVerb() != controlpb.CallerVerb_VERB_READ
+}
+
+// attempt sends a request to the leader once.
+func (l *Link) attempt(ctx context.Context, to netip.AddrPort, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	l.sent()
 	reply, err := l.transport.Forward(ctx, to, request)
-	var notSent *transport.NotSentError
-	switch {
-	case errors.As(err, &notSent):
-		l.failed(to, err.Error())
-		return failure(controlpb.ResultCode_RESULT_UNAVAILABLE, err.Error())
-	case err != nil:
-		l.failed(to, err.Error())
+	l.answered()
+	if err != nil {
+		l.mutex.Lock()
+		l.lose(to, err.Error())
+		l.mutex.Unlock()
+		var notSent *transport.NotSentError
+		if errors.As(err, &notSent) {
+			return failure(controlpb.ResultCode_RESULT_UNAVAILABLE, err.Error())
+		}
 		return failure(controlpb.ResultCode_RESULT_UNKNOWN, err.Error())
 	}
 	l.learn(to, reply)
 	return reply
 }
 
-// target returns whom to ask.
-func (l *Link) target() (netip.AddrPort, bool) {
+// sent and answered count the requests that wait for the leader.
+func (l *Link) sent() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.leader.IsValid() {
-		return l.leader, true
+	if l.unanswered == 0 {
+		l.unansweredSince = l.clock.Now()
 	}
-	all := slices.Clone(l.known)
-	for _, seed := range l.seeds {
-		if !slices.Contains(all, seed) {
-			all = append(all, seed)
-		}
-	}
-	if len(all) == 0 {
-		return netip.AddrPort{}, false
-	}
-	l.next++
-	return all[l.next%len(all)], true
+	l.unanswered++
 }
 
-// failed forgets a leader that didn't answer.
-func (l *Link) failed(to netip.AddrPort, reason string) {
+func (l *Link) answered() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.leader == to {
-		l.leader = netip.AddrPort{}
-	}
-	if !l.lost {
-		l.lost = true
-		l.log.Info("leader lost", "Peer", to.String(), "Reason", reason)
-	}
-}
-
-// learn follows what a reply tells of the control group.
-func (l *Link) learn(from netip.AddrPort, reply *controlpb.LeaderReply) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if reply.GetResult().GetCode() != controlpb.ResultCode_RESULT_UNAVAILABLE && reply.GetResult().GetCode() != controlpb.ResultCode_RESULT_UNKNOWN {
-		l.heard = l.clock.Now()
-		if l.leader != from || l.lost {
-			l.leader, l.lost = from, false
-			l.log.Info("leader found", "Peer", from.String())
-		}
-		return
-	}
-	l.leader = netip.AddrPort{}
-	if leader, err := netip.ParseAddrPort(reply.GetLeaderAddress()); err == nil && leader != from {
-		l.leader = leader
-	}
-	if members := reply.GetMembership().GetMembers(); len(members) > 0 {
-		l.known = l.known[:0]
-		for _, m := range members {
-			if address, err := netip.ParseAddrPort(m.GetAddress()); err == nil {
-				l.known = append(l.known, address)
-			}
-		}
-	}
+	l.unanswered--
 }
 
 // Run looks for the leader while there is no traffic, until the context ends.
 func (l *Link) Run(ctx context.Context) error {
-	ping := &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{
-		Work: &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Ping{Ping: &controlpb.Ping{}}},
-	}}
 	for {
 		if l.HeardAgo() >= pingInterval {
-			limited, cancel := context.WithTimeout(ctx, attemptTimeout)
-			l.Do(limited, ping)
-			cancel()
+			l.mutex.Lock()
+			leader := l.leader
+			l.mutex.Unlock()
+			if !leader.IsValid() || !l.ping(ctx, leader) {
+				l.forget(leader)
+				l.awaitLeader(ctx, pingInterval)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -208,6 +196,15 @@
 	}
 }
 
+// forget stops sending requests to a leader that doesn't answer.
+func (l *Link) forget(leader netip.AddrPort) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if leader.IsValid() {
+		l.lose(leader, "no answer to a ping")
+	}
+}
+
 func failure(code controlpb.ResultCode, message string) *controlpb.LeaderReply {
 	return &controlpb.LeaderReply{Result: &controlpb.Result{Code: code, Message: message}}
 }
--- a/internal/shell/leaderlink/link_test.go
+++ b/internal/shell/leaderlink/link_test.go
@@ -22,19 +22,31 @@
 	// answer replaces the leader's answers when it is set.
 	answer func() (*controlpb.LeaderReply, error)
 	asked  int
+	dark   netip.AddrPort // takes requests and never answers; not valid: none
+	lost   int            // requests other than pings that it took
 }
 
 func address(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 7000)
 }
 
-func (g *group) Forward(_ context.Context, to netip.AddrPort, _ *controlpb.LeaderRequest) (*controlpb.LeaderReply, error) {
+func (g *group) Forward(ctx context.Context, to netip.AddrPort, request *controlpb.LeaderRequest) (*controlpb.LeaderReply, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.asked++
+	if to == g.dark {
+		if request.GetWork().GetPing() == nil {
+			g.lost++
+		}
+		g.mutex.Unlock()
+		<-ctx.Done()
+		g.mutex.Lock()
+		return nil, ctx.Err()
+	}
+	members := &controlpb.Membership{Members: []*controlpb.Member{{Address: address(1).String()}, {Address: address(2).String()}, {Address: address(3).String()}}}
 	if to != g.leader {
 		reply := failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "not the leader")
-		reply.Membership = &controlpb.Membership{Members: []*controlpb.Member{{Address: address(1).String()}, {Address: address(2).String()}, {Address: address(3).String()}}}
+		reply.Membership = members
 		if g.leader.IsValid() {
 			reply.LeaderAddress = g.leader.String()
 		}
@@ -43,7 +55,7 @@
 	if g.answer != nil {
 		return g.answer()
 	}
-	return &controlpb.LeaderReply{Result: &controlpb.Result{}}, nil
+	return &controlpb.LeaderReply{Result: &controlpb.Result{}, Membership: members}, nil
 }
 
 func (g *group) lead(n byte) {
@@ -83,6 +95,8 @@
 func TestLostAnswer(t *testing.T) {
 	g := &group{}
 	g.lead(1)
+	link := newLink(g)
+	link.Do(context.Background(), &controlpb.LeaderRequest{})
 	first := true
 	g.answer = func() (*controlpb.LeaderReply, error) {
 		if first {
@@ -93,7 +107,70 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	if code := newLink(g).Do(ctx, &controlpb.LeaderRequest{}).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_UNKNOWN {
+	if code := link.Do(ctx, &controlpb.LeaderRequest{}).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_UNKNOWN {
 		t.Errorf("%v, expected RESULT_UNKNOWN", code)
 	}
 }
+
+// The leader's host loses power while callers hand in work: only what is sent before that is noticed may be of unknown
+// outcome. All that comes later has surely not run, or is decided by the successor.
+func TestDarkLeader(t *testing.T) {
+	g := &group{}
+	g.lead(1)
+	link := newLink(g)
+	link.Do(context.Background(), &controlpb.LeaderRequest{})
+	g.mutex.Lock()
+	g.dark = address(1)
+	g.mutex.Unlock()
+	const interval = 20 * time.Millisecond
+	codes := make(chan controlpb.ResultCode, 100)
+	for i := range cap(codes) {
+		go func() {
+			time.Sleep(time.Duration(i) * interval)
+			ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+			defer cancel()
+			codes <- link.Do(ctx, &controlpb.LeaderRequest{}).GetResult().GetCode()
+		}()
+	}
+	unknown, decided := 0, 0
+	time.Sleep(1200 * time.Millisecond)
+	g.lead(2)
+	for range cap(codes) {
+		switch <-codes {
+		case controlpb.ResultCode_RESULT_UNKNOWN:
+			unknown++
+		case controlpb.ResultCode_RESULT_OK:
+			decided++
+		}
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if most := int((doubtAfter+100*time.Millisecond)/interval) + 1; g.lost > most {
+		t.Errorf("%d requests went to a leader that is lost, expected at most %d", g.lost, most)
+	}
+	if unknown > 0 {
+		t.Errorf("%d callers aren't told what became of their requests, although the successor knows", unknown)
+	}
+	if decided < 20 {
+		t.Errorf("%d requests were decided after the successor was there", decided)
+	}
+}
+
+// Most of the control group is lost for seconds: callers must be told at once to come back later, not each after having
+// waited for an election.
+func TestNoWaitInLongOutage(t *testing.T) {
+	link := newLink(&group{})
+	link.Do(context.Background(), &controlpb.LeaderRequest{})
+	time.Sleep(electionMost)
+	began := time.Now()
+	reply := link.Do(context.Background(), &controlpb.LeaderRequest{})
+	if code := reply.GetResult().GetCode(); code != controlpb.ResultCode_RESULT_UNAVAILABLE {
+		t.Errorf("%v, expected RESULT_UNAVAILABLE", code)
+	}
+	if took := time.Since(began); took > refuseAfter/4 {
+		t.Errorf("the refusal took %v", took)
+	}
+	if got := reply.GetWork().GetRetryAfterMs(); got < electionMost.Milliseconds() || got > mostRetryAfter.Milliseconds() {
+		t.Errorf("callers are told to come back after %d ms in an outage of %v", got, electionMost)
+	}
+}
