Use what serving tasks leave, and halt fills before serving tasks are over their bounds for too long

Cause: a serving task was taken to use 0.65 of its processors.

Change: a use of 0.45. The time over the bound counts from the last look that was certainly below it, and fills are then halted by a pace of 0, which loses no work, and stopped only after 2 s more. Pairs that were blamed are tried again after a minute: the own load of a serving task is blamed on fills too. The test world shares processors, answers looks when something ends, and checks the bound; TestWaveOfFills and TestFillsAreHalted failed before.

--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -39,6 +39,7 @@
 	Serving int             // tasks that serve
 	Fills   int64           // milli-cores that fills use
 	Strain  float64         // highest tail latency of a serving task as a share of its bound; 0 when none is known
+	Halted  bool            // its fills are halted for the sake of serving tasks
 	Rack    string
 	Suspect bool // has failed or delayed runs of late
 }
@@ -95,7 +96,7 @@
 		score = h.Spare
 	case Fill:
 		if h.Serving > 0 {
-			if demand.Companions == disturbance.Harmful || h.Strain > strainLimit {
+			if demand.Companions == disturbance.Harmful || h.Strain > strainLimit || h.Halted {
 				return 0, false
 			}
 			if demand.Companions == disturbance.Unknown {
--- a/internal/decision/colocation/host_test.go
+++ b/internal/decision/colocation/host_test.go
@@ -22,6 +22,7 @@
 	full := Host{Free: free(1000), Spare: 1000}
 	serves := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.5}
 	strained := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.95}
+	halted := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.5, Halted: true}
 	filled := Host{Free: free(8000), Spare: 10_000, Serving: 4, Strain: 0.5, Fills: 24_000}
 	suspect := Host{Free: free(32_000), Spare: 32_000, Suspect: true}
 	noMemory := Host{Free: resource.Vector{Processors: 32_000, Memory: 1024}, Spare: 32_000}
@@ -40,7 +41,7 @@
 			Demand{Kind: Fill, Need: sized(0), Processors: 4000}, []Host{half, empty}, []Host{full},
 		},
 		"fills that get on go beside serving tasks last": {
-			Demand{Kind: Fill, Need: sized(0), Processors: 4000}, []Host{half, empty, serves}, []Host{strained},
+			Demand{Kind: Fill, Need: sized(0), Processors: 4000}, []Host{half, empty, serves}, []Host{strained, halted},
 		},
 		"a fill that disturbs is kept apart": {
 			Demand{Kind: Fill, Need: sized(0), Processors: 4000, Companions: disturbance.Harmful}, []Host{empty}, []Host{serves},
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -199,6 +199,71 @@
 	}
 }
 
+// Hosts are reserved for serving tasks but for an eighth, and a wave of fills comes that would just fit into what these
+// leave unused. Each job of the wave must be done within its objective.
+func TestWaveOfFills(t *testing.T) {
+	const hosts, seconds = 8, 12
+	w := newFleet(t, 1, hosts)
+	w.harm = func(string, string) float64 { return 0.01 }
+	large := serving(hosts*7, "image")
+	large.Processors, large.Memory = 4000, 1<<10
+	w.submit("urgent", "serving", large)
+	w.run(3 * time.Second)
+	w.submit("batch", "warm", fill(hosts, "fill", 4*time.Second)) // until it is known that they get on
+	w.run(6 * time.Second)
+	submitted := map[string]time.Time{}
+	late := 0
+	for n := range 4 * (seconds + 6) {
+		if id := fmt.Sprintf("job-%d", n); n < 4*seconds {
+			submitted[id] = w.now
+			w.submit("batch", id, fill(hosts/2, "fill", 2*time.Second))
+		}
+		w.run(250*time.Millisecond - w.now.Sub(w.now.Truncate(250*time.Millisecond)))
+		for id, at := range submitted {
+			if objective := 5 * time.Second; w.stateOf(id) == controlpb.WorkState_WORK_COMPLETED {
+				delete(submitted, id)
+			} else if w.now.Sub(at) > objective {
+				delete(submitted, id)
+				late++
+			}
+		}
+	}
+	if late > 0 || len(submitted) > 0 {
+		t.Errorf("%d of %d jobs are late, and %d not done", late, 4*seconds, len(submitted))
+	}
+}
+
+// The own load of serving tasks rises for ten seconds beside fills that they get on with, and what workers tell of tails is
+// rough. No serving task may be over its bound for as long as the platform forbids, which the workers check, and the fills
+// must go on afterwards without having lost work.
+func TestFillsAreHalted(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newFleet(t, seed, 2)
+		w.harm = func(string, string) float64 { return 0.04 }
+		w.rough = 0.1
+		w.submit("urgent", "serving", serving(8, "image"))
+		w.run(2 * time.Second)
+		for i := range 32 { // until it is known that they get on
+			w.submit("batch", fmt.Sprintf("warm-%d", i), fill(8, fmt.Sprintf("fill-%d", i%4), time.Second))
+			w.run(1500 * time.Millisecond)
+		}
+		rises := w.now.Add(2 * time.Second)
+		w.swing = func(now time.Time) float64 {
+			if now.Before(rises) || now.After(rises.Add(10*time.Second)) {
+				return 0
+			}
+			return 0.5
+		}
+		for i := range 4 {
+			w.submit("batch", fmt.Sprintf("fills-%d", i), fill(2, fmt.Sprintf("fill-%d", i), 8*time.Second))
+		}
+		w.run(100 * time.Second)
+		for i := range 4 {
+			w.expect(fmt.Sprintf("fills-%d", i), controlpb.WorkState_WORK_COMPLETED)
+		}
+	}
+}
+
 // Members of a gang work only together: none may wait in vain for one that can't start, and the gang must run in the end.
 func TestGang(t *testing.T) {
 	w := newFleet(t, 1, 6)
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -18,19 +18,17 @@
 
 	// watchedStrain is the share of its bound from which a serving task beside fills is looked at more often.
 	watchedStrain = 0.8
-
-	// reliefTime is what is left of the time for which serving tasks may be over their bounds when all fills are stopped:
-	// a stop's grace, a look, and the half second of a tail.
-	reliefTime = 1500 * time.Millisecond
-	// leastHarm is the least time over the bound after which all fills are stopped, whatever the platform allows.
-	leastHarm = 500 * time.Millisecond
 )
 
-// govern follows the tails of serving tasks on a worker, and stops fills that disturb them.
+// govern follows the tails of serving tasks on a worker, and stops or halts fills that disturb
+// them.
 func (d *Dispatcher) govern(w *worker) {
 	w.strain = 0
 	fills, settled := d.fillsOn(w)
 	present := d.lately(w, fills)
+	if w.pace < fullPace {
+		settled, present = nil, nil // halted fills disturb nobody, which says nothing about them
+	}
 	for key := range w.life.Runs {
 		r := d.runs[key]
 		if r == nil || !r.task.Step.Serves() || r.gauge < 0 || r.percent < fullPercent {
@@ -41,7 +39,7 @@
 		own := image{imageOf(r.task.Step), false}
 		d.disturbances.Observe(d.now, own.name, strain, 1/float64(max(1, w.images[own])), settled, present)
 	}
-	w.watched = w.strain >= watchedStrain && len(fills) > 0
+	w.watched = (w.strain >= watchedStrain || w.pace < fullPace) && len(fills) > 0
 	for _, fill := range fills {
 		switch d.companions(fill.task.Step, w) {
 		case disturbance.Harmful:
@@ -87,23 +85,6 @@
 	return present
 }
 
-// relieve stops all fills of a worker on which a serving task has been over its bound for long, whatever is to blame.
-func (d *Dispatcher) relieve(w *worker, fills []*run) {
-	if w.strain < 1 {
-		w.strainedAt = time.Time{}
-		return
-	}
-	if w.strainedAt.IsZero() {
-		w.strainedAt = d.now
-	}
-	if d.now.Sub(w.strainedAt) < max(leastHarm, d.config.Limits.HarmTime-reliefTime) {
-		return
-	}
-	for _, fill := range fills {
-		d.wantStop(fill, "a serving task beside it has been over its bound for long")
-	}
-}
-
 // imageOf names what the tasks of a step run.
 func imageOf(step *workload.Step) string {
 	if image := step.GetImage(); image != "" {
--- a/internal/decision/dispatch/learned.go
+++ b/internal/decision/dispatch/learned.go
@@ -84,7 +84,7 @@
 	switch e.How {
 	case controlpb.RunEnd_RUN_DONE:
 		w.failures = 0
-		if !r.orderedAt.IsZero() && r.checkpoint == "" { // else its beginning isn't known
+		if !r.orderedAt.IsZero() && r.checkpoint == "" && !r.halted { // else how long it worked isn't known
 			d.learned.add(d.now, r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
 		}
 	case controlpb.RunEnd_RUN_FAILED:
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// servingLoad is the share of its processors that a serving task is taken to use. Tails of tasks that use more show it.
-	servingLoad = 0.65
+	// servingLoad is the share of its processors that a serving task is taken to use. Measured: fills beside serving tasks
+	// get all that they ask for up to about this, and starve from a share of 0.35 on. Tails of tasks that use more show it.
+	servingLoad = 0.45
 
 	// startsPerPass bounds the runs that one pass assigns, so that a pass stays short beside a heartbeat interval.
 	startsPerPass = 300
@@ -197,7 +198,7 @@
 func (h *host) refresh() {
 	w := h.worker
 	h.Free = w.life.Capacity().Sub(w.used)
-	h.Serving, h.Strain, h.Fills = w.serving, w.strain, w.fills
+	h.Serving, h.Strain, h.Fills, h.Halted = w.serving, w.strain, w.fills, w.pace < fullPace
 	h.Spare = spare(w)
 }
 
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -26,6 +26,12 @@
 	unanswered bool      // a start call got no answer, and may be carried out later
 	settledAt  time.Time // when the newest start or stop call was answered for good
 
+	pace      int       // percent, as last acknowledged
+	pacing    bool      // a pace call is under way
+	paceAt    time.Time // before which no pace call is made
+	lateUntil time.Time // until then an earlier pace may still be carried out
+	halted    bool      // it has been halted for some time, so that its length tells nothing
+
 	stopWanted bool
 	stopAt     time.Time // of the next stop call
 	stopping   bool
@@ -43,7 +49,7 @@
 
 // addRun starts to look after a run that the replicated state holds.
 func (d *Dispatcher) addRun(key workload.RunKey, task *workload.Task, w *worker) *run {
-	r := &run{key: key, task: task, worker: w, began: d.now, progress: d.now, gauge: -1}
+	r := &run{key: key, task: task, worker: w, began: d.now, progress: d.now, gauge: -1, pace: fullPace}
 	d.runs[key] = r
 	d.charge(w, task.Step, 1)
 	return r
@@ -90,6 +96,8 @@
 		d.stop(r)
 	case !r.stopWanted && !r.starting && !r.startAt.IsZero() && !d.now.Before(r.startAt):
 		d.start(r)
+	case r.seen && !r.stopWanted && r.task.Step.GetFills():
+		d.tickPace(r)
 	}
 }
 
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -64,6 +64,9 @@
 	if !known {
 		return ""
 	}
+	if r.halted {
+		return "" // by order
+	}
 	age := d.now.Sub(r.began)
 	done := time.Duration(max(1, r.percent-r.firstPercent))
 	perPercent := max(r.progress.Sub(r.began)/done, typical/100)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -20,8 +20,8 @@
 	// disturb them. Tails cover half a second.
 	strainWait = 450 * time.Millisecond
 
-	// lookPause is the time between an answer and the next look, in which ends gather for one answer. It grows with the
-	// fleet, so that looks take a bounded part of a leader's processor.
+	// lookPause is the time between an answer and the next look, in which ends gather for one answer. It
+	// grows with the fleet, so that looks take a bounded part of a leader's processor.
 	lookPause = 60 * time.Millisecond
 	// pauseWorkers is the number of workers up to which lookPause holds.
 	pauseWorkers = 150
@@ -79,7 +79,9 @@
 	images              map[image]int           // serving and filling tasks by what they run
 	victims, aggressors []string                // names of the serving and the filling ones, in order
 	filledAt            map[string]time.Time    // when a fill of an image was last seen
-	strainedAt          time.Time               // since when a serving task is over its bound; zero when none is
+	clearAt             time.Time               // of the last look at which all serving tasks were certainly below their bounds
+	pace                int                     // percent of their speed at which fills may work
+	haltedAt            time.Time               // since when fills are halted
 	watched             bool                    // tails are looked at more often
 	promised            map[*workload.Step]int  // runs that are proposed
 	roomTaken           map[*workload.Step]bool // steps for which the current pass makes room here
@@ -105,7 +107,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", life.GetId(), "Address", life.GetAddress())
 		return
 	}
-	w := &worker{life: life, address: address, lookAt: d.now, images: map[image]int{}, filledAt: map[string]time.Time{}}
+	w := &worker{life: life, address: address, lookAt: d.now, clearAt: d.now, pace: fullPace, images: map[image]int{}, filledAt: map[string]time.Time{}}
 	held := time.Duration(float64(d.config.Limits.LongestHold) * (1 + clockDrift))
 	w.expires = d.began.Add(held + lapseMargin)
 	if d.now.Sub(d.began) > held {
@@ -208,7 +210,7 @@
 	d.config.Orders.Send(call)
 }
 
-// pauseAfter returns the time from an answer to the next look.
+// pauseAfter returns the time from a worker's answer to the next look.
 func (d *Dispatcher) pauseAfter() time.Duration {
 	return min(longestPause, lookPause*time.Duration(max(pauseWorkers, len(d.workers)))/pauseWorkers)
 }
@@ -283,6 +285,8 @@
 		d.startAnswered(r, a)
 	case order.Stop:
 		d.stopAnswered(r, a)
+	case order.Pace:
+		d.paceAnswered(r, a)
 	}
 }
 
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -40,6 +40,8 @@
 	harm func(victim, aggressor string) float64
 
 	overBound time.Duration                  // summed over serving tasks
+	swing     func(now time.Time) float64    // what the own load of serving tasks adds to their tails; nil for nothing
+	rough     float64                        // share by which the tails that workers tell may be off
 	starts    map[string]int                 // by task
 	started   map[workload.TaskKey]time.Time // newest start
 	alone     int                            // members of gangs that waited for the others in vain
@@ -87,7 +89,9 @@
 	length time.Duration
 	began  time.Time
 	worked time.Duration
+	harmed time.Duration // for which it has been over its bound on end because of fills
 	waited time.Duration // for the others of its gang
+	pace   float64       // share of its speed at which it may work
 	stray  bool          // ordered from an earlier life; nothing can prevent it from starting
 	old    bool          // ordered from a life before the last one
 }
@@ -206,13 +210,21 @@
 		w.after(time.Second+call.Wait, func() { w.answer(call, &order.Answer{}) })
 		return
 	}
-	w.after(time.Millisecond+call.Wait/2, func() {
-		answer := worker.handle(call)
-		if !worker.up || worker.cut {
-			answer = &order.Answer{}
-		}
-		w.after(time.Millisecond, func() { w.answer(call, answer) })
-	})
+	w.after(time.Millisecond, func() { worker.answerWhenDue(call, w.now.Add(call.Wait)) })
+}
+
+// answerWhenDue answers a call, a look when something has ended or its wait is over.
+func (s *simWorker) answerWhenDue(call *order.Call, due time.Time) {
+	w := s.world
+	if s.up && w.now.Before(due) && !slices.ContainsFunc(s.ended, func(e simEnd) bool { return e.Number > call.EndsSeen }) {
+		w.after(5*time.Millisecond, func() { s.answerWhenDue(call, due) })
+		return
+	}
+	answer := s.handle(call)
+	if !s.up || s.cut {
+		answer = &order.Answer{}
+	}
+	w.after(time.Millisecond, func() { w.answer(call, answer) })
 }
 
 func (w *world) answer(call *order.Call, answer *order.Answer) {
@@ -267,7 +279,7 @@
 	worker := &simWorker{world: w, up: true}
 	w.workers = append(w.workers, worker)
 	worker.begin(&controlpb.WorkerLife{
-		Id: fmt.Sprintf("worker-%d", n), Pool: "pool", Address: fmt.Sprintf("10.0.0.%d:80", n), Zone: zone,
+		Id: fmt.Sprintf("worker-%d", n), Pool: "pool", Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200+1), Zone: zone,
 		Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", rack},
 	})
 	var announce func()
@@ -322,6 +334,10 @@
 		return &order.Answer{Status: order.OK, Clock: clock}
 	case order.Look:
 		return s.look(call, clock)
+	case order.Pace:
+		if r := s.runs[call.Run]; r != nil {
+			r.pace = float64(call.Percent) / 100
+		}
 	}
 	return &order.Answer{Status: order.OK, Clock: clock}
 }
@@ -352,7 +368,7 @@
 	if call.Born == s.life.GetBornMs() {
 		s.world.started[key.Task] = s.world.now
 	}
-	s.runs[key] = &simRun{task: task, began: s.world.now, length: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, stray: call.Born != s.life.GetBornMs(), old: call.Born != s.life.GetBornMs() && call.Born != s.lastBorn}
+	s.runs[key] = &simRun{task: task, pace: 1, began: s.world.now, length: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, stray: call.Born != s.life.GetBornMs(), old: call.Born != s.life.GetBornMs() && call.Born != s.lastBorn}
 	return order.OK
 }
 
@@ -386,9 +402,10 @@
 	for key, r := range s.runs {
 		row := order.Running{Run: key, Percent: 100, Gauge: -1}
 		if r.task.Step.Serves() {
-			row.Gauge = s.tail(r)
+			row.Gauge = int64(float64(s.tail(r)) * (1 + s.world.rough*(2*s.world.random.Float64()-1)))
 		} else if r.length > 0 {
 			row.Percent = int(100 * r.worked / r.length)
+			row.Gauge = int64(s.speed(r) * float64(r.task.Step.GetProcessors()))
 		}
 		answer.Running = append(answer.Running, row)
 	}
@@ -398,14 +415,39 @@
 // tail returns the tail of a serving task in milliseconds: 40% of its bound, and what the fills beside it add.
 func (s *simWorker) tail(r *simRun) int64 {
 	tail := 0.4
+	if s.world.swing != nil {
+		tail += s.world.swing(s.world.now)
+	}
 	for _, other := range s.runs {
 		if other.task.Step.GetFills() && s.world.harm != nil {
-			tail += s.world.harm(imageOf(r.task.Step), imageOf(other.task.Step))
+			tail += other.pace * s.world.harm(imageOf(r.task.Step), imageOf(other.task.Step))
 		}
 	}
 	return int64(tail * float64(r.task.Step.GetTargetMs()))
 }
 
+// servingUse is the share of its processors that a serving task uses.
+const servingUse = 0.42
+
+// speed returns at which share of its speed a run works: fills share what the others leave.
+func (s *simWorker) speed(r *simRun) float64 {
+	if !r.task.Step.GetFills() {
+		return r.pace
+	}
+	left, asked := float64(s.life.GetProcessors()), 0.0
+	for _, other := range s.runs {
+		switch processors := float64(other.task.Step.GetProcessors()); {
+		case other.task.Step.GetFills():
+			asked += other.pace * processors
+		case other.task.Step.Serves():
+			left -= servingUse * processors
+		default:
+			left -= processors
+		}
+	}
+	return r.pace * min(1, max(0, left)/max(1, asked))
+}
+
 // advance lets the worker's tasks work for a time.
 func (s *simWorker) advance(step time.Duration) {
 	if !s.up {
@@ -423,6 +465,11 @@
 			continue
 		case r.task.Step.Serves() && s.tail(r) > r.task.Step.GetTargetMs():
 			s.world.overBound += step
+			if r.harmed += step; r.harmed == s.world.dispatcher.config.Limits.HarmTime {
+				s.world.t.Errorf("%v: %s has been over its bound for %v beside fills", s.world.now, key.Task, r.harmed)
+			}
+		default:
+			r.harmed = 0
 		}
 		if s.standing {
 			continue
@@ -433,7 +480,7 @@
 			}
 			continue
 		}
-		r.worked += time.Duration(float64(step) / max(1, s.slow))
+		r.worked += time.Duration(float64(step) * s.speed(r) / max(1, s.slow))
 		switch {
 		case s.failing && r.worked > 100*time.Millisecond:
 			s.end(key, controlpb.RunEnd_RUN_FAILED)
--- a/internal/decision/disturbance/ledger.go
+++ b/internal/decision/disturbance/ledger.go
@@ -36,8 +36,9 @@
 	// mostOdds and leastOdds bound the odds, so that a pair that changes is noticed.
 	mostOdds  = 5.0
 	leastOdds = -4.0
-	// forgotten is by how much the odds of a harmful pair fall in a second, so that it is tried again some time.
-	forgotten = 0.02
+	// forgotten is by how much the odds of a harmful pair fall in a second, so that one that was blamed for the own load of
+	// a serving task is tried again after a minute at most.
+	forgotten = 0.05
 	// mostPairs bounds the memory.
 	mostPairs = 1 << 14
 )
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -35,10 +35,11 @@
 	Fence   uint64 // workers do nothing for a fence below the highest one that they have seen
 	Sent    time.Time
 
-	Run        workload.RunKey // of Start and Stop
+	Run        workload.RunKey // of Start, Stop and Pace
 	Spec       string          // of Start
 	Checkpoint string          // of Start: where to resume; empty for the beginning
 	Ticket     string          // of Start: the advice service's, where the queue needs one
+	Percent    int             // of Pace: the share of its speed at which the run may work
 
 	Step  *workload.Step // of Advise
 	Names []string       // of Advise: workers by ID
