Look at workers with urgent tasks without a pause

Cause: with 490 workers the pause between two looks is 196 ms, so that the end of a task of an urgent job waited for 100 ms at the mean if another task on the same worker had ended just before; each step of the job waits for it.

Change: a worker that runs short tasks with processors of their own is looked at 10 ms after its answer. TestStepsFollowAtOnce failed before (76 ms a step beside 50).

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -233,6 +233,44 @@
 	}
 }
 
+// The steps of urgent jobs must follow each other at once, also in a fleet so large that looks at its workers are rare, and
+// where the ends of other jobs have just been told.
+func TestStepsFollowAtOnce(t *testing.T) {
+	w := newFleet(t, 1, 500)
+	special := w.addWorker("zone-0", "special")
+	w.run(3 * time.Second)
+	const length, steps, jobs = 200 * time.Millisecond, 4, 8
+	began := map[string]time.Time{}
+	for i := range jobs {
+		var chain []*controlpb.WorkStep
+		for n := range uint32(steps) {
+			step := exact(1, length)
+			step.RequiredLabel = special.life.GetLabels()[1]
+			if n > 0 {
+				step.After = []uint32{n - 1}
+			}
+			chain = append(chain, step)
+		}
+		id := fmt.Sprintf("job-%d", i)
+		began[id] = w.now
+		w.submit("urgent", id, chain...)
+	}
+	var sum time.Duration
+	for range 1000 {
+		w.run(10 * time.Millisecond)
+		for id, at := range began {
+			if w.stateOf(id) == controlpb.WorkState_WORK_COMPLETED {
+				delete(began, id)
+				sum += w.now.Sub(at)
+			}
+		}
+	}
+	// A step waits for two commits of 15 ms, the answer to a look and an order, and the world's steps of 10 ms between them.
+	if mean, most := sum/jobs, steps*(length+65*time.Millisecond); len(began) > 0 || mean > most {
+		t.Errorf("a chain of %d steps of %v takes %v, expected at most %v; %d are not done", steps, length, mean, most, len(began))
+	}
+}
+
 // The own load of serving tasks rises for ten seconds beside fills that they get on with, and what workers tell of tails is
 // rough. No serving task may be over its bound for as long as the platform forbids, which the workers check, and the fills
 // must go on afterwards without having lost work.
--- a/internal/decision/dispatch/rebirth.go
+++ b/internal/decision/dispatch/rebirth.go
@@ -27,7 +27,7 @@
 
 // lookedAgain ends the earlier life once the later one runs nothing that was ordered from the earlier one.
 func (d *Dispatcher) lookedAgain(w *worker, a *order.Answer) {
-	w.lookAt = d.now.Add(d.pauseAfter())
+	w.lookAt = d.now.Add(d.pauseAfter(w))
 	if a.Status != order.OK || a.Call.Born != 0 {
 		if d.now.Sub(w.rebornAt) > 2*d.config.Limits.LongestHold {
 			d.endLife(w, "its later life can't be asked, and every lease has run out")
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -80,6 +80,8 @@
 		w.serving += sign
 		w.servers += int64(sign) * step.GetProcessors()
 		w.countImage(image{imageOf(step), false}, sign)
+	case !step.GetPerpetual():
+		w.exact += sign
 	}
 }
 
@@ -249,7 +251,7 @@
 		d.lookedAgain(w, a)
 		return
 	}
-	w.lookAt = d.now.Add(d.pauseAfter())
+	w.lookAt = d.now.Add(d.pauseAfter(w))
 	if a.Status != order.OK {
 		w.lookAt = d.now.Add(retryPause)
 		return
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -20,7 +20,11 @@
 	// disturb them. Tails cover half a second.
 	strainWait = 450 * time.Millisecond
 
-	// lookPause is the time between an answer and the next look, in which ends gather for one answer. It
+	// urgentPause is the time between an answer and the next look at a worker that runs short tasks with processors of
+	// their own. Each step of an urgent job waits for the ends of the one before, which should not gather.
+	urgentPause = 10 * time.Millisecond
+
+	// lookPause is the time between an answer and the next look at other workers, in which ends gather for one answer. It
 	// grows with the fleet, so that looks take a bounded part of a leader's processor.
 	lookPause = 60 * time.Millisecond
 	// pauseWorkers is the number of workers up to which lookPause holds.
@@ -76,6 +80,7 @@
 	serving             int                     // tasks that serve
 	strain              float64                 // highest tail of a serving task as a share of its bound
 	servers             int64                   // milli-cores of tasks that serve
+	exact               int                     // short tasks with processors of their own
 	images              map[image]int           // serving and filling tasks by what they run
 	victims, aggressors []string                // names of the serving and the filling ones, in order
 	filledAt            map[string]time.Time    // when a fill of an image was last seen
@@ -211,7 +216,10 @@
 }
 
 // pauseAfter returns the time from a worker's answer to the next look.
-func (d *Dispatcher) pauseAfter() time.Duration {
+func (d *Dispatcher) pauseAfter(w *worker) time.Duration {
+	if w.exact > 0 {
+		return urgentPause
+	}
 	return min(longestPause, lookPause*time.Duration(max(pauseWorkers, len(d.workers)))/pauseWorkers)
 }
 
