Carry out waves of maintenance

Cause: a wave that operators ask for was recorded and then stayed active for ever: nothing emptied the hosts, and nobody ordered their maintenance.

Change: the leader takes hosts of a wave as far as its limit allows (package maintenance, free of I/O), gives them no new runs, stops what runs there with its checkpoints, and orders the maintenance once nothing does. Of a step that serves only so many tasks are away as it may miss. A host counts as away while the platform's list says so, while it is emptied, and while it isn't known whether an order was carried out; orders are repeated until they are answered. A new leader waits for the turn time of the platform's settings before its first order. A host that is on no list any more is done.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 	GangTimeout  time.Duration // that a member of a gang waits for the others
 	RestoreTime  time.Duration // to resume from a checkpoint
 	HarmTime     time.Duration // for which a serving task may exceed its bound because of fills
+	TurnTime     time.Duration // after which another leader may give orders about a host
 	RemoteFactor float64       // by which work far from its data takes longer
 }
 
@@ -98,6 +99,8 @@
 	leastUrgentExact int32         // the same of runs that hold processors
 	advices          map[*workload.Step]*advice
 	advising         int // calls to the advice service under way
+	waves            waves
+	maintained       map[maintainedKey]bool // hosts of which a record is proposed
 
 	outbox    []item
 	proposed  map[*controlpb.Command][]item
@@ -132,6 +135,8 @@
 	d.disturbances = disturbance.New()
 	d.trials = map[trial]int{}
 	d.advices, d.advising = map[*workload.Step]*advice{}, 0
+	d.waves = waves{taken: map[string]*takenHost{}}
+	d.maintained = map[maintainedKey]bool{}
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]item{}
 	d.arriving = map[string][]*controlpb.LeaderRequest{}
@@ -206,6 +211,7 @@
 		if !now.Before(d.nextScan) {
 			d.nextScan = now.Add(scanInterval)
 			d.tickWorkers()
+			d.tickWaves()
 		}
 		if d.dirty || !now.Before(d.nextPass) {
 			d.dirty = false
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -56,18 +56,13 @@
 		if wave == nil {
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
 		}
-		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, Completed: d.isMaintained(wave)})
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, Completed: workload.IsMaintained(wave)})
 	case *controlpb.WorkRequest_Ping:
 		return outcome(controlpb.WorkOutcome_WORK_OK)
 	}
 	return &controlpb.LeaderReply{Result: &controlpb.Result{Code: controlpb.ResultCode_RESULT_INVALID, Message: "a request that this version doesn't know"}}
 }
 
-// isMaintained reports whether the maintenance of each host of a wave has begun.
-func (d *Dispatcher) isMaintained(wave *controlpb.Maintenance) bool {
-	return len(wave.GetBegun()) >= len(wave.GetHosts())
-}
-
 // commit proposes a change of an operator and answers once it is decided.
 func (d *Dispatcher) commit(r *controlpb.LeaderRequest, change *controlpb.WorkChange, what string, subject any) (*controlpb.LeaderReply, bool) {
 	d.wait(r, change, func(result *controlpb.Result) *controlpb.LeaderReply {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -156,6 +156,8 @@
 		return "its worker leaves"
 	case d.state.ZoneOut(w.life.GetZone()):
 		return "its zone is out of service"
+	case d.isTaken(w):
+		return "its host is to be maintained"
 	}
 	return ""
 }
@@ -300,6 +302,17 @@
 	}
 }
 
+// isAtWork reports whether a task that serves is at work.
+func (d *Dispatcher) isAtWork(task *workload.Task) bool {
+	for _, assigned := range task.Runs {
+		r := d.runs[workload.RunKey{Task: task.Key(), Run: assigned.Number}]
+		if r != nil && r.seen && !r.stopWanted && r.percent >= fullPercent {
+			return true
+		}
+	}
+	return false
+}
+
 // sawMissing follows a run that a look didn't list. Looks that began before the last order was answered don't count.
 func (d *Dispatcher) sawMissing(r *run, a *order.Answer) {
 	if r.starting || r.stopping || !r.settledAt.IsZero() && !a.Call.Sent.After(r.settledAt) {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -266,17 +266,28 @@
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
 	return !w.clockAt.IsZero() && !w.ending && !w.reborn && !w.strays && w.endsAt.IsZero() && !w.life.GetLeaving() && w.misses == 0 &&
-		d.now.Sub(w.heard) < silentAfter && !d.state.ZoneOut(w.life.GetZone()) && !d.now.Before(w.shunUntil)
+		d.now.Sub(w.heard) < silentAfter && !d.state.ZoneOut(w.life.GetZone()) && !d.now.Before(w.shunUntil) &&
+		!d.isTaken(w)
 }
 
 // deliver handles the answer to a call.
 func (d *Dispatcher) deliver(a *order.Answer) {
-	if a.Call.Kind == order.Advise && a.Call.Epoch == d.epoch {
+	if a.Call.Epoch != d.epoch {
+		return
+	}
+	switch a.Call.Kind {
+	case order.Advise:
 		d.advised(a)
 		return
+	case order.ListHosts:
+		d.listed(a)
+		return
+	case order.Maintain:
+		d.maintainAnswered(a)
+		return
 	}
 	w := d.workers[a.Call.Worker]
-	if w == nil || a.Call.Epoch != d.epoch {
+	if w == nil {
 		return
 	}
 	d.note(w, a)
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -34,6 +34,8 @@
 	requests   map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply)
 	done       map[workload.TaskKey]bool // by an end that was taken note of
 
+	hosts *maintainedHosts // the platform's service for hosts; nil where no test needs it
+
 	lose float64 // share of calls that get no answer
 	late float64 // share of the lost ones that are carried out 2 to 6 s later
 	// harm returns by how much an aggressor raises the tail of a victim; nil for not at all.
@@ -105,6 +107,7 @@
 		State: func() *workload.State { return w.state }, Orders: w, Mailbox: w,
 		Limits: Limits{
 			LongestHold: 6 * time.Second, StopGrace: 400 * time.Millisecond, GangTimeout: 3 * time.Second, HarmTime: 4 * time.Second,
+			TurnTime:    3 * time.Second,
 			RestoreTime: 250 * time.Millisecond, RemoteFactor: 2,
 		},
 		LeaseValid: func(time.Time) bool { return true },
@@ -197,9 +200,13 @@
 
 // Send implements Orders.
 func (w *world) Send(call *order.Call) {
-	if call.Kind == order.Advise {
+	switch call.Kind {
+	case order.Advise:
 		w.advise(call)
 		return
+	case order.ListHosts, order.Maintain:
+		w.hosts.send(call)
+		return
 	}
 	worker := w.find(call.Address)
 	lost := worker == nil || !worker.up || w.random.Float64() < w.lose
@@ -279,7 +286,7 @@
 	worker := &simWorker{world: w, up: true}
 	w.workers = append(w.workers, worker)
 	worker.begin(&controlpb.WorkerLife{
-		Id: fmt.Sprintf("worker-%d", n), Pool: "pool", Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200+1), Zone: zone,
+		Id: fmt.Sprintf("worker-%d", n), Host: fmt.Sprintf("host-%d", n), Pool: "pool", Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200+1), Zone: zone,
 		Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", rack},
 	})
 	var announce func()
--- /dev/null
+++ b/internal/decision/maintenance/picker_test.go
@@ -0,0 +1,50 @@
+package maintenance
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// Each session lists the hosts of a wave, one a line "NAME LOAD [begun] [up] [taken]", after "most" how many may be away at
+// once, and after "->" the hosts to take next. Guards against more hosts away than allowed, and against waves that stop.
+func TestNext(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/waves.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			text, want, _ := strings.Cut(string(file.Data), "->")
+			most, hosts := 1, []Host(nil)
+			for line := range strings.Lines(text) {
+				words := strings.Fields(line)
+				if len(words) < 2 {
+					continue
+				}
+				if words[0] == "most" {
+					most = int(words[1][0] - '0')
+					continue
+				}
+				h := Host{Name: words[0], Load: int64(words[1][0] - '0')}
+				for _, word := range words[2:] {
+					switch word {
+					case "begun":
+						h.Begun = true
+					case "up":
+						h.Up = true
+					case "taken":
+						h.Taken = true
+					default:
+						t.Fatalf("%q: expected begun, up or taken", word)
+					}
+				}
+				hosts = append(hosts, h)
+			}
+			if got := strings.Join(Next(most, hosts), " "); got != strings.TrimSpace(want) {
+				t.Errorf("%q, expected %q", got, strings.TrimSpace(want))
+			}
+		})
+	}
+}
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -14,15 +14,19 @@
 
 // Kinds of calls.
 const (
-	Start  Kind = iota // start a run
-	Stop               // stop a run, which saves a checkpoint if it can
-	Look               // tell what runs and what has ended, and extend the lease
-	Pace               // let a run work at a part of its speed
-	Advise             // tell which workers may run a step; asked of the advice service, not of a worker
+	Start     Kind = iota // start a run
+	Stop                  // stop a run, which saves a checkpoint if it can
+	Look                  // tell what runs and what has ended, and extend the lease
+	Pace                  // let a run work at a part of its speed
+	Advise                // tell which workers may run a step; asked of the advice service, not of a worker
+	ListHosts             // tell which hosts there are; asked of the platform
+	Maintain              // begin the maintenance of a host; asked of the platform
 )
 
 // String returns the name of the kind for logs.
-func (k Kind) String() string { return [...]string{"Start", "Stop", "Look", "Pace", "Advise"}[k] }
+func (k Kind) String() string {
+	return [...]string{"Start", "Stop", "Look", "Pace", "Advise", "ListHosts", "Maintain"}[k]
+}
 
 // Call is one call to a worker. It must not be changed once it is sent.
 type Call struct {
@@ -44,6 +48,9 @@
 	Step  *workload.Step // of Advise
 	Names []string       // of Advise: workers by ID
 
+	Host string // of Maintain
+	Wave uint64 // of Maintain: that the operators asked for
+
 	// Until is when everything on the worker lapses, on the worker's clock; 0 leaves the lease as it is.
 	Until time.Duration
 
@@ -64,13 +71,15 @@
 	Late                    // Until had passed
 	Full                    // the worker has no room
 	Unhealthy               // the worker refused without doing anything
-	Invalid                 // the worker can't carry out the call at all
+	Invalid                 // the call can't be carried out at all
 	NoTicket                // the start carried no valid ticket
+	Busy                    // the host can't be maintained now
+	OtherWave               // the host isn't one of the wave
 )
 
 // String returns the name of the status for logs.
 func (s Status) String() string {
-	return [...]string{"NoAnswer", "OK", "OtherLife", "Fenced", "Stale", "Late", "Full", "Unhealthy", "Invalid", "NoTicket"}[s]
+	return [...]string{"NoAnswer", "OK", "OtherLife", "Fenced", "Stale", "Late", "Full", "Unhealthy", "Invalid", "NoTicket", "Busy", "OtherWave"}[s]
 }
 
 // Answer is the outcome of a call.
@@ -78,15 +87,25 @@
 	Call     *Call
 	Status   Status
 	Received time.Time
-	Clock    time.Duration     // the worker's clock when it answered; 0 when unknown
-	Born     int64             // of OtherLife: when the life began that answered under the same ID; 0 for another ID
-	Running  []Running         // of Look
-	Ended    []Ended           // of Look
-	Tickets  map[string]string // of Advise: by ID of the workers that may run the step
-	ValidFor time.Duration     // of Advise: from when the tickets were given
-	Err      error             // why there is no answer
+	Clock    time.Duration        // the worker's clock when it answered; 0 when unknown
+	Born     int64                // of OtherLife: when the life began that answered under the same ID; 0 for another ID
+	Running  []Running            // of Look
+	Ended    []Ended              // of Look
+	Tickets  map[string]string    // of Advise: by ID of the workers that may run the step
+	ValidFor time.Duration        // of Advise: from when the tickets were given
+	Hosts    map[string]HostState // of ListHosts: by name
+	Err      error                // why there is no answer
 }
 
+// HostState is the state of a host that the platform lists.
+type HostState int
+
+// States of hosts.
+const (
+	HostUp   HostState = iota // works
+	HostAway                  // is maintained, moved or down
+)
+
 // Running is a run at work on a worker.
 type Running struct {
 	Run        workload.RunKey
--- a/internal/decision/workload/maintenance.go
+++ b/internal/decision/workload/maintenance.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"maps"
 	"slices"
 
 	"galenamoor/internal/controlpb"
@@ -24,3 +25,19 @@
 
 // Maintenance returns a wave, or nil.
 func (s *State) Maintenance(wave uint64) *controlpb.Maintenance { return s.maintenance[wave] }
+
+// ActiveMaintenance returns the waves of which a host hasn't begun its maintenance, by number.
+func (s *State) ActiveMaintenance() []*controlpb.Maintenance {
+	var active []*controlpb.Maintenance
+	for _, wave := range slices.Sorted(maps.Keys(s.maintenance)) {
+		if m := s.maintenance[wave]; !IsMaintained(m) {
+			active = append(active, m)
+		}
+	}
+	return active
+}
+
+// IsMaintained reports whether the maintenance of each host of a wave has begun.
+func IsMaintained(m *controlpb.Maintenance) bool {
+	return !slices.ContainsFunc(m.GetHosts(), func(host string) bool { return !slices.Contains(m.GetBegun(), host) })
+}
