Start a task of each starving job of fills gently where hosts are half empty

Zones that were lost and came back had left serving tasks of several images on 60 of 66 hosts, so that each host served an image that the waiting fills disturb. A thousand tasks waited beside 1,430 of 2,450 cores that nobody used, and jobs had nothing running for 40 s.

Change: when so much is unused, one task of each job of which nothing runs is started beside the calmest serving tasks at a fifth of its speed, at which it disturbs little, and goes on at full speed once it disturbs nobody there. TestFillsDontStarve failed before: nothing was done for 60 s.

--- a/internal/decision/colocation/host.go
+++ b/internal/decision/colocation/host.go
@@ -28,6 +28,7 @@
 	Processors int64              // milli-cores that a fill can use
 	Mixes      bool               // a serving task on a host that serves other images
 	Unsure     bool               // a fill on a host with another one of which it isn't known how it gets on
+	Gentle     bool               // a fill that works at a slow pace, at which it disturbs little
 	DataRack   string             // rack of its data; empty for none
 	Companions disturbance.Rating // how it gets on with what runs on the host
 }
@@ -40,6 +41,10 @@
 	Fills   int64           // milli-cores that fills use
 	Strain  float64         // highest tail latency of a serving task as a share of its bound; 0 when none is known
 	Halted  bool            // its fills are halted for the sake of serving tasks
+
+	Processors int64 // milli-cores of the host
+	Gentle     int64 // milli-cores of fills that work at a slow pace
+
 	Rack    string
 	Suspect bool // has failed or delayed runs of late
 }
@@ -53,6 +58,11 @@
 	// tasks there, so that few are stopped if it disturbs them.
 	unknownMost = 20_000
 
+	// gentleShare is the share of a host's processors that gentle fills may take beside serving tasks, and gentleStrain the
+	// strain up to which they may join.
+	gentleShare  = 0.25
+	gentleStrain = 0.7
+
 	// sameImageGain ranks hosts for a serving task: those that serve its image only, then those that serve nothing, then
 	// the others.
 	sameImageGain = 1_000_000
@@ -62,6 +72,8 @@
 	remoteCost = 32_000
 	// suspectCost keeps tasks from suspect hosts while others have room.
 	suspectCost = 200_000
+	// gentleCost is what a strain of 1 costs a gentle fill, in milli-cores of spare.
+	gentleCost = 100_000
 	// servingCost keeps fills from hosts with serving tasks while others have spare processors.
 	servingCost = 20_000
 	// unknownCost keeps fills from serving tasks of which it isn't known whether they get on.
@@ -95,6 +107,13 @@
 	case Exact:
 		score = h.Spare
 	case Fill:
+		if demand.Gentle {
+			taken := float64(h.Gentle+demand.Processors) / float64(max(1, h.Processors))
+			if h.Halted || h.Strain > gentleStrain || taken > gentleShare {
+				return 0, false
+			}
+			return int64(-h.Strain*gentleCost) - h.Gentle, true
+		}
 		if h.Serving > 0 {
 			if demand.Companions == disturbance.Harmful || h.Strain > strainLimit || h.Halted {
 				return 0, false
--- a/internal/decision/colocation/host_test.go
+++ b/internal/decision/colocation/host_test.go
@@ -24,6 +24,9 @@
 	strained := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.95}
 	halted := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.5, Halted: true}
 	filled := Host{Free: free(8000), Spare: 10_000, Serving: 4, Strain: 0.5, Fills: 24_000}
+	calm := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.4, Processors: 32_000}
+	busy := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.6, Processors: 32_000}
+	gentle := Host{Free: free(8000), Spare: 20_000, Serving: 4, Strain: 0.4, Processors: 32_000, Gentle: 6000}
 	suspect := Host{Free: free(32_000), Spare: 32_000, Suspect: true}
 	noMemory := Host{Free: resource.Vector{Processors: 32_000, Memory: 1024}, Spare: 32_000}
 	for name, test := range map[string]struct {
@@ -49,6 +52,11 @@
 		"few unknown fills beside serving tasks": {
 			Demand{Kind: Fill, Need: sized(0), Processors: 4000, Companions: disturbance.Unknown}, []Host{empty, serves}, []Host{filled},
 		},
+		"gentle fills go where serving tasks are calm": {
+			Demand{Kind: Fill, Need: sized(0), Processors: 4000, Companions: disturbance.Harmful, Gentle: true},
+			[]Host{calm, busy},
+			[]Host{strained, halted, gentle},
+		},
 		"one unknown image at a time": {
 			Demand{Kind: Fill, Need: sized(0), Processors: 4000, Companions: disturbance.Unknown, Unsure: true}, []Host{empty}, []Host{serves},
 		},
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -233,6 +233,29 @@
 	}
 }
 
+// Every host serves an image that the only fill disturbs. The fills must not wait for ever beside unused processors, and
+// the serving tasks must hardly notice them.
+func TestFillsDontStarve(t *testing.T) {
+	w := newFleet(t, 1, 6)
+	w.harm = func(string, string) float64 { return 1.2 }
+	w.submit("urgent", "serving", serving(30, "image"))
+	w.run(3 * time.Second)
+	const jobs = 6
+	for i := range jobs {
+		w.submit("batch", fmt.Sprintf("job-%d", i), fill(2, "fill", 2*time.Second))
+	}
+	w.run(10 * time.Second)
+	learned := w.overBound
+	w.run(35 * time.Second)
+	for i := range jobs {
+		w.expect(fmt.Sprintf("job-%d", i), controlpb.WorkState_WORK_COMPLETED)
+	}
+	// Serving tasks may notice gentle fills until these are slowed down, 0.1 s after their start.
+	if most := jobs * 2 * 4 * 200 * time.Millisecond; w.overBound-learned > most {
+		t.Errorf("serving tasks were over their bounds for %v beside gentle fills, expected at most %v", w.overBound-learned, most)
+	}
+}
+
 // The steps of urgent jobs must follow each other at once, also in a fleet so large that looks at its workers are rare, and
 // where the ends of other jobs have just been told.
 func TestStepsFollowAtOnce(t *testing.T) {
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -22,7 +22,7 @@
 	for _, rack := range racks {
 		if chosen := d.fitGang(c, hosts, rack); chosen != nil {
 			for i, task := range c.step.Tasks {
-				d.assign(task, chosen[i], number+1)
+				d.assign(task, chosen[i], number+1, false)
 			}
 			for i := range hosts {
 				hosts[i].refresh()
--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -25,6 +25,7 @@
 func (d *Dispatcher) govern(w *worker) {
 	w.strain = 0
 	fills, settled := d.fillsOn(w)
+	d.followGentle(w, fills)
 	present := d.lately(w, fills)
 	if w.pace < fullPace {
 		settled, present = nil, nil // halted fills disturb nobody, which says nothing about them
@@ -43,7 +44,9 @@
 	for _, fill := range fills {
 		switch d.companions(fill.task.Step, w) {
 		case disturbance.Harmful:
-			d.wantStop(fill, "it disturbs serving tasks")
+			if !fill.gentle {
+				d.wantStop(fill, "it disturbs serving tasks")
+			}
 		case disturbance.Unknown:
 			w.watched = true
 		}
@@ -60,6 +63,9 @@
 			continue
 		}
 		fills = append(fills, r)
+		if r.gentle {
+			continue // at its pace it shows little of how it gets on
+		}
 		if name := imageOf(r.task.Step); d.now.Sub(r.began) >= settledAfter && !slices.Contains(settled, name) {
 			settled = append(settled, name)
 		}
@@ -71,7 +77,9 @@
 // lately returns the images of fills that have been on a worker at some time that a tail covers.
 func (d *Dispatcher) lately(w *worker, fills []*run) []string {
 	for _, fill := range fills {
-		w.filledAt[imageOf(fill.task.Step)] = d.now
+		if !fill.gentle {
+			w.filledAt[imageOf(fill.task.Step)] = d.now
+		}
 	}
 	var present []string
 	for name, at := range w.filledAt {
--- a/internal/decision/dispatch/halt.go
+++ b/internal/decision/dispatch/halt.go
@@ -62,11 +62,11 @@
 
 // tickPace tells a worker the pace of a fill when it doesn't know it.
 func (d *Dispatcher) tickPace(r *run) {
-	if r.pacing || d.now.Before(r.paceAt) || r.pace == r.worker.pace && !d.now.Before(r.lateUntil) {
+	if r.pacing || d.now.Before(r.paceAt) || r.pace == r.paceFor() && !d.now.Before(r.lateUntil) {
 		return
 	}
 	call := d.newCall(order.Pace, r.worker)
-	call.Run, call.Percent = r.key, r.worker.pace
+	call.Run, call.Percent = r.key, r.paceFor()
 	r.pacing = true
 	d.config.Orders.Send(call)
 }
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -56,7 +56,7 @@
 		d.countTrials()
 		d.findLeastUrgent()
 	}
-	preemptions := preemptionsPerPass
+	preemptions, idle := preemptionsPerPass, isIdle(hosts)
 	full := map[shape][]resource.Vector{}
 	d.choices = choicesPerPass
 	for _, c := range candidates {
@@ -65,6 +65,9 @@
 		}
 		wanted := need(c.step)
 		if slices.ContainsFunc(full[shapeOf(c)], func(less resource.Vector) bool { return less.Fits(wanted) }) {
+			if idle {
+				budget -= d.placeGently(c, hosts)
+			}
 			continue // no host had room for less
 		}
 		if c.queue.GetAdvised() {
@@ -75,6 +78,9 @@
 		} else {
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placed
+			if missing > 0 && idle {
+				budget -= d.placeGently(c, hosts)
+			}
 			if missing > 0 && c.step.GetMaxPerWorker() == 0 { // else its own tasks may be what keeps it from hosts with room
 				full[shapeOf(c)] = append(full[shapeOf(c)], wanted)
 			}
@@ -199,6 +205,7 @@
 	w := h.worker
 	h.Free = w.life.Capacity().Sub(w.used)
 	h.Serving, h.Strain, h.Fills, h.Halted = w.serving, w.strain, w.fills, w.pace < fullPace
+	h.Processors, h.Gentle = w.life.GetProcessors(), w.gentle
 	h.Spare = spare(w)
 }
 
@@ -249,7 +256,7 @@
 			missing++
 			continue
 		}
-		d.assign(task, chosen.worker, task.LastRun+1)
+		d.assign(task, chosen.worker, task.LastRun+1, false)
 		chosen.refresh()
 		placed++
 	}
@@ -306,8 +313,9 @@
 	return count + w.promised[step]
 }
 
-// assign reserves room for a run and proposes it. The order is sent once the assignment is committed.
-func (d *Dispatcher) assign(task *workload.Task, w *worker, number uint32) {
+// assign reserves room for a run and proposes it. The order is sent once the assignment is committed. A gentle run is slowed
+// down as soon as it is there.
+func (d *Dispatcher) assign(task *workload.Task, w *worker, number uint32, gentle bool) {
 	key := workload.RunKey{Task: task.Key(), Run: number}
 	d.reserved[key.Task] = true
 	d.charge(w, task.Step, 1)
@@ -326,9 +334,10 @@
 			return // its life ended in the same batch; the state has taken the run back
 		}
 		r := d.addRun(key, task, w)
+		r.gentle = gentle
 		d.config.Count("RunsStarted")
 		d.config.Log.Info("run assigned", "Task", key.Task.String(), "Run", number, "Worker", w.life.GetId(), "Spare",
-			spare(w), "Strain", w.strain, "HeardAgo", d.now.Sub(w.heard).String())
+			spare(w), "Strain", w.strain, "Gentle", gentle, "HeardAgo", d.now.Sub(w.heard).String())
 		d.start(r)
 	})
 }
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -26,6 +26,7 @@
 	unanswered bool      // a start call got no answer, and may be carried out later
 	settledAt  time.Time // when the newest start or stop call was answered for good
 
+	gentle    bool      // it works at a slow pace beside serving tasks that it disturbs
 	pace      int       // percent, as last acknowledged
 	pacing    bool      // a pace call is under way
 	paceAt    time.Time // before which no pace call is made
@@ -98,7 +99,7 @@
 		d.stop(r)
 	case !r.stopWanted && !r.starting && !r.startAt.IsZero() && !d.now.Before(r.startAt):
 		d.start(r)
-	case r.seen && !r.stopWanted && r.task.Step.GetFills():
+	case (r.seen || !r.settledAt.IsZero()) && !r.stopWanted && r.task.Step.GetFills():
 		d.tickPace(r)
 	}
 }
--- a/internal/decision/dispatch/straggle.go
+++ b/internal/decision/dispatch/straggle.go
@@ -109,7 +109,7 @@
 		}
 		d.config.Count("CopiesStarted")
 		d.config.Log.Info("starting a copy", "Task", r.key.Task.String(), "Beside", r.key.Run, "Slow", r.slow, "Silent", d.now.Sub(r.worker.heard).String())
-		d.assign(r.task, chosen.worker, r.task.LastRun+1)
+		d.assign(r.task, chosen.worker, r.task.LastRun+1, false)
 		chosen.refresh()
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -86,6 +86,7 @@
 	filledAt            map[string]time.Time    // when a fill of an image was last seen
 	clearAt             time.Time               // of the last look at which all serving tasks were certainly below their bounds
 	pace                int                     // percent of their speed at which fills may work
+	gentle              int64                   // milli-cores of fills that work at a slow pace
 	haltedAt            time.Time               // since when fills are halted
 	watched             bool                    // tails are looked at more often
 	promised            map[*workload.Step]int  // runs that are proposed
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -137,6 +137,9 @@
 	return time.UnixMilli(j.Spec.GetStartAtMs() + int64(occurrence)*j.Spec.GetPeriodMs())
 }
 
+// Runs returns the number of runs of the job that are assigned and not known to have ended.
+func (j *Job) Runs() int { return j.runs }
+
 // IsOver reports whether no task of the job may start any more.
 func (j *Job) IsOver() bool { return j.Cancelled || j.Failed || j.undone == 0 }
 
