Histograms of latencies, a bound on the volume of logs, and a check of the platform's settings

The metrics address had summed times only: Accept, FirstStart and StartOrder at the leader, and Decided, Refused and Unknown at entries are now histograms since the start of the process.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -190,6 +190,7 @@
 	case order.OK, order.Stale:
 		r.startAt = time.Time{}
 		r.settledAt = a.Received
+		d.observeStart(r, a)
 	case order.NoAnswer:
 		r.unanswered = true
 		r.startAt = d.now.Add(retryPause)
@@ -215,6 +216,19 @@
 	}
 }
 
+// observeStart records how long a start took: from the order to its answer, and for the first task of a job also from when
+// the job was accepted.
+func (d *Dispatcher) observeStart(r *run, a *order.Answer) {
+	if r.orderedAt.IsZero() {
+		return // ordered by an earlier leader
+	}
+	d.config.Observe("StartOrder", a.Received.Sub(r.orderedAt))
+	step, key := r.task.Step, r.key
+	if key.Run == 1 && key.Task.Index == 0 && key.Task.Occurrence == 0 && len(step.GetAfter()) == 0 && step.Job.Spec.GetRepeats() == 0 {
+		d.config.Observe("FirstStart", d.config.Wall().Sub(time.UnixMilli(step.Job.Spec.GetAcceptedMs())))
+	}
+}
+
 // drop takes back the assignment of a run that certainly isn't there and never will be.
 func (d *Dispatcher) drop(r *run) {
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_DropRun{DropRun: &controlpb.DropRun{Task: r.key.Task.Ref(), Run: r.key.Run}}}
--- a/internal/shell/command/check.go
+++ b/internal/shell/command/check.go
@@ -13,6 +13,7 @@
 	"galenamoor/internal/shell/settings"
 	"galenamoor/pkg/inventory"
 	"galenamoor/pkg/rules"
+	"galenamoor/platform"
 )
 
 // checkResult is the JSON form of what check found.
@@ -22,31 +23,32 @@
 }
 
 func newCheck(o *options) *cobra.Command {
-	var settingsFile, inventoryFile, rulesFile string
+	var settingsFile, inventoryFile, rulesFile, platformFile string
 	command := &cobra.Command{
 		Use:   "check",
 		Short: "Check settings, inventory and rules offline",
 		Long: "Checks files without contacting a daemon. Every problem is printed with file, section, key, value and what was expected.\n" +
 			"Exit code 0: no problem; 1: problems; 2: bad usage.",
-		Example: "  galenamoor check --settings /etc/galenamoor.ini\n  galenamoor check --inventory inventory.ini --rules rules.ini --json",
+		Example: "  galenamoor check --settings /etc/galenamoor.ini\n  galenamoor check --platform /etc/galenamoor/boot.toml\n  galenamoor check --inventory inventory.ini --rules rules.ini --json",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if rulesFile != "" && inventoryFile == "" {
 				return usageError{errors.New("--rules needs --inventory: rules are checked against it")}
 			}
-			if settingsFile == "" && inventoryFile == "" {
-				return usageError{errors.New("expected --settings, or --inventory with or without --rules")}
+			if settingsFile == "" && inventoryFile == "" && platformFile == "" {
+				return usageError{errors.New("expected --settings, --platform, or --inventory with or without --rules")}
 			}
-			return o.check(settingsFile, inventoryFile, rulesFile)
+			return o.check(settingsFile, inventoryFile, rulesFile, platformFile)
 		},
 	}
 	command.Flags().StringVar(&settingsFile, "settings", "", "settings file of a daemon")
+	command.Flags().StringVar(&platformFile, "platform", "", "settings file that the users' platform writes for an entry or a controller")
 	command.Flags().StringVar(&inventoryFile, "inventory", "", "inventory file")
 	command.Flags().StringVar(&rulesFile, "rules", "", "rules file")
 	return command
 }
 
-func (o *options) check(settingsFile, inventoryFile, rulesFile string) error {
+func (o *options) check(settingsFile, inventoryFile, rulesFile, platformFile string) error {
 	var problems []string
 	note := func(err error) {
 		if err != nil {
@@ -57,6 +59,10 @@
 		_, err := settings.Read(settingsFile)
 		note(err)
 	}
+	if platformFile != "" {
+		_, err := platform.ReadSettingsFile(platformFile)
+		note(err)
+	}
 	if inventoryFile != "" {
 		_, _, err := readConfiguration(inventoryFile, rulesFile)
 		note(err)
--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -23,6 +23,7 @@
 	"galenamoor/internal/decision/workload"
 	"galenamoor/internal/shell/founding"
 	"galenamoor/internal/shell/kernel"
+	"galenamoor/internal/shell/latency"
 	"galenamoor/internal/shell/listener"
 	"galenamoor/internal/shell/logstore"
 	"galenamoor/internal/shell/orderer"
@@ -72,6 +73,7 @@
 	founder   *founding.Founder
 	parts     *kernel.Kernel
 	counters  *expvar.Map
+	latencies *latency.Recorder
 }
 
 // serviceReplica is the name of the replica in the kernel.
@@ -80,9 +82,9 @@
 // Run runs a controller until the context ends, and then hands leadership on. A replica that the others have removed
 // begins anew with an empty data folder.
 func Run(ctx context.Context, options Options) error {
-	counters := expvar.NewMap("Dispatch")
+	counters, latencies := expvar.NewMap("Dispatch"), latency.New("Latency")
 	for {
-		c := &controller{Options: options, counters: counters, parts: kernel.New()}
+		c := &controller{Options: options, counters: counters, latencies: latencies, parts: kernel.New()}
 		err := c.run(ctx)
 		if !errors.Is(err, errRemoved) {
 			return err
@@ -225,7 +227,7 @@
 				Wall:       c.Clock.Now,
 				Log:        c.Log,
 				Count:      func(name string) { c.counters.Add(name, 1) },
-				Observe:    func(name string, took time.Duration) { c.counters.AddFloat(name+"Seconds", took.Seconds()) },
+				Observe:    c.latencies.Observe,
 			})
 		},
 	}
--- a/internal/shell/entry/entry.go
+++ b/internal/shell/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"galenamoor/internal/shell/kernel"
+	"galenamoor/internal/shell/latency"
 	"galenamoor/internal/shell/leaderlink"
 	"galenamoor/internal/shell/listener"
 	"galenamoor/internal/shell/transport"
@@ -53,7 +54,7 @@
 		return trace.Wrap(err, "open peer address %s", options.Peers)
 	}
 	defer link.Close()
-	leader := leaderlink.New(link, options.Seeds, options.Clock, log)
+	leader := leaderlink.New(link, options.Seeds, latency.New("Latency"), options.Clock, log)
 	callers, err := listener.New(options.Callers, limit(ctx, options.Handler(leader)))
 	if err != nil {
 		return err
--- a/internal/shell/leaderlink/link.go
+++ b/internal/shell/leaderlink/link.go
@@ -45,9 +45,15 @@
 	Forward(ctx context.Context, to netip.AddrPort, request *controlpb.LeaderRequest) (*controlpb.LeaderReply, error)
 }
 
+// Latencies records latencies by kind.
+type Latencies interface {
+	Observe(kind string, took time.Duration)
+}
+
 // Link knows the members of the control group and which of them leads. Its methods may be called concurrently.
 type Link struct {
 	transport Transport
+	latencies Latencies // of requests, by what became of them
 	clock     clockwork.Clock
 	log       logr.Logger
 
@@ -67,8 +73,8 @@
 }
 
 // New returns a Link that knows only seeds.
-func New(t Transport, seeds []netip.AddrPort, clock clockwork.Clock, log logr.Logger) *Link {
-	return &Link{transport: t, seeds: seeds, clock: clock, log: log}
+func New(t Transport, seeds []netip.AddrPort, latencies Latencies, clock clockwork.Clock, log logr.Logger) *Link {
+	return &Link{transport: t, seeds: seeds, latencies: latencies, clock: clock, log: log}
 }
 
 // SetSeeds replaces the seeds.
@@ -93,6 +99,20 @@
 // RESULT_UNKNOWN when it may have been.
 func (l *Link) Do(ctx context.Context, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
 	began := l.clock.Now()
+	reply := l.decide(ctx, began, request)
+	kind := "Decided"
+	switch reply.GetResult().GetCode() {
+	case controlpb.ResultCode_RESULT_UNAVAILABLE:
+		kind = "Refused"
+	case controlpb.ResultCode_RESULT_UNKNOWN:
+		kind = "Unknown"
+	}
+	l.latencies.Observe(kind, l.clock.Since(began))
+	return reply
+}
+
+// decide sends a request to leaders until one decides it, or until that is given up.
+func (l *Link) decide(ctx context.Context, began time.Time, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
 	refused := failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "no leader is known")
 	var uncertain *controlpb.LeaderReply
 	for {
--- a/internal/shell/leaderlink/link_test.go
+++ b/internal/shell/leaderlink/link_test.go
@@ -26,6 +26,11 @@
 	lost   int            // requests other than pings that it took
 }
 
+// unrecorded takes latencies that no test looks at.
+type unrecorded struct{}
+
+func (unrecorded) Observe(string, time.Duration) {}
+
 func address(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 7000)
 }
@@ -65,7 +70,7 @@
 }
 
 func newLink(g *group) *Link {
-	return New(g, []netip.AddrPort{address(1)}, clockwork.NewRealClock(), logr.Discard())
+	return New(g, []netip.AddrPort{address(1)}, unrecorded{}, clockwork.NewRealClock(), logr.Discard())
 }
 
 // A leader that isn't a seed is found through one, and its successor after it.
--- a/internal/shell/logging/writer.go
+++ b/internal/shell/logging/writer.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -12,28 +14,39 @@
 	queuedLines = 4096
 	// writeBytes is the length above which lines that wait aren't gathered for one write any more.
 	writeBytes = 2 << 10
+	// mostBytes bounds what is written in a second, and burstBytes what may be written at once after a quiet time. A leader
+	// of 490 workers writes some 350 KB a second; a hundred machines that write more than this fill a disk within hours.
+	mostBytes  = 1 << 20
+	burstBytes = 4 << 20
 	// flushTimeout bounds the writing of the lines that wait at a stop.
 	flushTimeout = 200 * time.Millisecond
 )
 
 // Writer writes lines from a goroutine of its own. It drops lines, and says how many, when the reader is too slow, so
-// that logging never blocks.
+// that logging never blocks, and when there are more than their volume allows.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	volume  *rate.Limiter
 	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // NewWriter returns a Writer. Close flushes it.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	w := &Writer{
+		out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{}), volume: rate.NewLimiter(mostBytes, burstBytes),
+	}
 	go w.run()
 	return w
 }
 
 // Write queues a line.
 func (w *Writer) Write(line []byte) (int, error) {
+	if !w.volume.AllowN(time.Now(), len(line)) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/shell/logging/writer_test.go
+++ b/internal/shell/logging/writer_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // blocked is a reader of logs that doesn't read until it is told to.
@@ -21,6 +22,32 @@
 	return b.text.Write(data)
 }
 
+// A storm of log lines must not fill a disk, and what is dropped must be told.
+func TestVolume(t *testing.T) {
+	out := &blocked{start: make(chan struct{})}
+	close(out.start)
+	w := NewWriter(out)
+	line := append(bytes.Repeat([]byte("x"), 999), '\n')
+	const lines = 3 * burstBytes / 1000
+	began := time.Now()
+	for range lines {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+		if len(w.lines) > queuedLines/2 {
+			time.Sleep(time.Millisecond) // a reader that keeps up
+		}
+	}
+	most := burstBytes + int(float64(mostBytes)*time.Since(began).Seconds()) + 2*len(line)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	<-w.done
+	if text := out.text.String(); len(text) > most || len(text) < burstBytes/2 || !strings.Contains(text, "log lines dropped") {
+		t.Errorf("%d bytes were written, expected at most %d; dropped lines told: %v", len(text), most, strings.Contains(text, "log lines dropped"))
+	}
+}
+
 // Logging must not block when nobody reads, must not grow without bound, and must tell what it dropped.
 func TestSlowReader(t *testing.T) {
 	out := &blocked{start: make(chan struct{})}
