Half a second of patience in long outages, and all members asked at once

Refused at once, they had spent their tries 2 s into an outage of 4.5 s. And entries found the leader up to 0.6 s after the first one, because a search asked two members at a time and waited for dark ones.

Change: 0.5 s of patience once an outage is longer than an election, and all voters are asked at once.

--- a/internal/shell/leaderlink/link.go
+++ b/internal/shell/leaderlink/link.go
@@ -29,8 +29,10 @@
 	refuseAfter = 1200 * time.Millisecond
 
 	// electionMost is the time that an election takes at most. When the search for a leader has taken longer, most of the
-	// control group is lost, and requests are refused at once.
-	electionMost = 1800 * time.Millisecond
+	// control group is lost, and requests are given up after outagePatience. Callers try again some four times within their
+	// deadlines of 3 s, a few tenths of a second after a refusal: so their tries last until then.
+	electionMost   = 1800 * time.Millisecond
+	outagePatience = 500 * time.Millisecond
 
 	// mostRetryAfter bounds the time after which callers are told to come back. An outage is expected to go on for as long
 	// as it has lasted; callers that come back sooner spend their few retries on it.
@@ -116,7 +118,8 @@
 	refused := failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "no leader is known")
 	var uncertain *controlpb.LeaderReply
 	for {
-		patience := min(refuseAfter-l.clock.Since(began), electionMost-l.searchedFor())
+		waited := l.clock.Since(began)
+		patience := min(refuseAfter-waited, max(outagePatience-waited, electionMost-l.searchedFor()))
 		if uncertain != nil {
 			patience = attemptTimeout // until the context ends: nobody else can find out what became of it
 		}
--- a/internal/shell/leaderlink/search.go
+++ b/internal/shell/leaderlink/search.go
@@ -20,12 +20,12 @@
 	// searchTime bounds one search. Whoever still waits for a leader then begins another one.
 	searchTime = time.Second
 
-	// asksAtOnce is the number of members that a search asks at once, so that one that is silent doesn't hold it up.
-	asksAtOnce = 2
+	// asksAtOnce is the number of members that a search asks at once: as many as vote, so that silent ones don't hold it up.
+	asksAtOnce = 5
 
 	// pauseFirst and pauseMost bound the pauses between two rounds of a search.
 	pauseFirst = 25 * time.Millisecond
-	pauseMost  = 150 * time.Millisecond
+	pauseMost  = 100 * time.Millisecond
 )
 
 // awaitLeader returns the leader as soon as one is known that answers. Ok is false when the context ended or the time
