--- a/internal/decision/dispatch/govern.go
+++ b/internal/decision/dispatch/govern.go
@@ -20,8 +20,7 @@
 	watchedStrain = 0.8
 )
 
-// govern follows the tails of serving tasks on a worker, and stops or halts fills that disturb
-// them.
+// govern follows the tails of serving tasks on a worker, and stops or halts fills that disturb them.
 func (d *Dispatcher) govern(w *worker) {
 	w.strain = 0
 	fills, settled := d.fillsOn(w)
--- a/internal/decision/dispatch/halt.go
+++ b/internal/decision/dispatch/halt.go
@@ -42,21 +42,25 @@
 		w.clearAt = d.now
 	}
 	isOverlong := len(fills) > 0 && d.now.Sub(w.clearAt) >= max(leastHarm, d.config.Limits.HarmTime-reliefTime)
-	switch {
-	case isOverlong && w.pace == fullPace:
+	if isHalted := w.pace == noPace; isOverlong != isHalted {
+		d.setPace(w, isOverlong, len(fills))
+		return
+	}
+	if isOverlong && d.now.Sub(w.haltedAt) >= haltedMost {
+		for _, fill := range fills {
+			d.wantStop(fill, "it has been halted for long, because a serving task beside it is over its bound")
+		}
+	}
+}
+
+// setPace has the fills of a worker halt, or go on.
+func (d *Dispatcher) setPace(w *worker, halt bool, fills int) {
+	w.pace = fullPace
+	if halt {
 		w.pace, w.haltedAt = noPace, d.now
 		d.config.Count("FillsHalted")
-	case !isOverlong && w.pace == noPace:
-		w.pace = fullPace
-	default:
-		if w.pace == noPace && d.now.Sub(w.haltedAt) >= haltedMost {
-			for _, fill := range fills {
-				d.wantStop(fill, "it has been halted for long, because a serving task beside it is over its bound")
-			}
-		}
-		return
 	}
-	d.config.Log.Info("pace of fills", "Worker", w.life.GetId(), "Percent", w.pace, "Strain", w.strain, "Fills", len(fills),
+	d.config.Log.Info("pace of fills", "Worker", w.life.GetId(), "Percent", w.pace, "Strain", w.strain, "Fills", fills,
 		"ClearAgo", d.now.Sub(w.clearAt).String())
 }
 
