Pause between two tries of a request at a leader that refuses it

Cause: found in the read-through.

Change: a growing pause with jitter between two tries, and the end of the patience holds also while a leader is known.

--- a/internal/shell/leaderlink/link.go
+++ b/internal/shell/leaderlink/link.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -117,6 +118,7 @@
 func (l *Link) decide(ctx context.Context, began time.Time, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
 	refused := failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "no leader is known")
 	var uncertain *controlpb.LeaderReply
+	pause := pauseFirst
 	for {
 		waited := l.clock.Since(began)
 		patience := min(refuseAfter-waited, max(outagePatience-waited, electionMost-l.searchedFor()))
@@ -124,12 +126,13 @@
 			patience = attemptTimeout // until the context ends: nobody else can find out what became of it
 		}
 		to, ok := l.awaitLeader(ctx, patience)
+		isOver := ctx.Err() != nil || uncertain == nil && (!ok || l.clock.Since(began) >= refuseAfter)
 		switch {
-		case !ok && uncertain == nil:
+		case isOver && uncertain != nil:
+			return uncertain
+		case isOver:
 			refused.Work = &controlpb.WorkReply{RetryAfterMs: min(mostRetryAfter, l.searchedFor()).Milliseconds()}
 			return refused
-		case !ok && ctx.Err() != nil:
-			return uncertain
 		case !ok:
 			continue
 		}
@@ -144,6 +147,11 @@
 		default: // a look that nobody answered has done nothing
 			refused = failure(controlpb.ResultCode_RESULT_UNAVAILABLE, reply.GetResult().GetMessage())
 		}
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, pauseMost)
 	}
 }
 
--- a/internal/shell/leaderlink/link_test.go
+++ b/internal/shell/leaderlink/link_test.go
@@ -22,8 +22,10 @@
 	// answer replaces the leader's answers when it is set.
 	answer func() (*controlpb.LeaderReply, error)
 	asked  int
-	dark   netip.AddrPort // takes requests and never answers; not valid: none
-	lost   int            // requests other than pings that it took
+	// answersPings has pings answered as usual when answer is set.
+	answersPings bool
+	dark         netip.AddrPort // takes requests and never answers; not valid: none
+	lost         int            // requests other than pings that it took
 }
 
 // unrecorded takes latencies that no test looks at.
@@ -57,7 +59,7 @@
 		}
 		return reply, nil
 	}
-	if g.answer != nil {
+	if g.answer != nil && (!g.answersPings || request.GetWork().GetPing() == nil) {
 		return g.answer()
 	}
 	return &controlpb.LeaderReply{Result: &controlpb.Result{}, Membership: members}, nil
@@ -161,6 +163,30 @@
 	}
 }
 
+// A leader that refuses requests for want of room, and answers pings, must not be asked again and again without a pause,
+// and the caller must be told in time.
+func TestOverloadedLeader(t *testing.T) {
+	g := &group{}
+	g.lead(1)
+	link := newLink(g)
+	g.answer = func() (*controlpb.LeaderReply, error) {
+		return failure(controlpb.ResultCode_RESULT_UNAVAILABLE, "overloaded"), nil
+	}
+	g.answersPings = true
+	began := time.Now()
+	if code := link.Do(context.Background(), &controlpb.LeaderRequest{}).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_UNAVAILABLE {
+		t.Errorf("%v, expected RESULT_UNAVAILABLE", code)
+	}
+	if took := time.Since(began); took > refuseAfter+pauseMost+200*time.Millisecond {
+		t.Errorf("the refusal took %v", took)
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if most := 2 * int(refuseAfter/(pauseMost/2)) * 2; g.asked > most {
+		t.Errorf("the leader was asked %d times, expected at most %d", g.asked, most)
+	}
+}
+
 // Most of the control group is lost for seconds: callers must be told soon to come back later, not each after having waited
 // for an election, and not at once either, because they would have spent their few tries when the leader is back.
 func TestLongOutage(t *testing.T) {
--- a/internal/shell/leaderlink/search.go
+++ b/internal/shell/leaderlink/search.go
@@ -23,7 +23,7 @@
 	// asksAtOnce is the number of members that a search asks at once: as many as vote, so that silent ones don't hold it up.
 	asksAtOnce = 5
 
-	// pauseFirst and pauseMost bound the pauses between two rounds of a search.
+	// pauseFirst and pauseMost bound the pauses between two rounds of a search, and between two tries of a request.
 	pauseFirst = 25 * time.Millisecond
 	pauseMost  = 100 * time.Millisecond
 )
