A removed replica notices, and voters are replaced after 3 s

A voter that was killed for 1.9 s was replaced, because the leader reconnects up to 2 s later. The group so lacked the learner that would have taken the next lost voter's place.

Change: a member that knows of no leader for 2 s asks seeds and members to be admitted, and the refusal tells it that it was removed; it then begins anew as a learner. Voters are replaced after 3 s. TestRemovedWhileDown failed before.

--- a/internal/decision/voters/steward.go
+++ b/internal/decision/voters/steward.go
@@ -14,9 +14,10 @@
 	// Most is the number of voters that the group grows to. Five bear the loss of a zone that holds two of them.
 	Most = 5
 
-	// replaceAfter is the silence after which a learner takes a voter's place. A killed process is back within a second,
-	// and the platform counts a loss as over 4 s after the successor's start: by then another host may be lost.
-	replaceAfter = 2 * time.Second
+	// replaceAfter is the silence after which a learner takes a voter's place. A killed process is back within a second and
+	// connected within two more, and the platform counts a loss as over 4 s after the successor's start, a second after the
+	// loss: by then another host may be lost.
+	replaceAfter = 3 * time.Second
 
 	// shrinkAfter is the silence after which a voter is removed that no learner can replace. A restart, a freeze or a cut
 	// is usually over by then.
--- a/internal/shell/replica/forward.go
+++ b/internal/shell/replica/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +31,10 @@
 	// joinPause is the time between two attempts to be admitted, and between looks whether this replica is a member.
 	joinPause = time.Second
 	joinLimit = 2 * time.Second
+
+	// strandedAfter is the time without a leader after which a member asks whether it still is one. An election is usually
+	// over by then.
+	strandedAfter = 2 * time.Second
 )
 
 // Do has the leader decide a request, wherever it is. A request that surely wasn't applied is sent again until the
@@ -179,7 +184,8 @@
 
 // join has the leader admit this replica as a learner, until it is a member. A learner's identity changes at each start
 // without a data folder, so older learners of the same host are removed. A replica with a log waits first, because it
-// usually is a member and hears from the leader.
+// usually is a member and hears from the leader. One that was removed while it was down is told so by nobody: it asks to be
+// admitted when it hears from no leader, and the refusal tells it.
 func (r *Replica) join(ctx context.Context) {
 	if r.View().Applied == 0 {
 		r.joinByAny(ctx)
@@ -194,15 +200,44 @@
 	}
 }
 
-// joinByAny asks the seeds in turn until one of them, the leader, takes the request.
+// membersAndSeeds returns the addresses at which a leader may be found. Seeds may have changed since this replica was a
+// member, and members since its seeds were told.
+func (r *Replica) membersAndSeeds() []netip.AddrPort {
+	addresses := slices.Clone(*r.seeds.Load())
+	for _, member := range r.View().Members {
+		if address, err := netip.ParseAddrPort(member.GetAddress()); err == nil && member.GetId() != r.id && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// joinByAny asks seeds and members in turn until one of them, the leader, takes the request.
 func (r *Replica) joinByAny(ctx context.Context) {
-	for _, seed := range *r.seeds.Load() {
-		if r.isMember() || ctx.Err() != nil || r.joinBy(ctx, seed) {
+	for _, seed := range r.membersAndSeeds() {
+		if !r.isStranded() || ctx.Err() != nil || r.joinBy(ctx, seed) {
 			return
 		}
 	}
 }
 
+// isStranded reports whether this replica isn't a member, or hasn't known a leader for long. Only join calls it.
+func (r *Replica) isStranded() bool {
+	view := r.View()
+	switch {
+	case view.Failed != nil:
+		return false
+	case !r.isMember():
+		return true
+	case view.Leader != 0:
+		r.leaderlessSince = time.Time{}
+		return false
+	case r.leaderlessSince.IsZero():
+		r.leaderlessSince = r.options.Clock.Now()
+	}
+	return r.options.Clock.Since(r.leaderlessSince) >= strandedAfter
+}
+
 func (r *Replica) isMember() bool {
 	view := r.View()
 	for _, member := range view.Members {
@@ -210,7 +245,7 @@
 			return true
 		}
 	}
-	return view.Failed != nil
+	return false
 }
 
 // joinBy asks the seed, or the leader that it names, and reports whether that one leads.
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -148,8 +148,10 @@
 	// leaderChanged is closed and replaced after a view with another leader is published.
 	leaderChanged atomic.Pointer[chan struct{}]
 
-	joined  string      // last outcome that the joining goroutine logged
-	removed atomic.Bool // the members have removed this identity for good
+	joined string // last outcome that the joining goroutine logged
+	// leaderlessSince is when join first saw no leader; zero while there is one.
+	leaderlessSince time.Time
+	removed         atomic.Bool // the members have removed this identity for good
 
 	// Fields of the control goroutine.
 	calls    map[Ticket]*call
--- a/internal/shell/replica/replica_test.go
+++ b/internal/shell/replica/replica_test.go
@@ -62,6 +62,9 @@
 	return s.Store.Save(batch)
 }
 
+// compactAfter is the number of entries after which the daemons of these tests take a snapshot.
+const compactAfter = 40
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // listen prepares a daemon's transport, and its store when it has a folder.
@@ -100,6 +103,8 @@
 		Core: CoreConfig{
 			Consensus: consensus.Config{ID: recovered.Identity, Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(recovered.Identity, 5))},
 			Machine:   state,
+			// Few enough for tests to take snapshots.
+			CompactAfter: compactAfter,
 			NewCoordinator: func(valid func(time.Time) bool) Coordinator {
 				return coordinator.New(coordinator.Config{State: state, LeaseValid: valid})
 			},
@@ -220,6 +225,33 @@
 	}
 }
 
+// A voter that was removed while it was down must notice when it is back: nobody answers its requests for votes, and without
+// it the group would have one member less than it could.
+func TestRemovedWhileDown(t *testing.T) {
+	daemons := startCluster(t, 3, 1)
+	leader, follower := leaderOf(t, daemons)
+	for n := range 3 * compactAfter { // so that it has a snapshot, and takes itself for a member from the start
+		leader.apply(t, fmt.Sprint("k", n), 0)
+	}
+	eventually(t, "the follower has a snapshot", func() bool { return follower.View().Applied > 2*compactAfter })
+	host, address, id := follower.options.Host, follower.network.Address(), follower.id
+	follower.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	step := membership(controlpb.MembershipChange_REMOVE, &simDaemon{name: host}, id)
+	if reply := leader.Do(ctx, step.request); reply.GetResult().GetCode() != controlpb.ResultCode_RESULT_OK {
+		t.Fatalf("%s: %v", step.key, reply)
+	}
+	back, recovered := listen(t, host, follower.folder, address)
+	back.run(t, host, recovered, nil, []netip.AddrPort{leader.network.Address()})
+	eventually(t, "the removed voter knows that it is removed", back.Removed)
+	for _, d := range daemons {
+		if d != follower && d.Removed() {
+			t.Errorf("%s takes itself for removed", d.options.Host)
+		}
+	}
+}
+
 // A learner without a disk comes back as a new replica. The old one must leave the membership, or each restart would add
 // a member that never answers. A voter that lost its disk must be able to take the old one's place.
 func TestNewReplicasTakeTheirPlaces(t *testing.T) {
