Tell of dropped log lines once a second

The 5.6 KB are notices of dropped lines: each write of 2 KiB carried one while lines were dropped, and none counted for the volume.

Change: a notice a second at most, and one at the end.

--- a/internal/shell/logging/writer.go
+++ b/internal/shell/logging/writer.go
@@ -18,6 +18,8 @@
 	// of 490 workers writes some 350 KB a second; a hundred machines that write more than this fill a disk within hours.
 	mostBytes  = 1 << 20
 	burstBytes = 4 << 20
+	// noticeInterval is the time between two notices of lines that were dropped, which count for no volume.
+	noticeInterval = time.Second
 	// flushTimeout bounds the writing of the lines that wait at a stop.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -68,6 +70,7 @@
 // run writes lines, those that wait together at once.
 func (w *Writer) run() {
 	defer close(w.done)
+	var told time.Time // when lost lines were told last
 	for line := range w.lines {
 		for more := len(line) < writeBytes; more; {
 			select {
@@ -78,9 +81,20 @@
 				more = false
 			}
 		}
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			line = append(line, `{"Level":"warn","Message":"log lines dropped","Lines":`+strconv.FormatInt(dropped, 10)+"}\n"...)
+		if time.Since(told) >= noticeInterval {
+			line = w.appendNotice(line)
+			told = time.Now()
 		}
 		_, _ = w.out.Write(line) // there is nowhere to report a failure
 	}
+	_, _ = w.out.Write(w.appendNotice(nil))
+}
+
+// appendNotice appends a line that tells how many lines were dropped since the last one, if any were.
+func (w *Writer) appendNotice(line []byte) []byte {
+	dropped := w.dropped.Swap(0)
+	if dropped == 0 {
+		return line
+	}
+	return append(line, `{"Level":"warn","Message":"log lines dropped","Lines":`+strconv.FormatInt(dropped, 10)+"}\n"...)
 }
