--- a/internal/decision/voters/steward.go
+++ b/internal/decision/voters/steward.go
@@ -46,51 +46,64 @@
 // Next returns the change that the leader should propose now, or nil.
 func (s *Steward) Next(now time.Time, self uint64, members []*controlpb.Member, peers map[uint64]Peer) *controlpb.MembershipChange {
 	s.follow(now, self, members, peers)
-	var learner, silent *controlpb.Member // the first active learner, and the voter that has been silent for longest
-	voting, learning := 0, 0
 	for _, m := range members {
-		silence := s.silence(now, m)
-		switch {
-		case m.GetVoter():
-			voting++
-			if silence > 0 && (silent == nil || silence > s.silence(now, silent)) {
-				silent = m
-			}
-		case silence >= forgetAfter:
+		if !m.GetVoter() && s.silence(now, m) >= forgetAfter {
 			return remove(m)
-		case silence == 0:
-			learning++
-			if learner == nil {
-				learner = m
-			}
 		}
 	}
-	if learner != nil {
-		return s.useLearner(now, self, members, learner, silent, voting, learning)
+	c := s.count(now, members)
+	if c.learner != nil {
+		return s.useLearner(now, self, members, c)
 	}
 	// Without it, losses that are never made up for would add up until no majority is left. A group that is larger than
 	// it must be keeps every change on enough disks without the lost ones.
-	if silent != nil && voting > s.least && s.silence(now, silent) >= shrinkAfter {
-		return remove(silent)
+	if c.silent != nil && c.voters > s.least && s.silence(now, c.silent) >= shrinkAfter {
+		return remove(c.silent)
 	}
 	return nil
 }
 
+// census is what the members are at a moment.
+type census struct {
+	voters   int
+	learners int               // active ones
+	learner  *controlpb.Member // the first active one; nil when there is none
+	silent   *controlpb.Member // the voter that has been silent for longest; nil when none is
+}
+
+func (s *Steward) count(now time.Time, members []*controlpb.Member) census {
+	c := census{}
+	for _, m := range members {
+		silence := s.silence(now, m)
+		switch {
+		case m.GetVoter():
+			c.voters++
+			if silence > 0 && (c.silent == nil || silence > s.silence(now, c.silent)) {
+				c.silent = m
+			}
+		case silence == 0:
+			c.learners++
+			if c.learner == nil {
+				c.learner = m
+			}
+		}
+	}
+	return c
+}
+
 // useLearner returns the change that puts an active learner to use, or nil while it only stands by.
-func (s *Steward) useLearner(
-	now time.Time, self uint64, members []*controlpb.Member, learner, silent *controlpb.Member, voting, learning int,
-) *controlpb.MembershipChange {
+func (s *Steward) useLearner(now time.Time, self uint64, members []*controlpb.Member, c census) *controlpb.MembershipChange {
 	for _, m := range members {
-		if m.GetVoter() && m.GetId() != self && m.GetAddress() == learner.GetAddress() {
+		if m.GetVoter() && m.GetId() != self && m.GetAddress() == c.learner.GetAddress() {
 			return remove(m) // the host came back without its disk
 		}
 	}
-	if silent != nil && voting >= s.least && s.silence(now, silent) >= replaceAfter {
-		return remove(silent)
+	if c.silent != nil && c.voters >= s.least && s.silence(now, c.silent) >= replaceAfter {
+		return remove(c.silent)
 	}
 	// An even number of voters bears no more losses than the odd number below it.
-	if voting < Most && (voting%2 == 0 || learning > 1 || voting < s.least) {
-		return &controlpb.MembershipChange{Kind: controlpb.MembershipChange_PROMOTE, Member: learner}
+	if c.voters < Most && (c.voters%2 == 0 || c.learners > 1 || c.voters < s.least) {
+		return &controlpb.MembershipChange{Kind: controlpb.MembershipChange_PROMOTE, Member: c.learner}
 	}
 	return nil
 }
