Hosts are used again after a wave of maintenance

The list of hosts was read only while a wave had hosts left, so that the hosts that were maintained last stayed taken until the leader changed; so did one that had left the list while it was emptied and came back.

Change: the list is read while any host is taken. That an order was given is no condition any more: a recorded beginning says as much.

Measured: go test ./internal/decision/dispatch.

--- a/internal/decision/dispatch/maintain.go
+++ b/internal/decision/dispatch/maintain.go
@@ -33,17 +33,16 @@
 // takenHost is a host that is taken out of use for a wave.
 type takenHost struct {
 	wave      uint64
-	ordered   bool // its maintenance may have begun
 	ordering  bool // the call is under way
 	orderAt   time.Time
 	recording bool
 }
 
 // tickWaves goes on with the waves of maintenance. A new leader waits until the orders of the one before can't overlap
-// with its own.
+// with its own. Hosts that are taken are followed until they are back, also when all of their wave have begun.
 func (d *Dispatcher) tickWaves() {
 	active := d.state.ActiveMaintenance()
-	if len(active) == 0 || d.now.Sub(d.began) < d.config.Limits.TurnTime || !d.config.LeaseValid(d.now) {
+	if len(active) == 0 && len(d.waves.taken) == 0 || d.now.Sub(d.began) < d.config.Limits.TurnTime || !d.config.LeaseValid(d.now) {
 		return
 	}
 	if !d.waves.listing && !d.now.Before(d.waves.listAt) {
@@ -112,7 +111,7 @@
 	if len(w.life.Runs) > 0 || len(w.promised) > 0 || taken.ordering || taken.recording || d.now.Before(taken.orderAt) {
 		return
 	}
-	taken.ordered, taken.ordering = true, true
+	taken.ordering = true
 	d.config.Log.Info("ordering maintenance", "Wave", taken.wave, "Host", host, "Epoch", d.epoch)
 	d.config.Orders.Send(&order.Call{Kind: order.Maintain, Epoch: d.epoch, Fence: d.epoch, Sent: d.now, Host: host, Wave: taken.wave})
 }
@@ -143,7 +142,7 @@
 	}
 	d.waves.hosts, d.waves.listedAt = a.Hosts, a.Call.Sent
 	for name, taken := range d.waves.taken {
-		if state, ok := a.Hosts[name]; ok && state == order.HostUp && taken.ordered && !taken.ordering && !taken.recording && d.isBegun(taken.wave, name) {
+		if state, ok := a.Hosts[name]; ok && state == order.HostUp && !taken.ordering && !taken.recording && d.isBegun(taken.wave, name) {
 			delete(d.waves.taken, name)
 		}
 	}
--- a/internal/decision/dispatch/maintain_test.go
+++ b/internal/decision/dispatch/maintain_test.go
@@ -154,6 +154,12 @@
 			if !w.isCompleted(1) || len(hosts.begun) != len(names) {
 				t.Errorf("completed %v; %d of %d hosts were maintained", w.isCompleted(1), len(hosts.begun), len(names))
 			}
+			w.run(maintenanceTime + 10*time.Second)
+			for _, worker := range w.dispatcher.roster {
+				if !worker.ending && !w.dispatcher.isUsable(worker) {
+					t.Errorf("%s is not used again after the wave", worker.life.GetHost())
+				}
+			}
 		})
 	}
 }
