colocation: spread best-effort tasks beside serving tasks

Cause: where every host serves, best-effort tasks were packed on the fullest hosts, so that some serving tasks had all of their disturbance; and serving tasks avoided hosts with best-effort tasks, which left gaps too small for dedicated tasks. Change: beside serving tasks best-effort tasks go to the roomiest host; serving tasks are packed whatever best-effort tasks run beside them.

--- a/internal/decision/colocation/score.go
+++ b/internal/decision/colocation/score.go
@@ -4,6 +4,8 @@
 // Some best-effort tasks interfere with some serving tasks, and they arrive in bursts while hosts are full of serving tasks.
 // Serving tasks are therefore packed on few hosts. Best-effort tasks go first to hosts without serving tasks, then beside
 // serving tasks that they are known not to interfere with, and last, a few at a time, beside those where this is unknown.
+// Each best-effort task raises the tail latency of the serving tasks beside it a little, so that many on one host exceed
+// a target that the same number on several hosts keeps: beside serving tasks they go to the roomiest host.
 package colocation
 
 import (
@@ -69,13 +71,16 @@
 
 	// remoteRackPenalty applies outside the rack of a task's data, in milli-cores of spare: remote data doubles the work.
 	remoteRackPenalty = 32_000
-	// suspectPenalty ranks suspect hosts behind all others, and for a serving task also hosts with a best-effort task that
-	// interferes with it.
+	// suspectPenalty ranks suspect hosts behind all others.
 	suspectPenalty = 200_000
+	// harmfulPairPenalty makes a serving task avoid a best-effort task that would have to be stopped for it, in milli-cores
+	// of free capacity. It is small, because a serving task that isn't packed tightly leaves gaps too small for others.
+	harmfulPairPenalty = 2000
 	// throttledLatencyRatioPenalty applies to a throttled best-effort task per latency ratio of 1, in milli-cores of spare.
 	throttledLatencyRatioPenalty = 100_000
-	// servingPenalty keeps best-effort tasks off hosts with serving tasks while others have spare processors.
-	servingPenalty = 20_000
+	// servingPenalty keeps best-effort tasks off hosts with serving tasks while others have spare processors, of which a
+	// host has fewer.
+	servingPenalty = 200_000
 	// unknownPenalty keeps best-effort tasks away from serving tasks that they may interfere with.
 	unknownPenalty = 60_000
 )
@@ -100,9 +105,8 @@
 		case h.ServingTasks == 0:
 			score += sameImageBonus
 		}
-		score -= h.BestEffortProcessors // some of these tasks might have to be stopped
 		if demand.WorstRating == imagepair.Harmful {
-			score -= suspectPenalty
+			score -= harmfulPairPenalty
 		}
 	case Dedicated:
 		score = h.Spare
@@ -124,9 +128,10 @@
 				}
 				score -= unknownPenalty
 			}
-			score -= servingPenalty
+			score += h.Spare - servingPenalty
+		} else {
+			score -= h.Spare // fullest first, so that hosts stay free for serving tasks
 		}
-		score -= h.Spare // fullest first, so that hosts stay free for serving tasks
 	}
 	if demand.DataRack != "" && demand.DataRack != h.Rack {
 		score -= remoteRackPenalty
--- a/internal/decision/colocation/score_test.go
+++ b/internal/decision/colocation/score_test.go
@@ -24,6 +24,7 @@
 	nearTarget := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.95}
 	paused := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.5, Paused: true}
 	crowded := Host{Free: withFree(8000), Spare: 10_000, ServingTasks: 4, LatencyRatio: 0.5, BestEffortProcessors: 24_000}
+	crowdedTight := Host{Free: withFree(6000), Spare: 10_000, ServingTasks: 4, LatencyRatio: 0.5, BestEffortProcessors: 24_000}
 	lowRatio := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.4, Processors: 32_000}
 	mediumRatio := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.6, Processors: 32_000}
 	throttled := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.4, Processors: 32_000, ThrottledProcessors: 6000}
@@ -46,6 +47,12 @@
 		"harmless best-effort tasks rank serving hosts last": {
 			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000}, []Host{half, empty, serving}, []Host{nearTarget, paused},
 		},
+		"beside serving tasks, best-effort tasks prefer the roomiest host": {
+			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000}, []Host{serving, crowded}, nil,
+		},
+		"serving tasks are packed whatever best-effort tasks run beside them": {
+			Demand{Kind: Serving, Need: withProcessors(6000)}, []Host{crowdedTight, serving}, nil,
+		},
 		"harmful best-effort tasks are kept off serving hosts": {
 			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000, WorstRating: imagepair.Harmful}, []Host{empty}, []Host{serving},
 		},
