occupancy: account for reserved and free processors, and for what keeps tasks from starting

Cause: nothing logged told whether waiting tasks lacked room, a host with enough of it, or a harmless neighbour. Change: the fleet line and the counters StepsWaiting.* tell both.

--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -278,15 +278,20 @@
 			continue
 		}
 		d.ratingBudget--
-		demand.WorstRating, demand.MixesImages = d.interferenceWith(c.step, h.worker), mixesImages(c.step, h.worker)
-		demand.TrialBlocked = demand.WorstRating == imagepair.Unknown && d.trialBlocked(c.step, h.worker)
-		if score, ok := colocation.Score(demand, h.Host); ok && (best == nil || score > bestScore) {
+		if score, ok := d.score(c, demand, h); ok && (best == nil || score > bestScore) {
 			best, bestScore = h, score
 		}
 	}
 	return best
 }
 
+// score rates a host for a task of a step, considering the interference with what runs there.
+func (d *Dispatcher) score(c candidate, demand colocation.Demand, h *host) (score int64, ok bool) {
+	demand.WorstRating, demand.MixesImages = d.interferenceWith(c.step, h.worker), mixesImages(c.step, h.worker)
+	demand.TrialBlocked = demand.WorstRating == imagepair.Unknown && d.trialBlocked(c.step, h.worker)
+	return colocation.Score(demand, h.Host)
+}
+
 // allows reports whether a step may run on a worker under the rules of the step and its queue and, for advised queues,
 // with a valid ticket.
 func (d *Dispatcher) allows(c candidate, w *worker) bool {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -4,10 +4,16 @@
 	"time"
 
 	"galenamoor/internal/decision/imagepair"
+	"galenamoor/internal/decision/occupancy"
 )
 
-// reportInterval is the time between two log lines on the whole fleet.
-const reportInterval = 2 * time.Second
+const (
+	// reportInterval is the time between two log lines on the whole fleet.
+	reportInterval = 2 * time.Second
+
+	// maxExplainedSteps bounds the waiting steps for which one report looks for the cause, the most urgent first.
+	maxExplainedSteps = 60
+)
 
 // report logs the state of the fleet every reportInterval, so that operators can find out later why tasks waited. It also
 // drops advice that is no longer needed and proposes changed interference ratings.
@@ -23,8 +29,10 @@
 		waiting[c.queue.GetName()+" "+timelinessNames[c.timeliness]] += c.step.Waiting
 	}
 	var elsewhere, besideServing int64
+	var account occupancy.Account
 	serving := 0
 	for _, h := range hosts {
+		account.AddHost(h.Host, h.worker.servingProcessors)
 		if h.ServingTasks > 0 {
 			serving++
 			besideServing += h.Spare
@@ -32,10 +40,33 @@
 			elsewhere += h.Spare
 		}
 	}
+	causes := map[string]int{}
+	for _, c := range candidates[:min(len(candidates), maxExplainedSteps)] {
+		cause := string(d.waitCause(c, hosts))
+		causes[c.queue.GetName()+" "+cause] += c.step.Waiting
+		d.config.Count("StepsWaiting." + cause)
+	}
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", serving, "SpareBesideServing", besideServing,
 		"SpareElsewhere", elsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
+		"Total", account.Total, "Reserved", account.Reserved, "ReservedServing", account.Serving, "BestEffort", account.BestEffort, "Free", account.Free,
+		"LargestFree", account.LargestFree, "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
 }
 
 // timelinessNames are the log names of timeliness values.
 var timelinessNames = [...]string{onTime: "in time", late: "late", tooLate: "too late"}
+
+// waitCause returns what keeps the waiting tasks of a step from starting.
+func (d *Dispatcher) waitCause(c candidate, hosts []host) occupancy.Cause {
+	search := occupancy.Search{Demand: d.demand(c)}
+	for i := range hosts {
+		h := &hosts[i]
+		search.Consider(h.Host,
+			func() bool { return d.allows(c, h.worker) },
+			func() bool {
+				_, ok := d.score(c, search.Demand, h)
+				return ok
+			})
+	}
+	return search.Cause()
+}
--- /dev/null
+++ b/internal/decision/occupancy/account.go
@@ -0,0 +1,91 @@
+// Package occupancy accounts for the processors of a fleet and for what keeps waiting tasks from starting. It tells a
+// fleet that is full from one whose free processors are spread over too many hosts, and both from limits and interference.
+package occupancy
+
+import (
+	"galenamoor/internal/decision/colocation"
+	"galenamoor/pkg/resource"
+)
+
+// Cause is what keeps the waiting tasks of a step from starting.
+type Cause string
+
+// The causes, in the order in which they are looked for.
+const (
+	Processors    Cause = "Processors"    // the hosts together have too few free processors
+	Fragmentation Cause = "Fragmentation" // they have enough together, but no single one has
+	Memory        Cause = "Memory"        // no host with the processors has the memory or the accelerators
+	Limits        Cause = "Limits"        // the hosts with room are excluded by a label, a limit per worker or a ticket
+	Interference  Cause = "Interference"  // the hosts with room run tasks that this one would disturb
+	Pending       Cause = "Pending"       // a host accepts it; the assignment is in progress or comes with the next pass
+)
+
+// Account sums up the usable hosts of a fleet, in milli-cores.
+type Account struct {
+	Total       int64 // processors of all hosts
+	Reserved    int64 // by serving and dedicated tasks
+	Serving     int64 // of Reserved, by serving tasks
+	BestEffort  int64 // that best-effort tasks can use
+	Free        int64 // not reserved
+	LargestFree int64 // not reserved, on the roomiest host
+	Spare       int64 // not expected to be used
+}
+
+// AddHost adds a host to the account. Its serving tasks reserve the given milli-cores.
+func (a *Account) AddHost(h *colocation.Host, servingProcessors int64) {
+	free := max(0, h.Free.Processors)
+	a.Total += h.Processors
+	a.Reserved += h.Processors - h.Free.Processors
+	a.Serving += servingProcessors
+	a.BestEffort += h.BestEffortProcessors
+	a.Free += free
+	a.LargestFree = max(a.LargestFree, free)
+	a.Spare += max(0, h.Spare)
+}
+
+// Search finds the cause for which a task waits, from the hosts that were considered for it.
+type Search struct {
+	Demand                                     colocation.Demand
+	hasProcessors, hasRoom, isAllowed, accepts bool
+	available                                  int64
+}
+
+// Consider adds a host to the search. The functions are only called where there is room: allowed reports whether the rules
+// of the task's step admit the host, and accepted whether the host takes the task beside what it runs.
+func (s *Search) Consider(h *colocation.Host, allowed, accepted func() bool) {
+	offered := h.Free.Processors
+	if s.Demand.Kind == colocation.BestEffort {
+		offered = h.Spare
+	}
+	s.available += max(0, offered)
+	if offered < s.Demand.Processors {
+		return
+	}
+	s.hasProcessors = true
+	if !(resource.Vector{Memory: s.Demand.Need.Memory, Accelerators: s.Demand.Need.Accelerators}).Fits(h.Free) {
+		return
+	}
+	s.hasRoom = true
+	if !allowed() {
+		return
+	}
+	s.isAllowed = true
+	s.accepts = s.accepts || accepted()
+}
+
+// Cause returns why the task waits, given the hosts considered.
+func (s *Search) Cause() Cause {
+	switch {
+	case !s.hasProcessors && s.available < s.Demand.Processors:
+		return Processors
+	case !s.hasProcessors:
+		return Fragmentation
+	case !s.hasRoom:
+		return Memory
+	case !s.isAllowed:
+		return Limits
+	case !s.accepts:
+		return Interference
+	}
+	return Pending
+}
