dispatch: reject serving jobs that would take the processors of urgent jobs

Change: once the need of dedicated tasks is known, a serving job that would take it is rejected at once, with a Retry-After.

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -1,15 +1,26 @@
 package dispatch
 
 import (
+	"time"
+
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/workload"
 )
 
 // Serving tasks reserve their processors for minutes, finite tasks with dedicated processors for a second. Where serving
 // tasks take all processors, urgent finite jobs wait for gaps between them, which most of their tasks don't fit into. So
-// hosts without serving tasks are kept for them while other hosts have room.
+// hosts without serving tasks are kept for them while other hosts have room, and further serving jobs are rejected once
+// they would take the processors that the finite jobs need.
+
+const (
+	// unlearnedHeadroom is the share of the processors that is kept for dedicated tasks before their need is learned.
+	unlearnedHeadroom = 0.06
 
-// unlearnedHeadroom is the share of the processors that is kept for dedicated tasks before their need is learned.
-const unlearnedHeadroom = 0.06
+	// servingRetryDelay is the delay after which the caller of a rejected serving job should retry: the time in which
+	// about a tenth of the serving jobs is usually cancelled.
+	servingRetryDelay = 7 * time.Second
+)
 
 // observeArrival learns the processors that finite jobs need from a job that has been accepted.
 func (d *Dispatcher) observeArrival(job *controlpb.WorkJob) {
@@ -36,3 +47,27 @@
 	}
 	return empty <= needed
 }
+
+// leavesNoHeadroom reports whether a job's serving tasks would take processors that dedicated tasks need.
+func (d *Dispatcher) leavesNoHeadroom(job *controlpb.WorkJob) bool {
+	wanted := int64(0)
+	for _, step := range job.GetSteps() {
+		if (&workload.Step{WorkStep: step}).IsServing() {
+			wanted += int64(step.GetCount()) * step.GetProcessors()
+		}
+	}
+	needed, ok := d.headroom.Processors(d.now)
+	if wanted == 0 || !ok {
+		return false
+	}
+	available := int64(0)
+	for _, h := range d.hosts() {
+		available += h.Processors - h.worker.servingProcessors
+	}
+	for _, c := range d.candidates() {
+		if kindOf(c.step) == colocation.Serving {
+			available -= int64(c.step.Waiting) * c.step.GetProcessors()
+		}
+	}
+	return available-wanted < needed
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -114,8 +114,8 @@
 	return outcome(controlpb.WorkOutcome_WORK_INVALID), false
 }
 
-// submit accepts a job, or rejects it if the job limit of its queue is reached. A repeated submission is acknowledged
-// without effect.
+// submit accepts a job, or rejects it if the job limit of its queue is reached or if its serving tasks would take processors
+// that dedicated tasks need. A repeated submission is acknowledged without effect.
 func (d *Dispatcher) submit(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob) (*controlpb.LeaderReply, bool) {
 	if id == "" {
 		return outcome(controlpb.WorkOutcome_WORK_INVALID), false
@@ -123,18 +123,18 @@
 	if state, _ := d.state.Lookup(id); state != controlpb.WorkState_WORK_UNKNOWN {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
-	d.pendingRequests[r] = true
 	if earlier, isSubmitting := d.submitting[id]; isSubmitting {
+		d.pendingRequests[r] = true
 		d.submitting[id] = append(earlier, r)
 		return nil, true
 	}
 	if retryAfter, isOverloaded := d.overloaded(queue); isOverloaded {
-		delete(d.pendingRequests, r)
-		d.config.Count("JobsRefused")
-		d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", "Overloaded", "RetryAfter", retryAfter.String(),
-			"Unfinished", d.unfinished())
-		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retryAfter.Milliseconds()}), false
+		return d.refuse(queue, id, "Overloaded", retryAfter), false
+	}
+	if d.leavesNoHeadroom(job) {
+		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay), false
 	}
+	d.pendingRequests[r] = true
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
 	received := d.now
@@ -155,6 +155,15 @@
 	return nil, true
 }
 
+// refuse rejects a job that hasn't been proposed, so that it certainly never runs.
+func (d *Dispatcher) refuse(queue *controlpb.WorkQueue, id, reason string, retryAfter time.Duration) *controlpb.LeaderReply {
+	d.config.Count("JobsRefused")
+	d.config.Count("JobsRefused." + reason)
+	d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", reason, "RetryAfter", retryAfter.String(),
+		"Unfinished", d.unfinished())
+	return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retryAfter.Milliseconds()})
+}
+
 // cancel cancels a job. The reply says WORK_NOT_FOUND if there is none.
 func (d *Dispatcher) cancel(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string) (*controlpb.LeaderReply, bool) {
 	if state, _ := d.state.Lookup(id); state == controlpb.WorkState_WORK_UNKNOWN && d.submitting[id] == nil {
