--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -48,19 +48,19 @@
 	return empty <= needed
 }
 
-// leavesNoHeadroom reports whether a job's serving tasks would take processors that dedicated tasks need.
-func (d *Dispatcher) leavesNoHeadroom(job *controlpb.WorkJob) bool {
+// headroomFor returns the milli-cores that would be available to dedicated tasks if a job's serving tasks ran, and those that
+// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks.
+func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
+	needed, ok := d.headroom.Processors(d.now)
 	wanted := int64(0)
 	for _, step := range job.GetSteps() {
 		if (&workload.Step{WorkStep: step}).IsServing() {
 			wanted += int64(step.GetCount()) * step.GetProcessors()
 		}
 	}
-	needed, ok := d.headroom.Processors(d.now)
 	if wanted == 0 || !ok {
-		return false
+		return 0, 0
 	}
-	available := int64(0)
 	for _, h := range d.hosts() {
 		available += h.Processors - h.worker.servingProcessors
 	}
@@ -69,5 +69,5 @@
 			available -= int64(c.step.Waiting) * c.step.GetProcessors()
 		}
 	}
-	return available-wanted < needed
+	return available - wanted, needed
 }
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -129,10 +129,10 @@
 		return nil, true
 	}
 	if retryAfter, isOverloaded := d.overloaded(queue); isOverloaded {
-		return d.refuse(queue, id, "Overloaded", retryAfter), false
+		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished()), false
 	}
-	if d.leavesNoHeadroom(job) {
-		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay), false
+	if available, needed := d.headroomFor(job); available < needed {
+		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay, "Available", available, "Needed", needed), false
 	}
 	d.pendingRequests[r] = true
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
@@ -155,12 +155,12 @@
 	return nil, true
 }
 
-// refuse rejects a job that hasn't been proposed, so that it certainly never runs.
-func (d *Dispatcher) refuse(queue *controlpb.WorkQueue, id, reason string, retryAfter time.Duration) *controlpb.LeaderReply {
+// refuse rejects a job that hasn't been proposed, so that it certainly never runs. The inputs of the decision are logged, as
+// alternating names and values.
+func (d *Dispatcher) refuse(queue *controlpb.WorkQueue, id, reason string, retryAfter time.Duration, inputs ...any) *controlpb.LeaderReply {
 	d.config.Count("JobsRefused")
 	d.config.Count("JobsRefused." + reason)
-	d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", reason, "RetryAfter", retryAfter.String(),
-		"Unfinished", d.unfinished())
+	d.config.Log.WithValues(inputs...).Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", reason, "RetryAfter", retryAfter.String())
 	return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retryAfter.Milliseconds()})
 }
 
