dispatch: simplify the account of room and the headroom of serving jobs

A serving job's arrival built a host description for each worker and rated and sorted all waiting steps, only to sum up processors; it now goes over workers and waiting steps, by the loop that candidates uses. The flag for empty hosts is set in the score, where the other properties of a host are. The account sums up spare processors itself; the sum that it had was read by nobody. Its check of room is colocation.HasRoom. The replays submit like the other tests of the simulation.

No behaviour changes. TestAccount checks the three sums that replace the unread one.

--- a/internal/decision/colocation/score.go
+++ b/internal/decision/colocation/score.go
@@ -67,7 +67,7 @@
 	maxThrottledLatencyRatio = 0.7
 
 	// sameImageBonus ranks the hosts for a serving task: hosts that serve only its image, then hosts that serve nothing, then
-	// the others.
+	// the others. The last two change places if the task should keep empty hosts free.
 	sameImageBonus = 1_000_000
 
 	// remoteRackPenalty applies outside the rack of a task's data, in milli-cores of spare: remote data doubles the work.
@@ -103,9 +103,7 @@
 		switch {
 		case h.ServingTasks > 0 && !demand.MixesImages:
 			score += 2 * sameImageBonus
-		case h.ServingTasks > 0 && demand.KeepsEmptyHosts:
-			score += sameImageBonus
-		case h.ServingTasks == 0 && !demand.KeepsEmptyHosts:
+		case (h.ServingTasks > 0) == demand.KeepsEmptyHosts:
 			score += sameImageBonus
 		}
 		if demand.WorstRating == imagepair.Harmful {
--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -61,12 +61,14 @@
 	if wanted == 0 || !ok {
 		return 0, 0
 	}
-	for _, h := range d.hosts() {
-		available += h.Processors - h.worker.servingProcessors
+	for _, w := range d.orderedWorkers {
+		if d.isUsable(w) {
+			available += w.incarnation.GetProcessors() - w.servingProcessors
+		}
 	}
-	for _, c := range d.candidates() {
-		if kindOf(c.step) == colocation.Serving {
-			available -= int64(c.step.Waiting) * c.step.GetProcessors()
+	for step := range d.waitingSteps(d.config.Wall()) {
+		if kindOf(step) == colocation.Serving {
+			available -= int64(step.Waiting) * step.GetProcessors()
 		}
 	}
 	return available - wanted, needed
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -123,18 +124,8 @@
 func (d *Dispatcher) candidates() []candidate {
 	wall := d.config.Wall()
 	var found []candidate
-	for _, job := range d.state.Jobs() {
-		if job.IsTerminal() {
-			continue
-		}
-		queue := d.state.Queue(job.Spec.GetQueue())
-		for _, steps := range job.Occurrences {
-			for _, step := range steps {
-				if step.Waiting > 0 && step.IsReady(wall) {
-					found = append(found, d.candidate(wall, step, queue))
-				}
-			}
-		}
+	for step := range d.waitingSteps(wall) {
+		found = append(found, d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue())))
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.timeliness, b.timeliness), a.due.Compare(b.due))
@@ -142,6 +133,24 @@
 	return found
 }
 
+// waitingSteps returns the steps that are ready and have waiting tasks.
+func (d *Dispatcher) waitingSteps(wall time.Time) iter.Seq[*workload.Step] {
+	return func(yield func(*workload.Step) bool) {
+		for _, job := range d.state.Jobs() {
+			if job.IsTerminal() {
+				continue
+			}
+			for _, steps := range job.Occurrences {
+				for _, step := range steps {
+					if step.Waiting > 0 && step.IsReady(wall) && !yield(step) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // candidate rates the timeliness of a step's job: whether the job is expected to finish within its objective.
 func (d *Dispatcher) candidate(wall time.Time, step *workload.Step, queue *controlpb.WorkQueue) candidate {
 	job := step.Job
@@ -241,7 +250,7 @@
 // demand returns the demand of one task of a step for the placement score.
 func (d *Dispatcher) demand(c candidate) colocation.Demand {
 	return colocation.Demand{
-		Kind: kindOf(c.step), Need: c.step.Demand(), Processors: c.step.GetProcessors(), DataRack: c.step.GetDataRack(), KeepsEmptyHosts: d.keepsEmptyHosts,
+		Kind: kindOf(c.step), Need: c.step.Demand(), Processors: c.step.GetProcessors(), DataRack: c.step.GetDataRack(),
 	}
 }
 
@@ -266,7 +275,6 @@
 		chosen.refresh()
 		if opensHost {
 			d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
-			demand.KeepsEmptyHosts = d.keepsEmptyHosts
 		}
 		placed++
 	}
@@ -295,6 +303,7 @@
 func (d *Dispatcher) score(c candidate, demand colocation.Demand, h *host) (score int64, ok bool) {
 	demand.WorstRating, demand.MixesImages = d.interferenceWith(c.step, h.worker), mixesImages(c.step, h.worker)
 	demand.TrialBlocked = demand.WorstRating == imagepair.Unknown && d.trialBlocked(c.step, h.worker)
+	demand.KeepsEmptyHosts = d.keepsEmptyHosts
 	return colocation.Score(demand, h.Host)
 }
 
--- a/internal/decision/dispatch/replay_test.go
+++ b/internal/decision/dispatch/replay_test.go
@@ -114,12 +114,8 @@
 	for i := range series.Count {
 		id := fmt.Sprintf("%s-%s-%d", series.Queue, series.Kind, i)
 		sim.after(series.First+time.Duration(i)*series.Every, func() {
-			job := &controlpb.WorkJob{Steps: []*controlpb.WorkStep{series.step(i)}}
-			reply, wait := sim.dispatcher.Serve(sim.now, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: &controlpb.WorkRequest{
-				Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-					Verb: controlpb.CallerVerb_VERB_SUBMIT, Host: "h", Path: "/" + series.Queue + "/" + id, Job: job,
-				}},
-			}}})
+			work := submission(series.Queue, id, series.step(i))
+			reply, wait := sim.dispatcher.Serve(sim.now, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: work}})
 			if !wait && series.MayBeRejected && reply.GetWork().GetOutcome() == controlpb.WorkOutcome_WORK_OVERLOADED {
 				return
 			}
@@ -138,10 +134,10 @@
 	if state, _ := sim.state.Lookup(id); state == controlpb.WorkState_WORK_COMPLETED {
 		return true
 	}
-	for _, job := range sim.state.Jobs() {
-		if step := job.Occurrences[0][0]; job.Spec.GetId() == id {
-			return step.GetPerpetual() && step.Waiting == 0
-		}
+	job := sim.state.Job(id)
+	if job == nil {
+		return false
 	}
-	return false
+	step := job.Occurrences[0][0]
+	return step.GetPerpetual() && step.Waiting == 0
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -28,17 +28,9 @@
 	for _, c := range candidates {
 		waiting[c.queue.GetName()+" "+timelinessNames[c.timeliness]] += c.step.Waiting
 	}
-	var elsewhere, besideServing int64
 	var account occupancy.Account
-	serving := 0
 	for _, h := range hosts {
 		account.AddHost(h.Host, h.worker.servingProcessors)
-		if h.ServingTasks > 0 {
-			serving++
-			besideServing += h.Spare
-		} else {
-			elsewhere += h.Spare
-		}
 	}
 	causes := map[string]int{}
 	for _, c := range candidates[:min(len(candidates), maxExplainedSteps)] {
@@ -46,8 +38,8 @@
 		causes[c.queue.GetName()+" "+cause] += c.step.Waiting
 		d.config.Count("StepsWaiting." + cause)
 	}
-	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", serving, "SpareBesideServing", besideServing,
-		"SpareElsewhere", elsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
+	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", account.ServingHosts, "SpareBesideServing", account.SpareBesideServing,
+		"SpareElsewhere", account.SpareElsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
 		"Total", account.Total, "Reserved", account.Reserved, "ReservedServing", account.Serving, "BestEffort", account.BestEffort, "Free", account.Free,
 		"LargestFree", account.LargestFree, "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -566,9 +566,14 @@
 // submit submits a job and returns the outcome.
 func (sim *simulation) submit(queue, id string, steps ...*controlpb.WorkStep) controlpb.WorkOutcome {
 	sim.t.Helper()
-	return sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+	return sim.serve(submission(queue, id, steps...)).GetWork().GetOutcome()
+}
+
+// submission returns a caller's request to submit a job.
+func submission(queue, id string, steps ...*controlpb.WorkStep) *controlpb.WorkRequest {
+	return &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
 		Verb: controlpb.CallerVerb_VERB_SUBMIT, Host: "h", Path: "/" + queue + "/" + id, Job: &controlpb.WorkJob{Spec: id, Steps: steps},
-	}}}).GetWork().GetOutcome()
+	}}}
 }
 
 // stateOf returns the state of a job.
--- a/internal/decision/occupancy/account.go
+++ b/internal/decision/occupancy/account.go
@@ -2,10 +2,7 @@
 // fleet that is full from one whose free processors are spread over too many hosts, and both from limits and interference.
 package occupancy
 
-import (
-	"galenamoor/internal/decision/colocation"
-	"galenamoor/pkg/resource"
-)
+import "galenamoor/internal/decision/colocation"
 
 // Cause is what keeps the waiting tasks of a step from starting.
 type Cause string
@@ -20,7 +17,7 @@
 	Pending       Cause = "Pending"       // a host accepts it; the assignment is in progress or comes with the next pass
 )
 
-// Account sums up the usable hosts of a fleet, in milli-cores.
+// Account sums up the usable hosts of a fleet. Processors are in milli-cores.
 type Account struct {
 	Total       int64 // processors of all hosts
 	Reserved    int64 // by serving and dedicated tasks
@@ -28,7 +25,10 @@
 	BestEffort  int64 // that best-effort tasks can use
 	Free        int64 // not reserved
 	LargestFree int64 // not reserved, on the roomiest host
-	Spare       int64 // not expected to be used
+
+	ServingHosts       int   // hosts with serving tasks
+	SpareBesideServing int64 // on those hosts, not expected to be used
+	SpareElsewhere     int64 // on the other hosts, not expected to be used
 }
 
 // AddHost adds a host to the account. Its serving tasks reserve the given milli-cores.
@@ -40,7 +40,12 @@
 	a.BestEffort += h.BestEffortProcessors
 	a.Free += free
 	a.LargestFree = max(a.LargestFree, free)
-	a.Spare += max(0, h.Spare)
+	if h.ServingTasks > 0 {
+		a.ServingHosts++
+		a.SpareBesideServing += h.Spare
+	} else {
+		a.SpareElsewhere += h.Spare
+	}
 }
 
 // Search finds the cause for which a task waits, from the hosts that were considered for it.
@@ -62,7 +67,7 @@
 		return
 	}
 	s.hasProcessors = true
-	if !(resource.Vector{Memory: s.Demand.Need.Memory, Accelerators: s.Demand.Need.Accelerators}).Fits(h.Free) {
+	if !colocation.HasRoom(s.Demand, h) {
 		return
 	}
 	s.hasRoom = true
--- a/internal/decision/occupancy/account_test.go
+++ b/internal/decision/occupancy/account_test.go
@@ -44,9 +44,14 @@
 // TestAccount guards against sums that lose or double processors.
 func TestAccount(t *testing.T) {
 	var a Account
-	a.AddHost(hostWith(8000, 20_000, 9000), 18_000)
+	serving := hostWith(8000, 20_000, 9000)
+	serving.ServingTasks = 3
+	a.AddHost(serving, 18_000)
 	a.AddHost(hostWith(32_000, 32_000, 9000), 0)
-	want := Account{Total: 64_000, Reserved: 24_000, Serving: 18_000, Free: 40_000, LargestFree: 32_000, Spare: 52_000}
+	want := Account{
+		Total: 64_000, Reserved: 24_000, Serving: 18_000, Free: 40_000, LargestFree: 32_000,
+		ServingHosts: 1, SpareBesideServing: 20_000, SpareElsewhere: 32_000,
+	}
 	if a != want {
 		t.Errorf("account %+v, expected %+v", a, want)
 	}
