eventqueue: one event queue for the simulations in virtual time

capacity, callmodel, coordinator and replica each had a heap of events ordered by time and sequence, with a counter beside it. Results stay: events run in the same order, and the replica's test for repeatable runs still compares the number of scheduled events. The queues of consensus (durations) and dispatch (commits that are dropped with the leader) differ and stay.

--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/standin/eventqueue"
 )
 
 // Usage holds the mean resource usage of a daemon of one role.
@@ -59,7 +60,7 @@
 // Release drops all events and workers, and one daemon of the role, so that the difference in heap size shows the daemon's
 // memory. It returns false if no daemon has the role. The simulation can't run afterwards.
 func (sim *Simulation) Release(role string) bool {
-	sim.events, sim.workers = nil, nil // events, workers and the callbacks of polls refer to daemons
+	sim.events, sim.workers = eventqueue.Queue{}, nil // events, workers and the callbacks of polls refer to daemons
 	for _, d := range sim.daemons {
 		d.callbacks = nil
 	}
--- a/internal/capacity/simulation.go
+++ b/internal/capacity/simulation.go
@@ -9,7 +9,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -28,6 +27,7 @@
 	"galenamoor/internal/shell/replica"
 	"galenamoor/internal/shell/slotreport"
 	_ "galenamoor/internal/shell/transport" // registers the compressor
+	"galenamoor/internal/standin/eventqueue"
 )
 
 const (
@@ -105,8 +105,7 @@
 	Meter         *Meter
 	random        *rand.Rand
 	now           time.Time
-	events        events
-	scheduled     uint64 // number of scheduled events
+	events        eventqueue.Queue
 	daemons       []*daemon
 	workers       map[string]*worker
 	initialLoad   bool  // the initial batch tasks are being started
@@ -185,18 +184,20 @@
 // Run advances virtual time by the duration. It stops at the first error.
 func (sim *Simulation) Run(duration time.Duration) {
 	until := sim.now.Add(duration)
-	for len(sim.events) > 0 && !sim.events[0].at.After(until) && sim.err == nil {
-		e := heap.Pop(&sim.events).(event)
-		sim.now = e.at
-		e.run()
+	for sim.err == nil {
+		at, run, ok := sim.events.Pop(until)
+		if !ok {
+			break
+		}
+		sim.now = at
+		run()
 	}
 	sim.now = until
 }
 
 // schedule schedules run at the current virtual time plus the delay.
 func (sim *Simulation) schedule(delay time.Duration, run func()) {
-	sim.scheduled++
-	heap.Push(&sim.events, event{at: sim.now.Add(delay), sequence: sim.scheduled, run: run})
+	sim.events.Push(sim.now.Add(delay), run)
 }
 
 // chargeTime runs step and adds its duration to the processor time of the daemon.
@@ -456,25 +457,3 @@
 	})
 	sim.processOutputs(d)
 }
-
-// event is a function to run at a virtual time. Events at the same time run in the order of their sequence numbers.
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-// events is a heap of events, earliest first.
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].sequence < h[j].sequence
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
--- a/internal/decision/callmodel/model.go
+++ b/internal/decision/callmodel/model.go
@@ -4,7 +4,6 @@
 package callmodel
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/routing"
 	"galenamoor/internal/decision/slotshare"
+	"galenamoor/internal/standin/eventqueue"
 )
 
 // Config configures one simulation run.
@@ -101,8 +101,7 @@
 	config           Config
 	rng              *rand.Rand
 	now              time.Time
-	events           events
-	lastSequence     uint64
+	events           eventqueue.Queue
 	executors        map[string]*executor
 	orderedExecutors []*executor
 	gateways         []*gateway
@@ -125,37 +124,8 @@
 	latency  float64
 }
 
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 func (m *Model) after(d time.Duration, run func()) {
-	m.lastSequence++
-	heap.Push(&m.events, event{m.now.Add(d), m.lastSequence, run})
+	m.events.Push(m.now.Add(d), run)
 }
 
 // Run runs a simulation and returns its measurements.
@@ -180,16 +150,15 @@
 	if c.RotatingSlowExecutors > 0 {
 		m.rotateSlowExecutors()
 	}
-	for len(m.events) > 0 {
-		e := heap.Pop(&m.events).(event)
-		m.now = e.at
-		if m.now.After(end.Add(c.Deadline)) {
-			break
+	for {
+		at, run, ok := m.events.Pop(end.Add(c.Deadline))
+		if !ok {
+			return &m.result
 		}
+		m.now = at
 		m.measuring = !m.now.Before(start) && m.now.Before(end)
-		e.run()
+		run()
 	}
-	return &m.result
 }
 
 func (m *Model) build() {
--- a/internal/decision/coordinator/simulation_test.go
+++ b/internal/decision/coordinator/simulation_test.go
@@ -1,7 +1,6 @@
 package coordinator_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -13,6 +12,7 @@
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/decision/coordinator"
 	"galenamoor/internal/decision/slotshare"
+	"galenamoor/internal/standin/eventqueue"
 )
 
 // faults are injected into a simulation to check that the oracle detects them.
@@ -44,8 +44,7 @@
 type simulation struct {
 	now       time.Time
 	random    *rand.Rand
-	events    eventHeap
-	sequence  int
+	events    eventqueue.Queue
 	faults    faults
 	faultFree bool // messages are neither lost nor delayed for long, and nothing is evicted at random
 	idle      bool // gateways use no slots, and nothing is evicted at random
@@ -62,26 +61,6 @@
 	calls     []string // request keys of non-repeatable calls
 }
 
-type event struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].sequence < h[j].sequence
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func newSimulation(seed int64, f faults) *simulation { return startSimulation(seed, f, false) }
 
 // newFaultFreeSimulation returns a simulation without faults, in which the scheduler places tasks where they fit.
@@ -132,17 +111,19 @@
 
 // after schedules an event.
 func (s *simulation) after(d time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{s.now.Add(d), s.sequence, run})
+	s.events.Push(s.now.Add(d), run)
 }
 
 // advance runs all events of the next d.
 func (s *simulation) advance(d time.Duration) {
 	until := s.now.Add(d)
-	for len(s.events) > 0 && !s.events[0].at.After(until) {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
+	for {
+		at, run, ok := s.events.Pop(until)
+		if !ok {
+			break
+		}
+		s.now = at
+		run()
 	}
 	s.now = until
 }
--- a/internal/shell/replica/core_test.go
+++ b/internal/shell/replica/core_test.go
@@ -287,7 +287,7 @@
 // TestCoreIsDeterministic checks that a seed always gives the same history, so that failures can be replayed.
 func TestCoreIsDeterministic(t *testing.T) {
 	first, second := chaos(4), chaos(4)
-	a, b := fmt.Sprint(first.oracle.accepted, first.nextSequence), fmt.Sprint(second.oracle.accepted, second.nextSequence)
+	a, b := fmt.Sprint(first.oracle.accepted, first.events.Scheduled()), fmt.Sprint(second.oracle.accepted, second.events.Scheduled())
 	if a != b {
 		t.Errorf("two runs of one seed differ:\n%s\n%s", a, b)
 	}
--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"galenamoor/internal/decision/consensus"
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/decision/coordinator"
+	"galenamoor/internal/standin/eventqueue"
 	"galenamoor/pkg/inventory"
 	"galenamoor/pkg/rules"
 )
@@ -23,7 +23,7 @@
 	random            *rand.Rand
 	start             time.Time
 	now               time.Time
-	events            eventHeap
+	events            eventqueue.Queue
 	nextID            uint64
 	daemons           map[string]*simDaemon
 	daemonsByID       map[uint64]*simDaemon // by identity, including those of replaced replicas
@@ -33,7 +33,6 @@
 	extraMessageDelay time.Duration         // maximum additional delay, which a tenth of the messages get
 	oracle            oracle
 	operations        map[string]*operation
-	nextSequence      uint64
 
 	workerOracle *workerOracle
 	newScheduler func() coordinator.Scheduler // nil: nothing is scheduled
@@ -73,26 +72,6 @@
 	answer  *controlpb.Result
 }
 
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].sequence < h[j].sequence
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func newSimCluster(seed uint64, voters, learners int, options ...func(*simCluster)) *simCluster {
 	start := time.Unix(1_700_000_000, 0)
 	c := &simCluster{
@@ -172,8 +151,7 @@
 }
 
 func (c *simCluster) schedule(delay time.Duration, run func()) {
-	c.nextSequence++
-	heap.Push(&c.events, event{at: c.now.Add(delay), sequence: c.nextSequence, run: run})
+	c.events.Push(c.now.Add(delay), run)
 }
 
 // transmit simulates a message between hosts: it calls arrive after a delay, unless the message is lost.
@@ -306,10 +284,9 @@
 				next, due = deadline, d
 			}
 		}
-		if len(c.events) > 0 && !c.events[0].at.After(next) {
-			e := heap.Pop(&c.events).(event)
-			c.now = e.at
-			e.run()
+		if at, run, ok := c.events.Pop(next); ok {
+			c.now = at
+			run()
 			continue
 		}
 		if next.After(c.now) {
