dispatch: order nothing for a run whose withdrawal is being committed

Cause: a worker refuses a start with 429 or 503, and the leader proposes to withdraw the run. Until that is committed (10 to 50 ms, 0.2 to 0.4 s with slow disks), a poll that doesn't list the run looks like one of a run that an earlier leader has assigned, so the leader orders the start again. A worker that refuses only a share of its starts carries it out; then the withdrawal is committed, the run is forgotten, and its task starts elsewhere. The class: soft state that doesn't show that a removal is proposed. The end of an incarnation had such a mark, the withdrawal of a run had none.

A run that is being withdrawn now gets no orders, and the withdrawal is proposed again if its outcome is unknown.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -33,6 +33,8 @@
 	staleSpeedUntil  time.Time // until then an earlier speed call may still be carried out
 	wasSlowed        bool      // has run below full speed, so that its runtime isn't representative
 
+	withdrawn     bool // it can't start any more and gets no orders; the removal of its assignment isn't committed yet
+	dropPending   bool // the removal is proposed and not yet decided
 	stopRequested bool
 	nextStop      time.Time // of the next stop call
 	stopPending   bool
@@ -95,6 +97,10 @@
 	}
 	switch {
 	case r.worker.superseded:
+	case r.withdrawn:
+		if !r.dropPending {
+			d.proposeDrop(r)
+		}
 	case r.stopRequested && !r.stopPending && !d.now.Before(r.nextStop):
 		d.stop(r)
 	case !r.stopRequested && !r.startPending && !r.nextStart.IsZero() && !d.now.Before(r.nextStart):
@@ -229,10 +235,19 @@
 	}
 }
 
-// drop proposes to remove the assignment of a run that doesn't exist and can't be started any more.
+// drop withdraws a run that doesn't exist and can't be started any more. It gets no orders while the removal of its
+// assignment is being committed: a start would be carried out beside the task's next run.
 func (d *Dispatcher) drop(r *run) {
+	r.withdrawn = true
+	d.proposeDrop(r)
+}
+
+// proposeDrop proposes to remove a run's assignment. It is repeated by the next scan if the outcome is unknown.
+func (d *Dispatcher) proposeDrop(r *run) {
+	r.dropPending = true
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_DropRun{DropRun: &controlpb.DropRun{Task: r.key.Task.Ref(), Run: r.key.Run}}}
 	d.propose(change, func(result *controlpb.Result) {
+		r.dropPending = false
 		if result != nil {
 			d.forgetRun(r.key, r)
 		}
@@ -333,7 +348,7 @@
 // observeMissing counts a poll that didn't list a run, and drops the run after minMissingPolls of them. Polls sent before
 // the last order was acknowledged don't count. A run that the worker hasn't acknowledged yet is ordered again instead.
 func (d *Dispatcher) observeMissing(r *run, a *order.Answer) {
-	if r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
+	if r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
 		return
 	}
 	if r.acknowledgedAt.IsZero() && !r.seen {
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -17,8 +17,8 @@
 	"galenamoor/pkg/resource"
 )
 
-// commitTime is how long a simulated commit takes.
-const commitTime = 15 * time.Millisecond
+// defaultCommitTime is how long a simulated commit takes unless a test slows it down.
+const defaultCommitTime = 15 * time.Millisecond
 
 // simulation runs a dispatcher and simulated workers in virtual time, and checks the invariants from the workers' point
 // of view.
@@ -37,8 +37,9 @@
 
 	hosts *hostService // the platform's host service; nil unless a test needs it
 
-	lossRate    float64 // share of calls that get no answer
-	delayedRate float64 // share of the unanswered calls that are carried out 2 to 6 s later
+	commitTime  time.Duration // how long a commit takes
+	lossRate    float64       // share of calls that get no answer
+	delayedRate float64       // share of the unanswered calls that are carried out 2 to 6 s later
 	// interference returns by how much an aggressor raises the latency ratio of a victim; nil for not at all.
 	interference func(victim, aggressor string) float64
 
@@ -75,6 +76,7 @@
 	failing         bool
 	stalled         bool    // its tasks make no progress
 	rejectsStarts   bool    // it rejects starts without any effect
+	rejectionRate   float64 // share of the starts that it rejects without any effect
 	slowdown        float64 // factor by which its tasks take longer; 0 for 1
 }
 
@@ -102,7 +104,7 @@
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1_000_000, 0), state: workload.New(),
+		t: t, commitTime: defaultCommitTime, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1_000_000, 0), state: workload.New(),
 		requests: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){}, done: map[workload.TaskKey]bool{}, starts: map[string]int{}, started: map[workload.TaskKey]time.Time{},
 	}
 	sim.dispatcher = New(Config{
@@ -156,7 +158,7 @@
 			worker.advance(step)
 		}
 		for _, command := range sim.dispatcher.Tick(sim.now) {
-			sim.schedule(commitTime, true, func() {
+			sim.schedule(sim.commitTime, true, func() {
 				result := sim.state.Apply(sim.now, command.GetWork())
 				sim.dispatcher.HandleResult(sim.now, command, result)
 			})
@@ -362,7 +364,7 @@
 		return order.StaleRun
 	case call.LeaseExpiry <= clock:
 		return order.Expired
-	case s.rejectsStarts:
+	case s.rejectsStarts, s.rejectionRate > 0 && s.simulation.random.Float64() < s.rejectionRate:
 		return order.Unhealthy
 	}
 	if call.IncarnationStartMs == s.incarnation.GetBornMs() {
