--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -58,6 +58,7 @@
 func (d *Dispatcher) stopOrphan(w *worker, key workload.RunKey) {
 	call := d.newCall(order.Stop, w)
 	call.Run = key
+	d.config.Count("OrphansStopped")
 	d.config.Log.Info("stopping orphaned run", "Task", key.Task.String(), "Run", key.Run, "Worker", w.incarnation.GetId())
 	d.config.WorkerCalls.Send(call)
 }
