dispatch: log each crashed worker

Logs and metrics couldn't tell a crashed worker from one that wasn't reachable either.

The leader now ends the earlier incarnation itself, in the change before PutWorker, and the line "worker lost" says whether the worker has certainly crashed. The metric WorkersCrashed counts these.

--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -202,6 +202,9 @@
 	if current != nil && isUnchanged(current, incarnation) {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
+	if current == nil {
+		d.endIncarnationsAt(incarnation)
+	}
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
 			d.incarnationChanged(uint32(result.GetFence()), d.leavesAt(a))
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -31,7 +31,7 @@
 	w.nextPoll = d.now.Add(d.pollDelayAfter(w))
 	if a.Status != order.OK || a.Call.IncarnationStartMs != 0 {
 		if d.now.Sub(w.supersededAt) > 2*d.config.Limits.MaxLease {
-			d.endIncarnation(w, "its later incarnation doesn't answer, and every lease has expired")
+			d.endCrashed(w, "its later incarnation doesn't answer, and every lease has expired")
 		}
 		return
 	}
@@ -51,7 +51,7 @@
 			ends = append(ends, endedRun(&e))
 		}
 	}
-	d.endIncarnation(w, "a later incarnation has started", ends...)
+	d.endCrashed(w, "a later incarnation has started", ends...)
 }
 
 // stopOrphan stops a run that isn't in the replicated state.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -101,6 +101,7 @@
 	quarantinedUntil    time.Time
 	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
 	leavesAt            time.Time // earliest time at which a leaving worker terminates
+	crashed             bool      // a later incarnation of its host has shown that it ended without notice
 	superseded          bool      // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
@@ -170,7 +171,10 @@
 	}
 	w.ending = true
 	d.config.Count("WorkersLost")
-	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs))
+	if w.crashed {
+		d.config.Count("WorkersCrashed")
+	}
+	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs))
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.incarnation.GetNumber(), Ends: ends}}}
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
@@ -181,6 +185,21 @@
 	})
 }
 
+// endCrashed proposes the end of an incarnation that a later one has replaced. Unless it was to end, it has crashed.
+func (d *Dispatcher) endCrashed(w *worker, reason string, ends ...*controlpb.EndedRun) {
+	w.crashed = !w.incarnation.GetLeaving() && w.endsAt.IsZero() && !d.isDraining(w)
+	d.endIncarnation(w, reason, ends...)
+}
+
+// endIncarnationsAt ends the incarnations that a later one at the same address has replaced.
+func (d *Dispatcher) endIncarnationsAt(later *controlpb.WorkerLife) {
+	for _, w := range d.orderedWorkers {
+		if w.incarnation.GetAddress() == later.GetAddress() && w.incarnation.GetId() != later.GetId() && w.incarnation.GetBornMs() <= later.GetBornMs() {
+			d.endCrashed(w, "a later incarnation announced itself at its address")
+		}
+	}
+}
+
 // tickWorkers sends the polls that are due and ends the incarnations of unresponsive workers whose leases have expired.
 func (d *Dispatcher) tickWorkers() {
 	for _, w := range d.workers {
@@ -329,7 +348,7 @@
 		if a.IncarnationStartMs != 0 {
 			d.supersede(w)
 		} else {
-			d.endIncarnation(w, "another incarnation answers at its address")
+			d.endCrashed(w, "another incarnation answers at its address")
 		}
 		return
 	case order.Fenced:
