dispatch: give a new incarnation time to answer before it is lost

A worker that restarted within a few seconds of a change of leader could be declared lost at once: the expiry of its leases was computed from the start of this leader, and a worker that had never answered counted as unresponsive since ever. When it then announced itself again, it counted as resumed, and the successful end of a late start on it was ignored, although it was acknowledged to the worker: the task started again (TWICE).

A worker is now unresponsive only if it hasn't answered for that time since this leader knows it.

Evidence: TestNewWorkerHasTimeToAnswer failed before ("incarnation 3, resumed true; expected the first one").

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -83,6 +83,22 @@
 	sim.expect("long", controlpb.WorkState_WORK_COMPLETED)
 }
 
+// A worker whose first poll is lost must not be declared lost at once, even if all leases of earlier leaders expire then: ends
+// that a worker reports after that don't count.
+func TestNewWorkerHasTimeToAnswer(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	expiry := sim.dispatcher.workers[1].leaseExpires
+	sim.run(expiry.Sub(sim.now) - 2*leaseExpiryMargin)
+	sim.addWorker("zone-0", "r-0")
+	sim.lossRate = 1
+	sim.run(4 * leaseExpiryMargin)
+	sim.lossRate = 0
+	sim.run(5 * time.Second)
+	if worker := sim.state.WorkerByID("worker-2"); worker.GetNumber() != 2 || worker.GetResumed() {
+		t.Errorf("incarnation %d, resumed %v; expected the first one", worker.GetNumber(), worker.GetResumed())
+	}
+}
+
 // A partitioned worker continues until its lease expires; its tasks must not run elsewhere before that.
 func TestPartitionedWorkerKeepsItsTasks(t *testing.T) {
 	sim := newSimulationWithWorkers(t, 1, 4)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -70,6 +70,7 @@
 	clockReadAt  time.Time     // when that answer was received; zero before the first one
 	leaseExpires time.Time     // every lease granted to this incarnation has expired by then
 	lastAnswer   time.Time     // when the newest answer was received
+	addedAt      time.Time     // when this leader started tracking it
 	endsAt       time.Time     // when the announced end of the incarnation is reached; zero if none is announced
 
 	pendingPoll   *order.Call
@@ -118,7 +119,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", incarnation.GetId(), "Address", incarnation.GetAddress())
 		return
 	}
-	w := &worker{incarnation: incarnation, address: address, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, bestEffortSeen: map[string]time.Time{}}
+	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, bestEffortSeen: map[string]time.Time{}}
 	longestLease := time.Duration(float64(d.config.Limits.MaxLease) * (1 + maxClockDrift))
 	w.leaseExpires = d.leadingSince.Add(longestLease + leaseExpiryMargin)
 	if d.now.Sub(d.leadingSince) > longestLease {
@@ -206,7 +207,7 @@
 		switch {
 		case !w.endsAt.IsZero() && !d.now.Before(w.endsAt):
 			d.endIncarnation(w, "it announced its termination")
-		case d.now.After(w.leaseExpires) && d.now.Sub(w.lastAnswer) > unresponsiveAfter && !w.superseded:
+		case d.now.After(w.leaseExpires) && min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt)) > unresponsiveAfter && !w.superseded:
 			d.endIncarnation(w, "its lease has expired")
 		}
 		if w.pendingPoll != nil || w.recordingEnds || w.ending || d.now.Before(w.nextPoll) {
