dispatch: give up tasks that crash their workers

Cause: nothing counted these crashes. Only a reported end "failed" is an attempt; the end of an incarnation removed its runs without a trace, so that the task was as new and was placed beside others again. A speculative step even got a copy before the crash was known.

The replicated state now counts, for each task, the crashes of workers on which it had just started. Which of several such tasks is to blame isn't known at first, so each is suspect: it starts only on a worker without unproven runs of other jobs, nothing else starts there until polls show that it works, and it gets no copies. A second crash under a task that started this way is evidence, and the task is given up: its job fails, or goes on without it if other tasks of a perpetual step remain. Five crashes are enough in any case.

Crashes count only if a later incarnation at the worker's address or ID shows that the worker has ended; until then, the loss of an unreachable worker is kept as unsettled. A run for which it isn't certain that the worker had started it counts apart, so that no task is given up for orders to a worker that was down.

--- /dev/null
+++ b/internal/decision/dispatch/crash_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
+
+// maxDeadlyStarts is the number of starts of a task that crashes its workers: three, and fewer than three more.
+const maxDeadlyStarts = 5
+
+// submitMix submits jobs for a while: urgent and batch ones, one after the other.
+func (sim *simulation) submitMix(prefix string, count int) {
+	for i := range count {
+		sim.submit("urgent", fmt.Sprintf("%s-%d", prefix, i), dedicated(3, 800*time.Millisecond))
+		sim.submit("batch", fmt.Sprintf("%s-fill-%d", prefix, i), bestEffort(4, "fill", 1500*time.Millisecond))
+		sim.run(250 * time.Millisecond)
+	}
+}
+
+func (sim *simulation) expectMixCompleted(prefix string, count int) {
+	sim.t.Helper()
+	for i := range count {
+		sim.expect(fmt.Sprintf("%s-%d", prefix, i), controlpb.WorkState_WORK_COMPLETED)
+		sim.expect(fmt.Sprintf("%s-fill-%d", prefix, i), controlpb.WorkState_WORK_COMPLETED)
+	}
+}
+
+// TestDeadlyTaskIsGivenUp guards against tasks that crash worker after worker without end, and against giving up the tasks
+// that run beside them.
+func TestDeadlyTaskIsGivenUp(t *testing.T) {
+	speculative, gang, lasting := dedicated(4, 800*time.Millisecond), dedicated(4, 800*time.Millisecond), serving(3, "web")
+	speculative.Speculative, gang.Gang = true, true
+	steps := map[string]*controlpb.WorkStep{
+		"plain": dedicated(4, 800*time.Millisecond), "best-effort": bestEffort(4, "deadly", time.Second), "speculative": speculative, "gang": gang, "lasting": lasting,
+	}
+	for name, step := range steps {
+		for seed := range uint64(6) {
+			for _, leaderChange := range []int{0, 3, 8} {
+				t.Run(fmt.Sprintf("%s/seed=%d/leader change=%d", name, seed, leaderChange), func(t *testing.T) {
+					sim := newSimulationWithWorkers(t, seed, 16)
+					sim.deadly = map[string]bool{"deadly.0.0.1": true}
+					sim.submit("urgent", "serving", serving(4, "other"))
+					sim.submitMix("before", 4)
+					sim.submit("urgent", "deadly", step)
+					if leaderChange > 0 {
+						sim.submitMix("between", leaderChange)
+						sim.changeLeader()
+						sim.run(200 * time.Millisecond)
+					}
+					sim.submitMix("after", 40)
+					sim.run(30 * time.Second)
+					if starts := sim.starts["deadly.0.0.1"]; starts < 2 || starts > maxDeadlyStarts {
+						t.Errorf("%d starts of a task that crashes its workers, expected 2 to %d", starts, maxDeadlyStarts)
+					}
+					if step.GetPerpetual() {
+						sim.expect("deadly", controlpb.WorkState_WORK_ACTIVE)
+						if runs := sim.state.Job("deadly").LiveRuns(); runs != 2 {
+							t.Errorf("%d of the other 2 lasting tasks run", runs)
+						}
+					} else {
+						sim.expect("deadly", controlpb.WorkState_WORK_FAILED)
+					}
+					sim.expect("serving", controlpb.WorkState_WORK_ACTIVE)
+					sim.expectMixCompleted("before", 4)
+					sim.expectMixCompleted("between", leaderChange)
+					sim.expectMixCompleted("after", 40)
+				})
+			}
+		}
+	}
+}
+
+// TestManyDeadlyTasks guards against blaming innocent tasks while several tasks crash their workers at the same time.
+func TestManyDeadlyTasks(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulationWithWorkers(t, seed, 24)
+		sim.deadly = map[string]bool{}
+		for i := range 8 {
+			id := fmt.Sprintf("deadly-%d", i)
+			sim.deadly[id+".0.0.0"] = true
+			sim.submit("urgent", id, dedicated(2, 800*time.Millisecond))
+			sim.submitMix(fmt.Sprint("mix-", i), 4)
+		}
+		sim.run(40 * time.Second)
+		for i := range 8 {
+			id := fmt.Sprintf("deadly-%d", i)
+			if starts := sim.starts[id+".0.0.0"]; starts < 2 || starts > maxDeadlyStarts {
+				t.Errorf("seed %d: %d starts of %s, expected 2 to %d", seed, starts, id, maxDeadlyStarts)
+			}
+			sim.expect(id, controlpb.WorkState_WORK_FAILED)
+			sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
+		}
+	}
+}
+
+// TestCrashesWithOtherCauses guards against giving up tasks because zones lose power and workers crash by themselves.
+func TestCrashesWithOtherCauses(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulationWithWorkers(t, seed, 12)
+		crash := func(worker *simWorker, downtime time.Duration) {
+			if worker.up {
+				worker.crash(downtime)
+			}
+		}
+		for i := range 8 {
+			switch zone := fmt.Sprintf("zone-%d", i%2); {
+			case i%4 == 3:
+				for _, worker := range sim.workers {
+					if worker.incarnation.GetZone() == zone {
+						crash(worker, 2*time.Second)
+					}
+				}
+			default:
+				crash(sim.workers[sim.random.IntN(12)], time.Duration(1000+sim.random.IntN(6000))*time.Millisecond)
+			}
+			sim.submitMix(fmt.Sprint("mix-", i), 4)
+		}
+		sim.run(40 * time.Second)
+		for i := range 8 {
+			sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
+		}
+	}
+}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -100,6 +100,9 @@
 	headroom          *headroom.Estimator // for dedicated tasks
 	interference      *imagepair.Ledger
 
+	losses         []loss                         // recently lost workers, oldest first
+	isolationWaits map[workload.TaskKey]time.Time // since when suspect tasks wait for a quiet worker
+
 	trials               map[trial]int // number of hosts on which each trial is under way
 	leastUrgent          int32         // priority of the least urgent preemptible run
 	leastUrgentDedicated int32         // the same among runs with dedicated processors
@@ -141,6 +144,8 @@
 	d.runtimes = newRuntimeStats()
 	d.headroom = &headroom.Estimator{}
 	d.interference = imagepair.New()
+	d.losses = nil
+	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -9,6 +9,7 @@
 // placeGang assigns all tasks of a gang to workers, or none, and returns the number of tasks placed.
 func (d *Dispatcher) placeGang(c candidate, hosts []host) int {
 	number := uint32(0)
+	c.suspect = slices.ContainsFunc(c.step.Tasks, d.mustIsolate)
 	for _, task := range c.step.Tasks {
 		if !task.IsWaiting() || d.assigning[task.Key()] {
 			return 0 // a run of the last attempt hasn't ended, or the next attempt is proposed
@@ -30,6 +31,14 @@
 			return len(chosen)
 		}
 	}
+	if c.suspect {
+		for _, task := range c.step.Tasks {
+			if task.IsSuspect() {
+				d.noteIsolationWait(task)
+			}
+		}
+		d.reserveFor(c, hosts)
+	}
 	return 0
 }
 
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -45,6 +45,7 @@
 	queue      *controlpb.WorkQueue
 	timeliness int
 	due        time.Time // when the job should be finished
+	suspect    bool      // a suspect task of the step is to be placed
 }
 
 // pass assigns waiting tasks to workers, the most urgent steps first.
@@ -80,6 +81,7 @@
 		if c.step.GetGang() {
 			budget -= d.placeGang(c, hosts)
 		} else {
+			budget -= d.placeSuspects(c, hosts)
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placed
 			if missing > 0 && halfEmpty {
@@ -259,7 +261,7 @@
 func (d *Dispatcher) placeTasks(c candidate, hosts []host) (placed, missing int) {
 	demand := d.demand(c)
 	for _, task := range c.step.Tasks {
-		if !task.IsWaiting() || d.assigning[task.Key()] {
+		if !task.IsWaiting() || d.assigning[task.Key()] || d.mustIsolate(task) {
 			continue
 		}
 		var chosen *host
@@ -324,7 +326,7 @@
 	if limit := c.step.GetMaxPerWorker(); limit > 0 && d.tasksOn(c.step, w) >= int(limit) {
 		return false
 	}
-	return true
+	return d.allowsSuspects(c, w)
 }
 
 // tasksOn counts the runs of a step that are assigned to a worker or proposed for it.
@@ -348,11 +350,17 @@
 	d.charge(w, task.Step, 1)
 	d.countNewTrials(task.Step, w)
 	w.countProposed(task.Step, 1)
+	isSuspect := task.IsSuspect()
+	w.countUnproven(task.Step.Job, isSuspect, 1)
+	if delete(d.isolationWaits, key.Task); w.reservedFor == task.Step {
+		w.reservedUntil = time.Time{}
+	}
 	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.incarnation.GetNumber()}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
 		delete(d.assigning, key.Task)
 		d.charge(w, task.Step, -1)
 		w.countProposed(task.Step, -1)
+		w.countUnproven(task.Step.Job, isSuspect, -1)
 		if result == nil || result.GetCode() != controlpb.ResultCode_RESULT_OK {
 			d.config.Log.Info("assignment rejected", "Task", key.Task.String(), "Run", number, "Worker", w.incarnation.GetId(), "Reason", result.GetMessage())
 			return
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -205,8 +205,10 @@
 	if current == nil {
 		d.endIncarnationsAt(incarnation)
 	}
+	suspects := d.state.LossSuspects(incarnation)
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
+			d.logGivenUp(suspects)
 			d.incarnationChanged(uint32(result.GetFence()), d.leavesAt(a))
 		}
 		return outcome(controlpb.WorkOutcome_WORK_OK)
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -23,6 +23,7 @@
 	startPending    bool      // a start call is in flight
 	orderedAt       time.Time // of the first start call
 	checkpoint      string    // sent with the start calls; the same in every retry
+	started         bool      // the worker has confirmed the start
 	startUnanswered bool      // a start call got no answer and may still be carried out
 	acknowledgedAt  time.Time // when the newest start or stop call got a conclusive answer
 
@@ -38,6 +39,9 @@
 	stopPending   bool
 	stopReason    string
 
+	unproven  bool // it may crash its worker: it is being started, or hasn't worked for provenAfter
+	isSuspect bool // its task was suspect when the run became unproven
+
 	seen          bool      // a poll has listed it
 	missingPolls  int       // consecutive polls that didn't list it
 	began         time.Time // when it was first seen; until then, when tracking started
@@ -62,6 +66,7 @@
 		return
 	}
 	delete(d.runs, key)
+	r.markProven()
 	d.charge(r.worker, r.task.Step, -1)
 	d.dirty = true
 }
@@ -144,6 +149,7 @@
 	call.Run, call.Spec, call.LeaseExpiry = r.key, r.task.Step.Job.Spec.GetSpec(), leaseExpiry
 	if r.orderedAt.IsZero() {
 		r.orderedAt, r.checkpoint = d.now, d.checkpoint(r.task)
+		r.markUnproven()
 	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
 	r.startPending = true
@@ -190,6 +196,7 @@
 	case order.OK, order.StaleRun:
 		r.nextStart = time.Time{}
 		r.acknowledgedAt = a.Received
+		r.started = r.started || a.Status == order.OK
 		d.observeStart(r, a)
 	case order.NoAnswer:
 		r.startUnanswered = true
@@ -313,6 +320,7 @@
 		r.progress, r.progressAt = running.Percent, d.now
 	}
 	r.measurement = running.Measurement
+	d.observeProof(r)
 	d.checkStraggler(r)
 	if running.Checkpoint != "" {
 		d.checkpoints[checkpointKey(r.task)] = running.Checkpoint
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -42,6 +42,8 @@
 	// interference returns by how much an aggressor raises the latency ratio of a victim; nil for not at all.
 	interference func(victim, aggressor string) float64
 
+	deadly map[string]bool // tasks that crash each worker that starts them, by name
+
 	overTarget       time.Duration                  // summed over serving tasks
 	ownLoad          func(now time.Time) float64    // added to the latency ratio of all serving tasks; nil for none
 	measurementError float64                        // maximum relative error of reported tail latencies
@@ -317,6 +319,35 @@
 	s.runs, s.highestRun = map[workload.RunKey]*simRun{}, map[workload.TaskKey]uint32{}
 }
 
+// crash ends the incarnation. After downtime a new one starts at the same address, under another ID for every other worker.
+func (s *simWorker) crash(downtime time.Duration) {
+	crashed := s.runs
+	s.up, s.runs = false, map[workload.RunKey]*simRun{}
+	for key, r := range crashed {
+		if r.task.Step.GetGang() {
+			s.simulation.breakGang(key)
+		}
+	}
+	s.simulation.after(downtime, func() {
+		next := proto.CloneOf(s.incarnation)
+		if slices.Index(s.simulation.workers, s)%2 == 0 {
+			next.Id += "+"
+		}
+		s.startIncarnation(next)
+	})
+}
+
+// breakGang ends the other members of the gang of a run.
+func (sim *simulation) breakGang(key workload.RunKey) {
+	for _, worker := range sim.workers {
+		for other := range worker.runs {
+			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+				worker.end(other, controlpb.RunEnd_RUN_BROKEN)
+			}
+		}
+	}
+}
+
 // handle carries out a call as a worker of the platform would.
 func (s *simWorker) handle(call *order.Call) *order.Answer {
 	if call.ID != s.incarnation.GetId() || !s.up {
@@ -379,6 +410,14 @@
 		s.simulation.started[key.Task] = s.simulation.now
 	}
 	s.runs[key] = &simRun{task: task, speed: 1, began: s.simulation.now, runtime: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, orphaned: call.IncarnationStartMs != s.incarnation.GetBornMs(), beforeLast: call.IncarnationStartMs != s.incarnation.GetBornMs() && call.IncarnationStartMs != s.previousStartMs}
+	if s.simulation.deadly[key.Task.String()] {
+		crashed := s.incarnation.GetBornMs()
+		s.simulation.after(10*time.Millisecond, func() {
+			if s.up && s.incarnation.GetBornMs() == crashed {
+				s.crash(3200 * time.Millisecond)
+			}
+		})
+	}
 	return order.OK
 }
 
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -97,7 +97,7 @@
 func (d *Dispatcher) speculate(hosts []host) {
 	for _, r := range d.runs {
 		step := r.task.Step
-		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() {
+		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.task.IsSuspect() {
 			continue
 		}
 		if !r.straggling && d.now.Sub(r.worker.lastAnswer) < unresponsiveAfter {
@@ -142,6 +142,7 @@
 func (d *Dispatcher) forgetTask(key workload.TaskKey) {
 	delete(d.checkpoints, key)
 	delete(d.migrations, key)
+	delete(d.isolationWaits, key)
 }
 
 // leavesAt returns the earliest time at which an announced worker terminates, if it is leaving.
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -36,6 +36,7 @@
 	demand := d.demand(c)
 	demand.Throttled = true
 	for _, task := range c.step.Tasks {
+		c.suspect = d.mustIsolate(task)
 		switch {
 		case d.assigning[task.Key()]:
 			return 0 // its next run is proposed
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -106,6 +106,12 @@
 	superseded          bool      // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
+
+	// Runs that may crash the worker.
+	unproven      map[*workload.Job]int // number of runs, including proposed ones, that haven't worked for provenAfter
+	suspectRuns   int                   // number of unproven runs of suspect tasks
+	reservedFor   *workload.Step        // step with suspect tasks for which the worker is reserved
+	reservedUntil time.Time
 }
 
 // addWorker starts tracking an incarnation. Until the leases of earlier leaders have certainly expired, the worker
@@ -175,13 +181,19 @@
 	if w.crashed {
 		d.config.Count("WorkersCrashed")
 	}
-	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs))
-	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.incarnation.GetNumber(), Ends: ends}}}
+	suspects := d.crashSuspects(w)
+	d.rememberLoss(w)
+	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs),
+		"Suspects", suspectNames(suspects))
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{
+		Number: w.incarnation.GetNumber(), Ends: ends, Suspects: suspects, Crashed: w.crashed,
+	}}}
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
 			w.ending = false
 			return
 		}
+		d.logGivenUp(suspects)
 		d.dropEnded()
 	})
 }
@@ -233,6 +245,9 @@
 		if w.pollOften {
 			call.Wait = shortPollWait
 		}
+		if w.suspectRuns > 0 {
+			call.Wait = provenAfter
+		}
 	}
 	if len(w.incarnation.Runs) > 0 {
 		call.LeaseExpiry = d.extendLease(w)
@@ -360,7 +375,9 @@
 		w.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 	}
 	w.missedCalls = 0
-	w.lastAnswer = d.now
+	if !w.superseded {
+		w.lastAnswer = d.now
+	}
 	if a.Clock > 0 && !a.Received.Before(w.clockReadAt) {
 		w.workerClock, w.clockReadAt = a.Clock, a.Received
 	}
--- /dev/null
+++ b/internal/decision/workload/crash.go
@@ -0,0 +1,68 @@
+package workload
+
+import (
+	"maps"
+	"slices"
+
+	"galenamoor/internal/controlpb"
+)
+
+// A task is given up after two crashes if the latest one shows that it is to blame, and after a few more in any case.
+const (
+	minCrashes    = 2 // if the latest one is evidence against the task
+	minSuspicions = 4 // the same, including crashes for which it isn't certain that the task had started
+	maxCrashes    = 5
+)
+
+// recordCrash counts a crash of a worker for the tasks that may have caused it, and gives up those that are to blame.
+func (s *State) recordCrash(suspects []*controlpb.CrashSuspect) {
+	for _, suspect := range suspects {
+		t := s.Task(TaskKeyFromRef(suspect.GetTask()))
+		if t == nil || t.Done || t.Step.Job.IsTerminal() {
+			continue
+		}
+		if suspect.GetStarted() {
+			t.Crashes++
+		} else {
+			t.Suspicions++
+		}
+		if t.Crashes >= maxCrashes || suspect.GetIsolated() && (t.Crashes >= minCrashes || t.Crashes+t.Suspicions >= minSuspicions) {
+			s.giveUp(t)
+		}
+	}
+}
+
+// giveUp ends a task under which workers crash. Its job fails, unless other tasks of a perpetual step can do without it.
+func (s *State) giveUp(t *Task) {
+	job := t.Step.Job
+	if t.Step.GetPerpetual() && !t.Step.GetGang() {
+		s.finishTask(t)
+	}
+	if !t.Done || job.unfinished == 0 {
+		job.Failed = true
+	}
+	s.finalizeJob(job)
+}
+
+// settleLosses decides about lost workers whose end wasn't certain, now that an incarnation is there under the ID or address of
+// one: a later incarnation shows that it has crashed.
+func (s *State) settleLosses(incarnation *controlpb.WorkerLife) {
+	suspects := s.LossSuspects(incarnation)
+	maps.DeleteFunc(s.unsettled, func(_ string, loss *controlpb.UnsettledLoss) bool {
+		return loss.GetAddress() == incarnation.GetAddress() || loss.GetId() == incarnation.GetId()
+	})
+	s.recordCrash(suspects)
+}
+
+// LossSuspects returns the tasks that may have crashed those lost workers that a new incarnation shows to have crashed.
+func (s *State) LossSuspects(incarnation *controlpb.WorkerLife) []*controlpb.CrashSuspect {
+	var suspects []*controlpb.CrashSuspect
+	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
+		loss := s.unsettled[address]
+		isSame := loss.GetId() == incarnation.GetId()
+		if isSame && loss.GetBornMs() < incarnation.GetBornMs() || !isSame && address == incarnation.GetAddress() {
+			suspects = append(suspects, loss.GetSuspects()...)
+		}
+	}
+	return suspects
+}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -37,7 +37,8 @@
 	return key, nil
 }
 
-func taskKeyFromRef(r *controlpb.TaskRef) TaskKey {
+// TaskKeyFromRef returns the key of an encoded reference.
+func TaskKeyFromRef(r *controlpb.TaskRef) TaskKey {
 	return TaskKey{Job: r.GetJob(), Occurrence: r.GetOccurrence(), Step: r.GetStep(), Index: r.GetIndex()}
 }
 
@@ -75,6 +76,8 @@
 	Index      uint32
 	LastRun    uint32 // number of the latest run, 0 before the first
 	Failures   uint32
+	Crashes    uint32 // incarnations of workers that crashed while the task started on them
+	Suspicions uint32 // the same, but it isn't certain that the task had started
 	Done       bool
 	Checkpoint string
 	Runs       []Run
@@ -124,6 +127,9 @@
 // IsWaiting reports whether the task isn't done and has no live run.
 func (t *Task) IsWaiting() bool { return !t.Done && len(t.Runs) == 0 }
 
+// IsSuspect reports whether the task may have crashed a worker.
+func (t *Task) IsSuspect() bool { return t.Crashes+t.Suspicions > 0 }
+
 // HasRun reports whether the numbered run of the task is live: assigned, and not known to have ended.
 func (t *Task) HasRun(number uint32) bool {
 	return slices.ContainsFunc(t.Runs, func(r Run) bool { return r.Number == number })
@@ -227,7 +233,7 @@
 
 // startRun assigns a run to a worker. It is rejected if the leader's choice is no longer valid.
 func (s *State) startRun(start *controlpb.StartRun) *controlpb.Result {
-	t, w := s.Task(taskKeyFromRef(start.GetTask())), s.workers[start.GetWorker()]
+	t, w := s.Task(TaskKeyFromRef(start.GetTask())), s.workers[start.GetWorker()]
 	switch {
 	case t == nil || t.Done || t.Step.Job.IsTerminal():
 		return errorResult(controlpb.ResultCode_RESULT_REJECTED, "the task needs no run")
@@ -253,7 +259,7 @@
 
 // dropRun withdraws the assignment of a run that is certain never to start.
 func (s *State) dropRun(drop *controlpb.DropRun) *controlpb.Result {
-	t := s.Task(taskKeyFromRef(drop.GetTask()))
+	t := s.Task(TaskKeyFromRef(drop.GetTask()))
 	if t == nil {
 		return &controlpb.Result{}
 	}
@@ -273,7 +279,7 @@
 	}
 	w.EndsSeen = ends.GetThrough()
 	for _, end := range ends.GetEnds() {
-		if t := s.Task(taskKeyFromRef(end.GetTask())); t != nil {
+		if t := s.Task(TaskKeyFromRef(end.GetTask())); t != nil {
 			s.recordRunEnd(w, t, end)
 		}
 	}
--- a/internal/decision/workload/script_test.go
+++ b/internal/decision/workload/script_test.go
@@ -124,6 +124,12 @@
 	if task.Failures > 0 {
 		words = append(words, fmt.Sprintf("failures %d", task.Failures))
 	}
+	if task.Crashes > 0 {
+		words = append(words, fmt.Sprintf("crashes %d", task.Crashes))
+	}
+	if task.Suspicions > 0 {
+		words = append(words, fmt.Sprintf("suspicions %d", task.Suspicions))
+	}
 	if task.Checkpoint != "" {
 		words = append(words, "checkpoint "+task.Checkpoint)
 	}
@@ -184,8 +190,19 @@
 		}}}
 	case "zone": // zone NAME out|in
 		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: &controlpb.SetZoneOut{Zone: options[0], Out: has("out")}}}
-	case "lose": // lose NUMBER
-		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: uint32(s.parseNumber(options[0]))}}}
+	case "lose", "crash": // lose|crash NUMBER [TASK [started] [isolated]]...
+		end := &controlpb.EndLife{Number: uint32(s.parseNumber(options[0])), Crashed: words[0] == "crash"}
+		for _, word := range options[1:] {
+			switch word {
+			case "started":
+				end.Suspects[len(end.Suspects)-1].Started = true
+			case "isolated":
+				end.Suspects[len(end.Suspects)-1].Isolated = true
+			default:
+				end.Suspects = append(end.Suspects, &controlpb.CrashSuspect{Task: s.taskKey(word).Ref()})
+			}
+		}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: end}}
 	case "submit": // submit ID QUEUE COUNT... [gang] [perpetual] [speculative]; each step depends on the one before
 		job := &controlpb.WorkJob{Id: options[0], Queue: options[1]}
 		for _, word := range options[2:] {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -21,6 +21,9 @@
 		GivenUp:    maps.Clone(s.lostIncarnations),
 		Pairs:      s.ImagePairs(),
 	}
+	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
+		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.queues)) {
 		snapshot.KnownQueues = append(snapshot.KnownQueues, s.queues[name])
 	}
@@ -39,7 +42,7 @@
 func (j *Job) record() *controlpb.WorkJobRecord {
 	record := &controlpb.WorkJobRecord{Job: j.Spec, Cancelled: j.Cancelled, Failed: j.Failed, Started: j.Started}
 	j.forEachTask(func(t *Task) {
-		task := &controlpb.WorkTaskRecord{LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint}
+		task := &controlpb.WorkTaskRecord{LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions}
 		for _, r := range t.Runs {
 			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker})
 		}
@@ -74,6 +77,9 @@
 	if lost := snapshot.GetGivenUp(); lost != nil {
 		s.lostIncarnations = maps.Clone(lost)
 	}
+	for _, loss := range snapshot.GetUnsettled() {
+		s.unsettled[loss.GetAddress()] = loss
+	}
 	for _, zone := range snapshot.GetZonesOut() {
 		s.zonesOut[zone] = true
 	}
@@ -117,6 +123,7 @@
 
 func (s *State) restoreTask(t *Task, record *controlpb.WorkTaskRecord) error {
 	t.LastRun, t.Failures, t.Checkpoint = record.GetLastRun(), record.GetFailures(), record.GetCheckpoint()
+	t.Crashes, t.Suspicions = record.GetCrashes(), record.GetSuspicions()
 	if record.GetDone() {
 		s.finishTask(t)
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -44,6 +44,8 @@
 	lastWorkerNumber uint32
 	lostIncarnations map[string]int64 // by worker ID: start of the latest incarnation declared lost, in Unix milliseconds
 
+	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
+
 	jobs          map[string]*Job
 	jobOrder      []*Job // in order of submission
 	finished      map[string]*controlpb.FinishedWork
@@ -63,6 +65,7 @@
 		workers:          map[uint32]*Worker{},
 		workersByID:      map[string]*Worker{},
 		lostIncarnations: map[string]int64{},
+		unsettled:        map[string]*controlpb.UnsettledLoss{},
 		jobs:             map[string]*Job{},
 		finished:         map[string]*controlpb.FinishedWork{},
 		maintenance:      map[uint64]*controlpb.Maintenance{},
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -59,6 +59,7 @@
 		delete(s.lostIncarnations, incarnation.GetId())
 	}
 	s.insertWorker(incarnation)
+	s.settleLosses(incarnation)
 	return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 }
 
@@ -78,11 +79,21 @@
 		}
 		s.lostIncarnations[w.GetId()] = w.GetBornMs()
 		for _, ended := range end.GetEnds() {
-			if t := s.Task(taskKeyFromRef(ended.GetTask())); t != nil {
+			if t := s.Task(TaskKeyFromRef(ended.GetTask())); t != nil {
 				s.recordRunEnd(w, t, ended)
 			}
 		}
 		s.removeWorker(w)
+		switch {
+		case len(end.GetSuspects()) == 0:
+		case end.GetCrashed():
+			s.recordCrash(end.GetSuspects())
+		default:
+			if len(s.unsettled) >= maxLost {
+				clear(s.unsettled)
+			}
+			s.unsettled[w.GetAddress()] = &controlpb.UnsettledLoss{Id: w.GetId(), Address: w.GetAddress(), BornMs: w.GetBornMs(), Suspects: end.GetSuspects()}
+		}
 	}
 	return &controlpb.Result{}
 }
