dispatch: don't repeat a start that exceeds a shrunk capacity

A start without an answer is repeated, also by the next leader, until it is answered. If the worker's capacity has shrunk meanwhile, the repeated start brought a worker that doesn't guard its capacity over it (LIMIT). Placement saw the new capacity, but runs that were assigned before were not checked again.

A start is now ordered only while everything that is assigned to the worker fits its capacity; what is being stopped counts until its end is recorded. Otherwise the run is stopped, as on a leaving worker, and its task starts elsewhere. The other members of its gang are stopped with it.

Evidence: TestStartsFitShrunkWorker failed before ("worker-1 is over its capacity: 24 cores", and 28, of 20).

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -138,6 +138,7 @@
 func (d *Dispatcher) start(r *run) {
 	if reason := d.startBlocker(r.worker); reason != "" {
 		d.requestStop(r, reason)
+		d.stopGang(r)
 		return
 	}
 	leaseExpiry := d.extendLease(r.worker)
@@ -165,6 +166,8 @@
 		return "its zone is out of service"
 	case d.isDraining(w):
 		return "its host is being drained for maintenance"
+	case !w.used.Fits(w.incarnation.Capacity()):
+		return "its worker's capacity has shrunk"
 	}
 	return ""
 }
