workload: don't undo a change of capacity by a delayed announcement

Announcements of a worker are ordered by their sequence numbers, but only the leader remembered these. After a change of leader, a delayed announcement from before a shrink gave the worker its earlier capacity back until its next beat, and starts brought it over its capacity (LIMIT).

The replicated state now keeps the sequence number of the announcement that a worker's record is from, and rejects earlier ones of the same incarnation.

--- a/internal/decision/dispatch/capacity_test.go
+++ b/internal/decision/dispatch/capacity_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"galenamoor/internal/controlpb"
 )
 
@@ -33,3 +35,21 @@
 		sim.expect("assigned", controlpb.WorkState_WORK_COMPLETED)
 	}
 }
+
+// TestLateAnnouncementOfCapacity guards against a delayed announcement that gives a shrunk worker its earlier capacity back
+// after a change of leader.
+func TestLateAnnouncementOfCapacity(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	worker := sim.workers[0]
+	late := &controlpb.AnnounceLife{Life: proto.CloneOf(worker.incarnation), Sequence: 1}
+	worker.incarnation.Processors = 8000
+	sim.run(2 * time.Second)
+	sim.changeLeader()
+	sim.run(100 * time.Millisecond)
+	sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: late}})
+	sim.submit("urgent", "job", dedicated(3, time.Second))
+	sim.run(400 * time.Millisecond)
+	if got := sim.state.WorkerByID("worker-1").GetProcessors(); got != 8000 {
+		t.Errorf("%d milli-cores, expected the 8000 of the newest announcement", got)
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -192,7 +192,11 @@
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
 	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence()}
+	incarnation.Sequence = a.GetSequence()
 	current := d.state.WorkerByID(incarnation.GetId())
+	if current != nil && incarnation.GetBornMs() == current.GetBornMs() && incarnation.GetSequence() < current.GetSequence() {
+		return outcome(controlpb.WorkOutcome_WORK_OK), false // an earlier leader has recorded a newer one
+	}
 	if current != nil && incarnation.GetBornMs() > current.GetBornMs() {
 		if w := d.workers[current.GetNumber()]; w != nil && !w.ending {
 			d.supersede(w)
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -36,6 +36,9 @@
 			return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later life of this worker is known")
 		}
 		if incarnation.GetBornMs() == current.GetBornMs() {
+			if incarnation.GetSequence() < current.GetSequence() {
+				return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later announcement is known")
+			}
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			current.WorkerLife = incarnation
