--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -71,6 +71,7 @@
 	clockReadAt  time.Time     // when that answer was received; zero before the first one
 	leaseExpires time.Time     // every lease granted to this incarnation has expired by then
 	lastAnswer   time.Time     // when the newest answer was received
+	addedAt      time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
 	nextPoll      time.Time
@@ -104,9 +105,16 @@
 	terminating         bool      // it has sent notice that it terminates, and no announcement since
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
+	crashed             bool // a later incarnation of its host has shown that it ended without notice
 	superseded          bool // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
+
+	// Runs that may crash the worker.
+	unproven      map[*workload.Job]int // number of runs, including proposed ones, that haven't worked for provenAfter
+	suspectRuns   int                   // number of unproven runs of suspect tasks
+	reservedFor   *workload.Step        // step with suspect tasks for which the worker is reserved
+	reservedUntil time.Time
 }
 
 // addWorker starts tracking an incarnation. Until the leases of earlier leaders have certainly expired, the worker
@@ -120,7 +128,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", incarnation.GetId(), "Address", incarnation.GetAddress())
 		return
 	}
-	w := &worker{incarnation: incarnation, address: address, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, bestEffortSeen: map[string]time.Time{}}
+	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, bestEffortSeen: map[string]time.Time{}}
 	longestLease := time.Duration(float64(d.config.Limits.MaxLease) * (1 + maxClockDrift))
 	w.leaseExpires = d.leadingSince.Add(longestLease + leaseExpiryMargin)
 	if d.now.Sub(d.leadingSince) > longestLease {
@@ -174,24 +182,48 @@
 	}
 	w.ending = true
 	d.config.Count("WorkersLost")
-	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs))
-	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{Number: w.incarnation.GetNumber(), Ends: ends}}}
+	if w.crashed {
+		d.config.Count("WorkersCrashed")
+	}
+	suspects := d.crashSuspects(w)
+	d.rememberLoss(w)
+	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs),
+		"Suspects", suspectNames(suspects))
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{
+		Number: w.incarnation.GetNumber(), Ends: ends, Suspects: suspects, Crashed: w.crashed,
+	}}}
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
 			w.ending = false
 			return
 		}
+		d.logGivenUp(suspects)
 		d.dropEnded()
 	})
 }
 
+// endCrashed proposes the end of an incarnation that a later one has replaced. Unless it was to end, it has crashed.
+func (d *Dispatcher) endCrashed(w *worker, reason string, ends ...*controlpb.EndedRun) {
+	w.crashed = !w.incarnation.GetLeaving() && !w.terminating && !d.isDraining(w)
+	d.endIncarnation(w, reason, ends...)
+}
+
+// endIncarnationsAt ends the incarnations that a later one at the same address has replaced.
+func (d *Dispatcher) endIncarnationsAt(later *controlpb.WorkerLife) {
+	for _, w := range d.orderedWorkers {
+		if w.incarnation.GetAddress() == later.GetAddress() && w.incarnation.GetId() != later.GetId() && w.incarnation.GetBornMs() <= later.GetBornMs() {
+			d.endCrashed(w, "a later incarnation announced itself at its address")
+		}
+	}
+}
+
 // tickWorkers sends the polls that are due and ends the incarnations of unresponsive workers whose leases have expired.
 func (d *Dispatcher) tickWorkers() {
 	for _, w := range d.workers {
 		switch {
 		case w.terminating && w.incarnation.GetLeaving() && len(w.incarnation.Runs) == 0:
 			d.endIncarnation(w, "it terminates and runs nothing")
-		case d.now.After(w.leaseExpires) && d.now.Sub(w.lastAnswer) > unresponsiveAfter && !w.superseded:
+		case d.now.After(w.leaseExpires) && min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt)) > unresponsiveAfter && !w.superseded:
 			d.endIncarnation(w, "its lease has expired")
 		}
 		if !d.now.Before(w.leaveAckBy) {
@@ -220,6 +252,9 @@
 		if w.pollOften {
 			call.Wait = shortPollWait
 		}
+		if w.suspectRuns > 0 {
+			call.Wait = provenAfter
+		}
 	}
 	if len(w.incarnation.Runs) > 0 {
 		call.LeaseExpiry = d.extendLease(w)
@@ -336,7 +371,7 @@
 		if a.IncarnationStartMs != 0 {
 			d.supersede(w)
 		} else {
-			d.endIncarnation(w, "another incarnation answers at its address")
+			d.endCrashed(w, "another incarnation answers at its address")
 		}
 		return
 	case order.Fenced:
@@ -347,7 +382,9 @@
 		w.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 	}
 	w.missedCalls = 0
-	w.lastAnswer = d.now
+	if !w.superseded {
+		w.lastAnswer = d.now
+	}
 	if a.Clock > 0 && !a.Received.Before(w.clockReadAt) {
 		w.workerClock, w.clockReadAt = a.Clock, a.Received
 	}
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -36,6 +36,9 @@
 			return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later life of this worker is known")
 		}
 		if incarnation.GetBornMs() == current.GetBornMs() {
+			if incarnation.GetSequence() < current.GetSequence() {
+				return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later announcement is known")
+			}
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			current.WorkerLife = incarnation
@@ -59,6 +62,7 @@
 		delete(s.lostIncarnations, incarnation.GetId())
 	}
 	s.insertWorker(incarnation)
+	s.settleLosses(incarnation)
 	return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 }
 
@@ -78,11 +82,21 @@
 		}
 		s.lostIncarnations[w.GetId()] = w.GetBornMs()
 		for _, ended := range end.GetEnds() {
-			if t := s.Task(taskKeyFromRef(ended.GetTask())); t != nil {
+			if t := s.Task(TaskKeyFromRef(ended.GetTask())); t != nil {
 				s.recordRunEnd(w, t, ended)
 			}
 		}
 		s.removeWorker(w)
+		switch {
+		case len(end.GetSuspects()) == 0:
+		case end.GetCrashed():
+			s.recordCrash(end.GetSuspects())
+		default:
+			if len(s.unsettled) >= maxLost {
+				clear(s.unsettled)
+			}
+			s.unsettled[w.GetAddress()] = &controlpb.UnsettledLoss{Id: w.GetId(), Address: w.GetAddress(), BornMs: w.GetBornMs(), Suspects: end.GetSuspects()}
+		}
 	}
 	return &controlpb.Result{}
 }
