dispatch: believe a later incarnation only when it answers

An announcement with a later start under the ID of a live worker superseded that worker at once: its runs were stopped as orphans, its incarnation was ended, and the start announced was remembered, so that the worker's own announcements counted as older until another leader took over. One entry of another writer with a start that is too large was enough.

Now such an announcement brings forward the next poll. An answer with a later start supersedes the worker, as when a poll finds that by itself; an answer of the known incarnation shows that the announcement is false, and nothing is stopped. Without an answer the worker is lost once its lease has expired. Until then it gets no new runs, and the announcement is answered with 503 as before. If the false announcement arrives while the worker isn't known, it is forgotten when the worker answers with an earlier start, so that the worker's own announcements are heard again.

--- /dev/null
+++ b/internal/decision/dispatch/announcement_test.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"galenamoor/internal/controlpb"
+)
+
+// announceAs has another writer announce a worker: a copy of the announcement of a simulated worker with changes.
+func (sim *simulation) announceAs(worker *simWorker, sequence uint64, change func(*controlpb.WorkerLife)) {
+	incarnation := proto.CloneOf(worker.incarnation)
+	change(incarnation)
+	sim.dispatcher.Serve(sim.now, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: &controlpb.WorkRequest{
+		Kind: &controlpb.WorkRequest_Announce{Announce: &controlpb.AnnounceLife{Life: incarnation, Sequence: sequence}},
+	}}})
+}
+
+// A worker must keep its tasks, and stay in use, although another writer has announced a later incarnation of it.
+func TestAnnouncementOfFalseIncarnation(t *testing.T) {
+	for name, bornMs := range map[string]int64{"soon": 1_000_010_000, "far": 1 << 53, "largest": math.MaxInt64} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 2)
+			sim.submit("batch", "long", dedicated(8, 8*time.Second))
+			sim.run(time.Second)
+			runs := len(sim.workers[0].runs)
+			sim.announceAs(sim.workers[0], 1, func(incarnation *controlpb.WorkerLife) { incarnation.BornMs = bornMs })
+			sim.run(4 * time.Second)
+			if left := len(sim.workers[0].runs); left != runs {
+				t.Errorf("%d of %d runs are left", left, runs)
+			}
+			sim.run(20 * time.Second)
+			sim.expect("long", controlpb.WorkState_WORK_COMPLETED)
+			if w := sim.state.WorkerByID("worker-1"); w == nil || w.GetBornMs() != sim.workers[0].incarnation.GetBornMs() {
+				t.Errorf("the worker is known as %v, expected %v", w, sim.workers[0].incarnation)
+			}
+		})
+	}
+}
+
+// A worker must be accepted although another writer has announced a later incarnation of it before it was known.
+func TestAnnouncementOfFalseIncarnationBeforeWorker(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	worker := sim.workers[0]
+	worker.up = false
+	sim.run(leaseTime + 3*time.Second)
+	sim.announceAs(worker, 1, func(incarnation *controlpb.WorkerLife) { incarnation.BornMs = 1 << 53 })
+	sim.run(100 * time.Millisecond)
+	worker.startIncarnation(worker.incarnation)
+	sim.run(10 * time.Second)
+	if w := sim.state.WorkerByID("worker-1"); w == nil || w.GetBornMs() != worker.incarnation.GetBornMs() {
+		t.Errorf("the worker is known as %v, expected %v", w, worker.incarnation)
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -191,14 +191,14 @@
 	if routing := d.state.Routing(); routing != nil && d.state.Pool(incarnation.GetPool()) == nil {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
-	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence()}
 	current := d.state.WorkerByID(incarnation.GetId())
 	if current != nil && incarnation.GetBornMs() > current.GetBornMs() {
 		if w := d.workers[current.GetNumber()]; w != nil && !w.ending {
-			d.supersede(w)
+			d.checkIncarnation(w)
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
+	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence()}
 	if current != nil && isUnchanged(current, incarnation) {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -274,6 +274,9 @@
 		w.nextPoll = d.now.Add(callRetryDelay)
 		return
 	}
+	if d.handleIncarnationCheck(w, a) {
+		return
+	}
 	w.hasOrphans = false
 	listed := map[workload.RunKey]bool{}
 	for _, running := range a.Running {
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -399,6 +399,9 @@
 
 func (s *simWorker) poll(call *order.Call, clock time.Duration) *order.Answer {
 	answer := &order.Answer{Status: order.OK, Clock: clock}
+	if call.IncarnationStartMs == 0 {
+		answer.IncarnationStartMs = s.incarnation.GetBornMs()
+	}
 	s.ended = slices.DeleteFunc(s.ended, func(e simEnd) bool {
 		seen := e.Number <= call.RecordedEnds
 		if seen && !e.discarded && e.Result == controlpb.RunEnd_RUN_DONE {
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -1,11 +1,38 @@
 package dispatch
 
 import (
+	"time"
+
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
 
+// checkIncarnation polls a worker of which a later incarnation was announced. The announcement may be false, and the worker's
+// answer shows which incarnation it is. Until then the worker gets no new runs.
+func (d *Dispatcher) checkIncarnation(w *worker) {
+	if w.superseded || !w.laterAnnouncedAt.IsZero() {
+		return
+	}
+	w.laterAnnouncedAt, w.nextPoll = d.now, d.now
+	d.config.Log.Info("later incarnation of worker announced", "Worker", w.incarnation.GetId())
+}
+
+// handleIncarnationCheck handles an answer to a poll that was sent after a later incarnation was announced. It reports
+// whether that incarnation has answered.
+func (d *Dispatcher) handleIncarnationCheck(w *worker, a *order.Answer) bool {
+	if w.laterAnnouncedAt.IsZero() || a.Call.Sent.Before(w.laterAnnouncedAt) {
+		return false
+	}
+	w.laterAnnouncedAt = time.Time{}
+	if a.IncarnationStartMs > w.incarnation.GetBornMs() {
+		d.supersede(w)
+		return true
+	}
+	d.config.Log.Info("announced incarnation doesn't exist", "Worker", w.incarnation.GetId())
+	return false
+}
+
 // supersede excludes an incarnation of a worker after a later one has answered under the same ID. Orders for the earlier
 // incarnation may have started runs in the later one, which had no fencing token yet. They are rejected once the later
 // one has seen a higher token, and what they have started is stopped before its tasks may start elsewhere.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -101,6 +101,7 @@
 	quarantinedUntil    time.Time
 	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
 	leavesAt            time.Time // earliest time at which a leaving worker terminates
+	laterAnnouncedAt    time.Time // when a later incarnation was announced; zero once an answer shows whether it exists
 	superseded          bool      // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
@@ -208,7 +209,7 @@
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
 	call.RecordedEnds = w.incarnation.GetEndsSeen()
-	if w.missedCalls == 0 && !w.clockReadAt.IsZero() {
+	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.laterAnnouncedAt.IsZero() {
 		call.Wait = pollWait
 		if w.pollOften {
 			call.Wait = shortPollWait
@@ -272,7 +273,7 @@
 
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
-	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && !w.hasOrphans && w.endsAt.IsZero() && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
+	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && w.laterAnnouncedAt.IsZero() && !w.hasOrphans && w.endsAt.IsZero() && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
 		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.state.IsZoneOut(w.incarnation.GetZone()) && !d.now.Before(w.quarantinedUntil) &&
 		!d.isDraining(w)
 }
@@ -327,6 +328,9 @@
 		return
 	case order.OtherIncarnation:
 		if a.IncarnationStartMs != 0 {
+			if a.IncarnationStartMs < w.incarnation.GetBornMs() {
+				delete(d.lastAnnouncements, w.incarnation.GetId()) // the announcement of this incarnation was false
+			}
 			d.supersede(w)
 		} else {
 			d.endIncarnation(w, "another incarnation answers at its address")
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -89,7 +89,7 @@
 	Status             Status
 	Received           time.Time            // by the leader's clock
 	Clock              time.Duration        // the worker's clock when it responded; 0 when unknown
-	IncarnationStartMs int64                // of OtherIncarnation: start of the responding incarnation if it has the same ID, else 0
+	IncarnationStartMs int64                // start of the responding incarnation if it has the same ID and isn't the addressed one, else 0
 	Running            []Running            // of Poll
 	Ended              []Ended              // of Poll
 	Tickets            map[string]string    // of Advise: by ID of each worker that may run the step
