dispatch: forget a sequence number that no announcement follows

The announcements of a worker are ordered by start and sequence number, and older ones are acknowledged without effect. One entry of another writer with a number that is too large made all later announcements of the worker older ones, until another leader took over: the notice that the worker leaves and changes of its capacity were acknowledged and lost. The order only has to hold back late announcements, which arrive within maxCallDelay (12 s). Now a version that nothing has followed for that long holds back no announcement.

TestAnnouncementWithTooLargeSequence failed before: the notice was ignored for the 15 s that it waits.

--- a/internal/decision/dispatch/announcement_test.go
+++ b/internal/decision/dispatch/announcement_test.go
@@ -55,3 +55,14 @@
 		t.Errorf("the worker is known as %v, expected %v", w, worker.incarnation)
 	}
 }
+
+// A worker must be heard again although another writer has announced it with a sequence number that is too large.
+func TestAnnouncementWithTooLargeSequence(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.announceAs(sim.workers[0], math.MaxUint64, func(*controlpb.WorkerLife) {})
+	sim.workers[0].incarnation.Leaving = true
+	sim.run(maxCallDelay + 3*time.Second)
+	if !sim.state.WorkerByID("worker-1").GetLeaving() {
+		t.Error("the notice of the worker that it leaves was ignored")
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -11,6 +11,18 @@
 type announcementVersion struct {
 	incarnationStartMs int64
 	sequence           uint64
+	receivedAt         time.Time
+}
+
+// supersedes reports whether an announcement that is received now is a late one that precedes this version. A version that
+// no announcement has followed for maxCallDelay supersedes none: a late announcement would have arrived by now, so its number
+// was false.
+func (v announcementVersion) supersedes(a *controlpb.AnnounceLife, now time.Time) bool {
+	if now.Sub(v.receivedAt) > maxCallDelay {
+		return false
+	}
+	startMs := a.GetLife().GetBornMs()
+	return startMs < v.incarnationStartMs || startMs == v.incarnationStartMs && a.GetSequence() < v.sequence
 }
 
 // Serve handles a request and returns its reply, or wait if the reply will come through TakeReplies.
@@ -184,8 +196,7 @@
 // announce handles a worker's announcement of itself. One without changes is acknowledged immediately.
 func (d *Dispatcher) announce(r *controlpb.LeaderRequest, a *controlpb.AnnounceLife) (*controlpb.LeaderReply, bool) {
 	incarnation := a.GetLife()
-	last := d.lastAnnouncements[incarnation.GetId()]
-	if incarnation.GetBornMs() < last.incarnationStartMs || incarnation.GetBornMs() == last.incarnationStartMs && a.GetSequence() < last.sequence {
+	if d.lastAnnouncements[incarnation.GetId()].supersedes(a, d.now) {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false // a newer announcement has already arrived
 	}
 	if routing := d.state.Routing(); routing != nil && d.state.Pool(incarnation.GetPool()) == nil {
@@ -198,7 +209,7 @@
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
-	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence()}
+	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
 	if current != nil && isUnchanged(current, incarnation) {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
