dispatch: check whether a worker is gone before another takes its address

An announcement under a new ID at the address of a live worker ended that worker's incarnation at once, unless its start was earlier: its tasks were started elsewhere while they were still running. A single entry of another writer with an address that is taken was enough, and so would be a late heartbeat of an earlier worker at that address where announcements carry no start, as in the example of the protocol. As with a later incarnation under the same ID, the worker that is known there is now polled first: if another ID answers, its incarnation ends, and the announcement, repeated, is accepted; if it answers itself, nothing changes; without an answer its lease expires first.

TestAnnouncementOfFalseWorkerAtAddress failed before: four tasks started on worker-2 while their first runs were on worker-1. TestSuccessorAtAddress passed before and guards that a real successor is accepted.

--- a/internal/decision/dispatch/announcement_test.go
+++ b/internal/decision/dispatch/announcement_test.go
@@ -66,3 +66,38 @@
 		t.Error("the notice of the worker that it leaves was ignored")
 	}
 }
+
+// A worker must keep its tasks although another writer has announced another worker at its address.
+func TestAnnouncementOfFalseWorkerAtAddress(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.submit("batch", "long", dedicated(8, 8*time.Second))
+	sim.run(time.Second)
+	runs := len(sim.workers[0].runs)
+	sim.announceAs(sim.workers[0], 1, func(incarnation *controlpb.WorkerLife) { incarnation.Id = "worker-9" })
+	sim.run(2 * time.Second)
+	if w := sim.state.WorkerByID("worker-1"); w == nil || len(w.Runs) != runs {
+		t.Errorf("the worker is known as %v, with %d runs expected", w, runs)
+	}
+	sim.run(18 * time.Second)
+	sim.expect("long", controlpb.WorkState_WORK_COMPLETED)
+	if sim.state.WorkerByID("worker-1") == nil {
+		t.Error("the worker is no longer known")
+	}
+}
+
+// A worker must take over the address of an earlier one with another ID as soon as that one is known to be gone.
+func TestSuccessorAtAddress(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.submit("batch", "long", dedicated(8, 2*time.Second))
+	sim.run(time.Second)
+	worker := sim.workers[0]
+	successor := proto.CloneOf(worker.incarnation)
+	successor.Id = "worker-9"
+	worker.startIncarnation(successor)
+	sim.run(4 * time.Second)
+	if w := sim.state.WorkerByID("worker-9"); w == nil || sim.state.WorkerByID("worker-1") != nil {
+		t.Errorf("the successor is known as %v", w)
+	}
+	sim.run(5 * time.Second)
+	sim.expect("long", controlpb.WorkState_WORK_COMPLETED)
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -209,8 +209,15 @@
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
+	unchanged := current != nil && isUnchanged(current, incarnation)
+	if !unchanged {
+		if other := d.otherAt(incarnation); other != nil && incarnation.GetBornMs() >= other.incarnation.GetBornMs() {
+			d.checkIncarnation(other)
+			return unavailable("another worker is known at this address"), false
+		}
+	}
 	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
-	if current != nil && isUnchanged(current, incarnation) {
+	if unchanged {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
@@ -222,6 +229,16 @@
 	return nil, true
 }
 
+// otherAt returns a worker with another ID at the address of an announced one, or nil.
+func (d *Dispatcher) otherAt(incarnation *controlpb.WorkerLife) *worker {
+	for _, w := range d.orderedWorkers {
+		if w.incarnation.GetAddress() == incarnation.GetAddress() && w.incarnation.GetId() != incarnation.GetId() && !w.ending {
+			return w
+		}
+	}
+	return nil
+}
+
 func isUnchanged(current *workload.Worker, incarnation *controlpb.WorkerLife) bool {
 	return current.GetBornMs() == incarnation.GetBornMs() && current.GetPool() == incarnation.GetPool() &&
 		current.GetAddress() == incarnation.GetAddress() && current.GetZone() == incarnation.GetZone() &&
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -8,18 +8,18 @@
 	"galenamoor/internal/decision/workload"
 )
 
-// checkIncarnation polls a worker of which a later incarnation was announced. The announcement may be false, and the worker's
-// answer shows which incarnation it is. Until then the worker gets no new runs.
+// checkIncarnation polls a worker after the announcement of a later incarnation, or of another worker at its address. The
+// announcement may be false, and the answer shows which incarnation is there. Until then the worker gets no new runs.
 func (d *Dispatcher) checkIncarnation(w *worker) {
 	if w.superseded || !w.laterAnnouncedAt.IsZero() {
 		return
 	}
 	w.laterAnnouncedAt, w.nextPoll = d.now, d.now
-	d.config.Log.Info("later incarnation of worker announced", "Worker", w.incarnation.GetId())
+	d.config.Log.Info("later incarnation announced", "Worker", w.incarnation.GetId(), "Address", w.incarnation.GetAddress())
 }
 
-// handleIncarnationCheck handles an answer to a poll that was sent after a later incarnation was announced. It reports
-// whether that incarnation has answered.
+// handleIncarnationCheck handles an answer to a poll, and concludes from one that was sent after a later incarnation was
+// announced whether there is one. It reports whether that has answered.
 func (d *Dispatcher) handleIncarnationCheck(w *worker, a *order.Answer) bool {
 	if w.laterAnnouncedAt.IsZero() || a.Call.Sent.Before(w.laterAnnouncedAt) {
 		return false
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -101,7 +101,7 @@
 	quarantinedUntil    time.Time
 	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
 	leavesAt            time.Time // earliest time at which a leaving worker terminates
-	laterAnnouncedAt    time.Time // when a later incarnation was announced; zero once an answer shows whether it exists
+	laterAnnouncedAt    time.Time // when a later incarnation here was announced; zero once an answer shows whether it exists
 	superseded          bool      // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
