dispatch: keep the address of an incarnation

One incarnation listens at one address, but an announcement with the same ID and start and another address replaced the address in the replicated state, which the next leader calls. Such an announcement, which only another writer can have sent, is now answered with 503 and changes nothing.

TestAnnouncementOfFalseAddress failed before: the address was 10.0.9.9:80 1 s after the announcement. Where announcements carry no start, a change of address can't be told from a restart and is accepted as before.

--- a/internal/decision/dispatch/announcement_test.go
+++ b/internal/decision/dispatch/announcement_test.go
@@ -101,3 +101,13 @@
 	sim.run(5 * time.Second)
 	sim.expect("long", controlpb.WorkState_WORK_COMPLETED)
 }
+
+// The address of a worker must not be replaced by another writer's announcement of the same incarnation.
+func TestAnnouncementOfFalseAddress(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.announceAs(sim.workers[0], 1000, func(incarnation *controlpb.WorkerLife) { incarnation.Address = "10.0.9.9:80" })
+	sim.run(time.Second)
+	if got, want := sim.state.WorkerByID("worker-1").GetAddress(), sim.workers[0].incarnation.GetAddress(); got != want {
+		t.Errorf("address %s, expected %s", got, want)
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -209,6 +209,9 @@
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
+	if current != nil && incarnation.GetBornMs() == current.GetBornMs() && current.GetBornMs() != 0 && incarnation.GetAddress() != current.GetAddress() {
+		return unavailable("this life is known at another address"), false
+	}
 	unchanged := current != nil && isUnchanged(current, incarnation)
 	if !unchanged {
 		if other := d.otherAt(incarnation); other != nil && incarnation.GetBornMs() >= other.incarnation.GetBornMs() {
