--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -23,11 +23,12 @@
 
 // maintenanceState is the leader's soft state of maintenance waves.
 type maintenanceState struct {
-	hosts    map[string]order.HostState // as last listed
-	listedAt time.Time                  // when that list was requested; zero before the first one
-	listing  bool                       // a list call is in flight
-	nextList time.Time
-	draining map[string]*drainingHost
+	hosts      map[string]order.HostState // as last listed
+	incomplete bool                       // that list may lack hosts
+	listedAt   time.Time                  // when that list was requested; zero before the first one
+	listing    bool                       // a list call is in flight
+	nextList   time.Time
+	draining   map[string]*drainingHost
 }
 
 // drainingHost is a host that is excluded from placement for a maintenance wave.
@@ -65,7 +66,7 @@
 		state, isListed := d.maintenance.hosts[name]
 		begun := slices.Contains(wave.GetBegun(), name)
 		if !isListed {
-			if !begun {
+			if !begun && !d.maintenance.incomplete {
 				d.recordMaintained(wave.GetWave(), name, "the host no longer exists")
 			}
 			continue
@@ -143,7 +144,7 @@
 		d.config.Log.Info("hosts not listed", "Status", a.Status.String(), "Error", errorText(a.Err))
 		return
 	}
-	d.maintenance.hosts, d.maintenance.listedAt = a.Hosts, a.Call.Sent
+	d.maintenance.hosts, d.maintenance.incomplete, d.maintenance.listedAt = a.Hosts, a.HostsIncomplete, a.Call.Sent
 	for name, draining := range d.maintenance.draining {
 		if state, ok := a.Hosts[name]; ok && state == order.HostUp && !draining.ordering && !draining.recording && d.isBegun(draining.wave, name) {
 			delete(d.maintenance.draining, name)
--- a/internal/decision/dispatch/maintenance_test.go
+++ b/internal/decision/dispatch/maintenance_test.go
@@ -20,6 +20,7 @@
 	unavailable    map[string]bool
 	begun          []string
 	fences         map[string]uint64
+	unreadable     string  // host whose entry in the list can't be read
 	delayedRate    float64 // share of orders that get no answer and are carried out seconds later
 }
 
@@ -54,6 +55,10 @@
 		}
 		answer.Hosts[worker.incarnation.GetHost()] = state
 	}
+	if _, listed := answer.Hosts[h.unreadable]; listed {
+		delete(answer.Hosts, h.unreadable)
+		answer.HostsIncomplete = true
+	}
 	return answer
 }
 
@@ -164,3 +169,21 @@
 		})
 	}
 }
+
+// A host whose entry in the list can't be read must not be recorded as maintained, and the maintenance of the others must go
+// on.
+func TestUnreadableHost(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	hosts := newHostService(sim, 2)
+	hosts.unreadable = "host-1"
+	sim.beginWave(1, 2, "host-1", "host-2")
+	sim.run(10 * time.Second)
+	if sim.isCompleted(1) || !slices.Equal(hosts.begun, []string{"host-2"}) {
+		t.Errorf("maintained %v, completed %v; expected host-2 only", hosts.begun, sim.isCompleted(1))
+	}
+	hosts.unreadable = ""
+	sim.run(10 * time.Second)
+	if !sim.isCompleted(1) || len(hosts.begun) != 2 {
+		t.Errorf("maintained %v, completed %v; expected both hosts", hosts.begun, sim.isCompleted(1))
+	}
+}
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -95,6 +95,7 @@
 	Tickets            map[string]string    // of Advise: by ID of each worker that may run the step
 	ValidFor           time.Duration        // of Advise: validity of the tickets, from when they were issued
 	Hosts              map[string]HostState // of ListHosts: by host name
+	HostsIncomplete    bool                 // of ListHosts: entries of the list can't be read, and may be of any host that isn't in Hosts
 	Err                error                // cause of NoAnswer
 }
 
