dispatch: order no start from a superseded incarnation

Orders for an incarnation that a later one under the same ID has superseded are invalidated by a poll of the later one with a higher fencing token (pollSuccessor). Calls for the superseded incarnation carry that higher token, and the scan of runs orders nothing from it. But a run whose assignment was proposed before and committed after that was ordered by the callback of the commit, under the higher token: the later incarnation accepts it, and if the order is delayed, it is carried out after the earlier incarnation was settled and its tasks were started elsewhere, until another call to the later incarnation rejects it.

--- a/internal/decision/dispatch/announcement_test.go
+++ b/internal/decision/dispatch/announcement_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
 )
 
 // announceAs has another writer announce a worker: a copy of the announcement of a simulated worker with changes.
@@ -111,3 +112,38 @@
 		t.Errorf("address %s, expected %s", got, want)
 	}
 }
+
+// startRecorder records the start orders among the calls that it passes on.
+type startRecorder struct {
+	WorkerCalls
+	starts []*order.Call
+}
+
+func (r *startRecorder) Send(call *order.Call) {
+	if call.Kind == order.Start {
+		r.starts = append(r.starts, call)
+	}
+	r.WorkerCalls.Send(call)
+}
+
+// A run whose assignment is committed after its worker was superseded must not be ordered: the later incarnation would accept
+// the order even after the earlier one is settled.
+func TestNoStartAfterSuperseded(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	recorder := &startRecorder{WorkerCalls: sim}
+	sim.dispatcher.config.WorkerCalls = recorder
+	sim.submit("urgent", "a", dedicated(4, 300*time.Millisecond))
+	for len(sim.dispatcher.assigning) == 0 {
+		sim.run(10 * time.Millisecond)
+	}
+	sim.workers[0].startIncarnation(sim.workers[0].incarnation)
+	number := sim.dispatcher.orderedWorkers[0].incarnation.GetNumber()
+	sim.dispatcher.supersede(sim.dispatcher.orderedWorkers[0])
+	sim.run(10 * time.Second)
+	for _, call := range recorder.starts {
+		if call.Incarnation == number {
+			t.Errorf("%s was ordered from incarnation %d with fencing token %d", call.Run.Task, number, call.Fence)
+		}
+	}
+	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -135,6 +135,9 @@
 		d.requestStop(r, reason)
 		return
 	}
+	if r.worker.superseded {
+		return // the later incarnation would accept the order under the token that rejects those for the earlier one
+	}
 	leaseExpiry := d.extendLease(r.worker)
 	if leaseExpiry == 0 || r.worker.ending {
 		r.nextStart = d.now.Add(callRetryDelay)
