dispatch: test false announcements together with faults

TestFalseAnnouncementsWithFaults has another writer announce false incarnations, workers, addresses and sequence numbers while workers restart and calls are lost or carried out late.

--- a/internal/decision/dispatch/announcement_test.go
+++ b/internal/decision/dispatch/announcement_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -147,3 +148,43 @@
 	}
 	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
 }
+
+// False announcements must neither duplicate nor lose tasks while workers restart and calls are lost or late.
+func TestFalseAnnouncementsWithFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulationWithWorkers(t, seed, 5)
+		sim.lossRate, sim.delayedRate = 0.1, 0.7
+		for i := range 15 {
+			sim.submit("urgent", fmt.Sprintf("job-%d", i), dedicated(5, time.Second))
+			target, other := sim.workers[sim.random.IntN(5)], sim.workers[sim.random.IntN(5)]
+			sim.announceAs(target, sim.random.Uint64(), func(incarnation *controlpb.WorkerLife) {
+				switch sim.random.IntN(4) {
+				case 0:
+					incarnation.BornMs += sim.random.Int64N(1 << 40)
+				case 1:
+					incarnation.Id = fmt.Sprintf("false-%d", i)
+				case 2:
+					incarnation.Address = other.incarnation.GetAddress()
+				case 3:
+					incarnation.Leaving = true
+					incarnation.BornMs -= sim.random.Int64N(1 << 40)
+				}
+			})
+			if sim.random.IntN(3) == 0 {
+				restarted := sim.workers[sim.random.IntN(5)]
+				restarted.startIncarnation(restarted.incarnation)
+			}
+			sim.run(400 * time.Millisecond)
+		}
+		sim.lossRate = 0
+		sim.run(40 * time.Second)
+		for i := range 15 {
+			sim.expect(fmt.Sprintf("job-%d", i), controlpb.WorkState_WORK_COMPLETED)
+		}
+		for _, worker := range sim.workers {
+			if w := sim.state.WorkerByID(worker.incarnation.GetId()); w == nil || w.GetBornMs() != worker.incarnation.GetBornMs() {
+				t.Errorf("seed %d: %s is known as %v", seed, worker.incarnation.GetId(), w)
+			}
+		}
+	}
+}
