--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -178,6 +178,9 @@
 		"Routing", d.state.Routing().GetVersion())
 	for _, incarnation := range d.state.Workers() {
 		d.addWorker(incarnation)
+		d.lastAnnouncements[incarnation.GetId()] = announcementVersion{
+			incarnationStartMs: incarnation.GetBornMs(), sequence: incarnation.GetSequence(), receivedAt: d.now,
+		}
 	}
 	for _, pair := range d.state.ImagePairs() {
 		d.interference.Restore(d.now, imagepair.Pair{Victim: pair.GetVictim(), Aggressor: pair.GetAggressor(), LogOdds: pair.GetOdds()})
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -11,6 +11,18 @@
 type announcementVersion struct {
 	incarnationStartMs int64
 	sequence           uint64
+	receivedAt         time.Time
+}
+
+// supersedes reports whether an announcement that is received now is a late one that precedes this version. A version that
+// no announcement has followed for maxCallDelay supersedes none: a late announcement would have arrived by now, so its number
+// was false.
+func (v announcementVersion) supersedes(a *controlpb.AnnounceLife, now time.Time) bool {
+	if now.Sub(v.receivedAt) > maxCallDelay {
+		return false
+	}
+	startMs := a.GetLife().GetBornMs()
+	return startMs < v.incarnationStartMs || startMs == v.incarnationStartMs && a.GetSequence() < v.sequence
 }
 
 // Serve handles a request and returns its reply, or wait if the reply will come through TakeReplies.
@@ -184,35 +196,38 @@
 // announce handles a worker's announcement of itself. One without changes is acknowledged immediately.
 func (d *Dispatcher) announce(r *controlpb.LeaderRequest, a *controlpb.AnnounceLife) (*controlpb.LeaderReply, bool) {
 	incarnation := a.GetLife()
-	last := d.lastAnnouncements[incarnation.GetId()]
-	if incarnation.GetBornMs() < last.incarnationStartMs || incarnation.GetBornMs() == last.incarnationStartMs && a.GetSequence() < last.sequence {
+	if d.lastAnnouncements[incarnation.GetId()].supersedes(a, d.now) {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false // a newer announcement has already arrived
 	}
 	if routing := d.state.Routing(); routing != nil && d.state.Pool(incarnation.GetPool()) == nil {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
-	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence()}
 	incarnation.Sequence = a.GetSequence()
 	current := d.state.WorkerByID(incarnation.GetId())
-	if current != nil && incarnation.GetBornMs() == current.GetBornMs() && incarnation.GetSequence() < current.GetSequence() {
-		return outcome(controlpb.WorkOutcome_WORK_OK), false // an earlier leader has recorded a newer one
-	}
 	if current != nil && incarnation.GetBornMs() > current.GetBornMs() {
 		if w := d.workers[current.GetNumber()]; w != nil && !w.ending {
-			d.supersede(w)
+			d.checkIncarnation(w)
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
+	if current != nil && incarnation.GetBornMs() == current.GetBornMs() && current.GetBornMs() != 0 && incarnation.GetAddress() != current.GetAddress() {
+		return unavailable("this life is known at another address"), false
+	}
 	if current != nil && !incarnation.GetLeaving() {
 		if w := d.workers[current.GetNumber()]; w != nil && current.GetBornMs() == incarnation.GetBornMs() {
 			w.terminating = false // the notice was for an earlier incarnation
 		}
 	}
-	if current != nil && isUnchanged(current, incarnation) {
-		return outcome(controlpb.WorkOutcome_WORK_OK), false
+	unchanged := current != nil && isUnchanged(current, incarnation)
+	if !unchanged {
+		if other := d.otherAt(incarnation); other != nil && incarnation.GetBornMs() >= other.incarnation.GetBornMs() {
+			d.checkIncarnation(other)
+			return unavailable("another worker is known at this address"), false
+		}
 	}
-	if current == nil {
-		d.endIncarnationsAt(incarnation)
+	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
+	if unchanged {
+		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
 	suspects := d.state.LossSuspects(incarnation)
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
@@ -225,6 +240,16 @@
 	return nil, true
 }
 
+// otherAt returns a worker with another ID at the address of an announced one, or nil.
+func (d *Dispatcher) otherAt(incarnation *controlpb.WorkerLife) *worker {
+	for _, w := range d.orderedWorkers {
+		if w.incarnation.GetAddress() == incarnation.GetAddress() && w.incarnation.GetId() != incarnation.GetId() && !w.ending {
+			return w
+		}
+	}
+	return nil
+}
+
 func isUnchanged(current *workload.Worker, incarnation *controlpb.WorkerLife) bool {
 	return current.GetBornMs() == incarnation.GetBornMs() && current.GetPool() == incarnation.GetPool() &&
 		current.GetAddress() == incarnation.GetAddress() && current.GetZone() == incarnation.GetZone() &&
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -147,6 +147,9 @@
 		d.stopGang(r)
 		return
 	}
+	if r.worker.superseded {
+		return // the later incarnation would accept the order under the token that rejects those for the earlier one
+	}
 	leaseExpiry := d.extendLease(r.worker)
 	if leaseExpiry == 0 || r.worker.ending {
 		r.nextStart = d.now.Add(callRetryDelay)
@@ -299,6 +302,9 @@
 		w.nextPoll = d.now.Add(callRetryDelay)
 		return
 	}
+	if d.handleIncarnationCheck(w, a) {
+		return
+	}
 	w.hasOrphans = false
 	listed := map[workload.RunKey]bool{}
 	for _, running := range a.Running {
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -1,11 +1,38 @@
 package dispatch
 
 import (
+	"time"
+
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
 
+// checkIncarnation polls a worker after the announcement of a later incarnation, or of another worker at its address. The
+// announcement may be false, and the answer shows which incarnation is there. Until then the worker gets no new runs.
+func (d *Dispatcher) checkIncarnation(w *worker) {
+	if w.superseded || !w.laterAnnouncedAt.IsZero() {
+		return
+	}
+	w.laterAnnouncedAt, w.nextPoll = d.now, d.now
+	d.config.Log.Info("later incarnation announced", "Worker", w.incarnation.GetId(), "Address", w.incarnation.GetAddress())
+}
+
+// handleIncarnationCheck handles an answer to a poll, and concludes from one that was sent after a later incarnation was
+// announced whether there is one. It reports whether that has answered.
+func (d *Dispatcher) handleIncarnationCheck(w *worker, a *order.Answer) bool {
+	if w.laterAnnouncedAt.IsZero() || a.Call.Sent.Before(w.laterAnnouncedAt) {
+		return false
+	}
+	w.laterAnnouncedAt = time.Time{}
+	if a.IncarnationStartMs > w.incarnation.GetBornMs() {
+		d.supersede(w)
+		return true
+	}
+	d.config.Log.Info("announced incarnation doesn't exist", "Worker", w.incarnation.GetId())
+	return false
+}
+
 // supersede excludes an incarnation of a worker after a later one has answered under the same ID. Orders for the earlier
 // incarnation may have started runs in the later one, which had no fencing token yet. They are rejected once the later
 // one has seen a higher token, and what they have started is stopped before its tasks may start elsewhere.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -105,8 +105,9 @@
 	terminating         bool      // it has sent notice that it terminates, and no announcement since
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
-	crashed             bool // a later incarnation of its host has shown that it ended without notice
-	superseded          bool // a later incarnation under the same ID has answered
+	laterAnnouncedAt    time.Time // when a later incarnation here was announced; zero once an answer shows whether it exists
+	crashed             bool      // a later incarnation of its host has shown that it ended without notice
+	superseded          bool      // a later incarnation under the same ID has answered
 	supersededAt        time.Time
 	ending              bool // the end of its incarnation is proposed
 
@@ -208,15 +209,6 @@
 	d.endIncarnation(w, reason, ends...)
 }
 
-// endIncarnationsAt ends the incarnations that a later one at the same address has replaced.
-func (d *Dispatcher) endIncarnationsAt(later *controlpb.WorkerLife) {
-	for _, w := range d.orderedWorkers {
-		if w.incarnation.GetAddress() == later.GetAddress() && w.incarnation.GetId() != later.GetId() && w.incarnation.GetBornMs() <= later.GetBornMs() {
-			d.endCrashed(w, "a later incarnation announced itself at its address")
-		}
-	}
-}
-
 // tickWorkers sends the polls that are due and ends the incarnations of unresponsive workers whose leases have expired.
 func (d *Dispatcher) tickWorkers() {
 	for _, w := range d.workers {
@@ -247,7 +239,7 @@
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
 	call.RecordedEnds = w.incarnation.GetEndsSeen()
-	if w.missedCalls == 0 && !w.clockReadAt.IsZero() {
+	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.laterAnnouncedAt.IsZero() {
 		call.Wait = pollWait
 		if w.pollOften {
 			call.Wait = shortPollWait
@@ -314,7 +306,7 @@
 
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
-	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && !w.hasOrphans && !w.terminating && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
+	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && w.laterAnnouncedAt.IsZero() && !w.hasOrphans && !w.terminating && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
 		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.state.IsZoneOut(w.incarnation.GetZone()) && !d.now.Before(w.quarantinedUntil) &&
 		!d.isDraining(w)
 }
@@ -369,6 +361,9 @@
 		return
 	case order.OtherIncarnation:
 		if a.IncarnationStartMs != 0 {
+			if a.IncarnationStartMs < w.incarnation.GetBornMs() {
+				delete(d.lastAnnouncements, w.incarnation.GetId()) // the announcement of this incarnation was false
+			}
 			d.supersede(w)
 		} else {
 			d.endCrashed(w, "another incarnation answers at its address")
