workload: fail the job of a lasting task that crashes its workers

A lasting task that was given up left its job active without it, which callers saw as healthy, and the job's other tasks kept their room although such a job earns nothing. Its job now fails like any other.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -65,14 +65,13 @@
 	}
 }
 
-// othersUnproven reports whether a worker has unproven runs that could be confused with a run of the step: those of other
-// jobs and, if tasks of the step are given up one by one, more than own of its own job.
-func (w *worker) othersUnproven(step *workload.Step, own int) bool {
-	ofJob := w.unproven[step.Job]
-	if ofJob > 0 && len(w.unproven) > 1 || ofJob == 0 && len(w.unproven) > 0 {
-		return true
+// othersUnproven reports whether a worker has unproven runs of other jobs, with which one of the job could be confused.
+func (w *worker) othersUnproven(job *workload.Job) bool {
+	others := len(w.unproven)
+	if w.unproven[job] > 0 {
+		others--
 	}
-	return step.GetPerpetual() && !step.GetGang() && ofJob > own
+	return others > 0
 }
 
 // markUnproven marks a run, which is being started, as a possible cause of a crash of its worker.
@@ -110,8 +109,8 @@
 func (d *Dispatcher) allowsSuspects(c candidate, w *worker) bool {
 	switch {
 	case c.suspect:
-		return !w.othersUnproven(c.step, 0) && (w.reservedFor == c.step || !d.now.Before(w.reservedUntil))
-	case w.suspectRuns > 0 && w.othersUnproven(c.step, 0):
+		return !w.othersUnproven(c.step.Job) && (w.reservedFor == c.step || !d.now.Before(w.reservedUntil))
+	case w.suspectRuns > 0 && w.othersUnproven(c.step.Job):
 		return false
 	}
 	return !d.now.Before(w.reservedUntil)
@@ -199,7 +198,7 @@
 		if r := d.runs[key]; r != nil && r.unproven {
 			suspects = append(suspects, &controlpb.CrashSuspect{
 				Task: key.Task.Ref(), Started: r.seen || r.started,
-				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && float64(crashes) < rareCrashes*float64(len(d.workers))*float64(r.task.Crashes+r.task.Suspicions),
+				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step.Job) && float64(crashes) < rareCrashes*float64(len(d.workers))*float64(r.task.Crashes+r.task.Suspicions),
 			})
 		}
 	}
