dispatch: keep the evidence of crashes across leaders

Causes, as the logs showed:

- A worker that never answered the new leader gave no evidence, and the new leader started speculative copies of its runs at once.
- Copies of runs that had just started ran beside other runs, so that a crash under them showed nothing.
- A suspect that found no room apart started beside others after 1.5 s, also while a worker was being kept free for it.
- While many tasks crashed workers, crashes counted as frequent, so that each of these tasks needed five, which kept crashes frequent.
Crashed workers of a rack, freshly restarted and quiet, were chosen again and failed "together".

Now a new leader suspects the runs that were assigned just before it started, on workers that it never saw alive; the time of the assignment is kept in the state (WorkRun 3). No copy starts of a run that hasn't been seen at work for long enough. A suspect waits as long as a worker is reserved for it. Crashes of workers that had nothing suspect tell how frequent other causes are, and a common failure of a rack or zone needs such workers.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,17 +31,27 @@
 	// correlatedWindow is the time between the last answers of workers that have failed together.
 	correlatedWindow = time.Second
 
-	// minCorrelatedLosses and correlatedShare bound the workers of a rack or a zone that fail together from the number for
-	// which a common cause is assumed.
-	minCorrelatedLosses = 3
-	correlatedShare     = 0.5
+	// correlatedShare is the share of the workers of a rack or a zone that fail together from which a common cause is
+	// assumed, if at least minUnexplained of them ran nothing that could have crashed them.
+	correlatedShare = 0.8
+	minUnexplained  = 2
 
 	// lossMemory is how long lost workers are remembered. It exceeds the time to declare a worker lost.
 	lossMemory = 12 * time.Second
 
-	// rareCrashes is the number of crashes within lossMemory, per worker and per earlier crash under a task, below which a
-	// crash right after the start of the task is unlikely to be a coincidence.
-	rareCrashes = 0.25
+	// rareCrashes is the number of crashes within lossMemory, per worker, below which a second crash right after the start of
+	// a task is unlikely to be a coincidence. Each further crash under the task multiplies the limit by rarityFactor.
+	rareCrashes  = 0.25
+	rarityFactor = 2
+
+	// maxUnexplainedShare is the share of crashes of workers that ran nothing suspect, among at least minCrashSample crashes,
+	// up to which crashes of other causes count as rare.
+	maxUnexplainedShare = 0.125
+	minCrashSample      = 8
+
+	// maxUnseenAge is the age of a run up to which a new leader that never saw its worker alive suspects it of the crash:
+	// the time in which its predecessor would have declared the worker lost.
+	maxUnseenAge = 6 * time.Second
 )
 
 // loss describes a worker that was recently declared lost.
@@ -49,6 +60,7 @@
 	lastAnswer time.Time
 	at         time.Time
 	crashed    bool
+	explained  bool // it ran something that could have crashed it
 }
 
 // countUnproven adds sign to the number of unproven runs of a job on a worker.
@@ -106,6 +118,9 @@
 	}
 }
 
+// mayCrash reports whether a run may have crashed its worker, or be about to, so that no copy of it may start.
+func (r *run) mayCrash() bool { return r.task.IsSuspect() || r.unproven || !r.seen }
+
 // allowsSuspects reports whether a step may start runs on a worker in view of suspect tasks.
 func (d *Dispatcher) allowsSuspects(c candidate, w *worker) bool {
 	switch {
@@ -118,20 +133,20 @@
 }
 
 // placeSuspects assigns the waiting suspect tasks of a step to quiet workers, or reserves a worker for them. It returns the
-// number of tasks placed.
-func (d *Dispatcher) placeSuspects(c candidate, hosts []host) (placed int) {
+// number of tasks placed, and of those for which no worker has room.
+func (d *Dispatcher) placeSuspects(c candidate, hosts []host) (placed, missing int) {
 	c.suspect = true
-	demand, isWaiting := d.demand(c), false
+	demand, waiting := d.demand(c), 0
 	for _, task := range c.step.Tasks {
 		if !d.mustIsolate(task) || !task.IsWaiting() || d.assigning[task.Key()] {
 			continue
 		}
 		var chosen *host
-		if !isWaiting {
+		if waiting == 0 {
 			chosen = d.choose(c, demand, hosts, nil)
 		}
 		if chosen == nil {
-			isWaiting = true
+			waiting++
 			d.noteIsolationWait(task)
 			continue
 		}
@@ -140,19 +155,20 @@
 		chosen.refresh()
 		placed++
 	}
-	if isWaiting {
-		d.reserveFor(c, hosts)
+	if waiting > 0 && !d.reserveFor(c, hosts) {
+		missing = waiting
 	}
-	return placed
+	return placed, missing
 }
 
-// mustIsolate reports whether a task may start only on a quiet worker.
+// mustIsolate reports whether a task may start only on a quiet worker. It may start on any after maxIsolationWait, unless a
+// worker is reserved for it.
 func (d *Dispatcher) mustIsolate(task *workload.Task) bool {
 	if !task.IsSuspect() {
 		return false
 	}
 	since, isWaiting := d.isolationWaits[task.Key()]
-	return !isWaiting || d.now.Sub(since) < maxIsolationWait
+	return !isWaiting || d.now.Sub(since) < maxIsolationWait || d.now.Before(d.reservations[task.Step])
 }
 
 // noteIsolationWait records since when a suspect task waits for a quiet worker.
@@ -162,44 +178,49 @@
 	}
 }
 
-// reserveFor reserves a worker for the suspect tasks of a step, unless one is reserved for it, so that it becomes quiet.
-func (d *Dispatcher) reserveFor(c candidate, hosts []host) {
+// reserveFor reserves a worker for the suspect tasks of a step, unless one is reserved for it, so that it becomes quiet. It
+// returns false if no worker has room for one.
+func (d *Dispatcher) reserveFor(c candidate, hosts []host) bool {
 	taken := 0
 	for i := range hosts {
 		w := hosts[i].worker
 		isReserved := d.now.Before(w.reservedUntil)
 		if isReserved && w.reservedFor == c.step {
-			return
+			return true
 		}
 		if isReserved || w.suspectRuns > 0 {
 			taken++
 		}
 	}
 	if taken >= max(1, int(maxReservedShare*float64(len(hosts)))) {
-		return
+		return true
 	}
 	c.suspect = false
 	chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool { return w.suspectRuns > 0 })
 	if chosen == nil {
-		return
+		return false
 	}
-	chosen.worker.reservedFor, chosen.worker.reservedUntil = c.step, d.now.Add(reservationTime)
+	until := d.now.Add(reservationTime)
+	chosen.worker.reservedFor, chosen.worker.reservedUntil, d.reservations[c.step] = c.step, until, until
 	d.config.Log.Info("worker reserved for suspect task", "Worker", chosen.worker.incarnation.GetId(), "Step", c.step.Name(), "UnprovenJobs", len(chosen.worker.unproven))
+	return true
 }
 
 // crashSuspects returns the tasks that may have crashed a worker: those that this leader has ordered it to start and that
-// aren't proven there. There are none if the worker never answered this leader, or if it failed together with others.
+// aren't proven there. There are none if the worker was to end, or if it failed together with others.
 func (d *Dispatcher) crashSuspects(w *worker) []*controlpb.CrashSuspect {
-	if w.lastAnswer.IsZero() || w.incarnation.GetLeaving() || !w.endsAt.IsZero() || d.isDraining(w) || d.hasFailedWithOthers(w) {
+	if w.incarnation.GetLeaving() || !w.endsAt.IsZero() || d.isDraining(w) || d.hasFailedWithOthers(w) {
 		return nil
 	}
-	crashes := d.countCrashes()
 	var suspects []*controlpb.CrashSuspect
+	if w.lastAnswer.IsZero() {
+		suspects = d.unseenSuspects(w)
+	}
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.unproven {
+		if r := d.runs[key]; r != nil && r.unproven && !w.lastAnswer.IsZero() {
 			suspects = append(suspects, &controlpb.CrashSuspect{
 				Task: key.Task.Ref(), Started: r.seen || r.started,
-				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && float64(crashes) < rareCrashes*float64(len(d.workers))*float64(r.task.Crashes+r.task.Suspicions),
+				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && d.areCrashesRare(r.task),
 			})
 		}
 	}
@@ -207,34 +228,47 @@
 	return suspects
 }
 
-// countCrashes returns the number of recent crashes.
-func (d *Dispatcher) countCrashes() int {
-	count := 0
+// areCrashesRare reports whether crashes of other causes are so rare that a further crash under a task is unlikely to be a
+// coincidence.
+func (d *Dispatcher) areCrashesRare(task *workload.Task) bool {
+	crashes, unexplained := 0, 0
 	for _, l := range d.losses {
 		if l.crashed && d.now.Sub(l.at) <= lossMemory {
-			count++
+			crashes++
+			if !l.explained {
+				unexplained++
+			}
+		}
+	}
+	if crashes >= minCrashSample && float64(unexplained) <= maxUnexplainedShare*float64(crashes) {
+		return true
+	}
+	return float64(crashes) < rareCrashes*math.Pow(rarityFactor, float64(task.Crashes+task.Suspicions)-1)*float64(len(d.workers))
+}
+
+// unseenSuspects returns the tasks that may have crashed a worker that never answered this leader: those whose last run was
+// assigned by an earlier leader shortly before this one started.
+func (d *Dispatcher) unseenSuspects(w *worker) []*controlpb.CrashSuspect {
+	oldest := d.config.Wall().Add(-d.now.Sub(d.leadingSince) - maxUnseenAge)
+	var suspects []*controlpb.CrashSuspect
+	for key, task := range w.incarnation.Runs {
+		if task.AssignedAt(key.Run).After(oldest) {
+			suspects = append(suspects, &controlpb.CrashSuspect{Task: key.Task.Ref()})
 		}
 	}
-	return count
+	return suspects
 }
 
 // hasFailedWithOthers reports whether so many workers of the same rack or zone stopped answering at the same time that a
 // common cause is likely.
 func (d *Dispatcher) hasFailedWithOthers(w *worker) bool {
-	rack, zone := rackOf(w.incarnation), w.incarnation.GetZone()
-	var rackLost, rackTotal, zoneLost, zoneTotal int
-	count := func(otherZone, otherRack string, isLost bool) {
-		if otherZone == zone {
-			zoneTotal++
-			if isLost {
-				zoneLost++
-			}
+	var inRack, inZone failures
+	add := func(zone, rack string, isLost, isExplained bool) {
+		if zone == w.incarnation.GetZone() {
+			inZone.add(isLost, isExplained)
 		}
-		if rack != "" && otherRack == rack {
-			rackTotal++
-			if isLost {
-				rackLost++
-			}
+		if rack != "" && rack == rackOf(w.incarnation) {
+			inRack.add(isLost, isExplained)
 		}
 	}
 	for _, other := range d.workers {
@@ -242,18 +276,33 @@
 			continue // counted by its loss
 		}
 		isLost := other == w || (other.missedCalls > 0 || other.superseded) && isNear(other.lastAnswer, w.lastAnswer)
-		count(other.incarnation.GetZone(), rackOf(other.incarnation), isLost)
+		add(other.incarnation.GetZone(), rackOf(other.incarnation), isLost, len(other.unproven) > 0)
 	}
 	for _, l := range d.losses {
 		if isNear(l.lastAnswer, w.lastAnswer) {
-			count(l.zone, l.rack, true)
+			add(l.zone, l.rack, true, l.explained)
 		}
 	}
-	return isCorrelated(rackLost, rackTotal) || isCorrelated(zoneLost, zoneTotal)
+	return inRack.haveCommonCause() || inZone.haveCommonCause()
 }
 
-func isCorrelated(lost, total int) bool {
-	return lost >= minCorrelatedLosses && float64(lost) >= correlatedShare*float64(total)
+// failures counts the workers of a rack or a zone, and those that failed together.
+type failures struct {
+	total, lost, unexplained int
+}
+
+func (f *failures) add(isLost, isExplained bool) {
+	f.total++
+	if isLost {
+		f.lost++
+		if !isExplained {
+			f.unexplained++
+		}
+	}
+}
+
+func (f *failures) haveCommonCause() bool {
+	return f.unexplained >= minUnexplained && float64(f.lost) >= correlatedShare*float64(f.total)
 }
 
 func isNear(a, b time.Time) bool { return a.Sub(b).Abs() <= correlatedWindow }
@@ -263,7 +312,7 @@
 	for len(d.losses) > 0 && d.now.Sub(d.losses[0].at) > lossMemory {
 		d.losses = d.losses[1:]
 	}
-	d.losses = append(d.losses, loss{zone: w.incarnation.GetZone(), rack: rackOf(w.incarnation), lastAnswer: w.lastAnswer, at: d.now, crashed: w.crashed})
+	d.losses = append(d.losses, loss{zone: w.incarnation.GetZone(), rack: rackOf(w.incarnation), lastAnswer: w.lastAnswer, at: d.now, crashed: w.crashed, explained: len(w.unproven) > 0})
 }
 
 func suspectName(suspect *controlpb.CrashSuspect) string {
@@ -286,14 +335,19 @@
 	return names
 }
 
-// logGivenUp logs the suspects of a recorded crash that have been given up.
+// logGivenUp logs the jobs with suspects of a recorded crash that have been given up.
 func (d *Dispatcher) logGivenUp(suspects []*controlpb.CrashSuspect) {
+	byJob := map[string][]*controlpb.CrashSuspect{}
 	for _, suspect := range suspects {
 		key := workload.TaskKeyFromRef(suspect.GetTask())
 		state, _ := d.state.Lookup(key.Job)
 		if task := d.state.Task(key); state == controlpb.WorkState_WORK_FAILED || task != nil && task.Done && task.Step.GetPerpetual() {
-			d.config.Count("TasksGivenUp")
-			d.config.Log.Info("task given up: workers crash under it", "Task", key.String(), "State", state.String())
+			byJob[key.Job] = append(byJob[key.Job], suspect)
 		}
 	}
+	for job, ofJob := range byJob {
+		state, _ := d.state.Lookup(job)
+		d.config.Count("JobsGivenUp")
+		d.config.Log.Info("given up: workers crash under it", "Job", job, "Suspects", suspectNames(ofJob), "State", state.String())
+	}
 }
--- a/internal/decision/dispatch/crash_test.go
+++ b/internal/decision/dispatch/crash_test.go
@@ -124,3 +124,31 @@
 		}
 	}
 }
+
+// TestDeadlyTasksAcrossLeaders guards against forgetting crashes, and against starting copies of tasks that have just crashed
+// a worker, when the leader changes again and again.
+func TestDeadlyTasksAcrossLeaders(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulationWithWorkers(t, seed, 24)
+		sim.deadly = map[string]bool{}
+		for i := range 8 {
+			id := fmt.Sprintf("deadly-%d", i)
+			sim.deadly[id+".0.0.0"] = true
+			step := dedicated(2, 800*time.Millisecond)
+			step.Speculative = true
+			sim.submit("urgent", id, step)
+			sim.submitMix(fmt.Sprint("mix-", i), 4)
+			sim.changeLeader()
+			sim.run(200 * time.Millisecond)
+		}
+		sim.run(40 * time.Second)
+		for i := range 8 {
+			id := fmt.Sprintf("deadly-%d", i)
+			if starts := sim.starts[id+".0.0.0"]; starts < 2 || starts > maxDeadlyStarts {
+				t.Errorf("seed %d: %d starts of %s, expected 2 to %d", seed, starts, id, maxDeadlyStarts)
+			}
+			sim.expect(id, controlpb.WorkState_WORK_FAILED)
+			sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
+		}
+	}
+}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -102,6 +102,7 @@
 
 	losses         []loss                         // recently lost workers, oldest first
 	isolationWaits map[workload.TaskKey]time.Time // since when suspect tasks wait for a quiet worker
+	reservations   map[*workload.Step]time.Time   // until when a worker is reserved for the suspect tasks of a step
 
 	trials               map[trial]int // number of hosts on which each trial is under way
 	leastUrgent          int32         // priority of the least urgent preemptible run
@@ -146,6 +147,7 @@
 	d.interference = imagepair.New()
 	d.losses = nil
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
+	d.reservations = map[*workload.Step]time.Time{}
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -81,9 +81,9 @@
 		if c.step.GetGang() {
 			budget -= d.placeGang(c, hosts)
 		} else {
-			budget -= d.placeSuspects(c, hosts)
+			placedSuspects, missingSuspects := d.placeSuspects(c, hosts)
 			placed, missing := d.placeTasks(c, hosts)
-			budget -= placed
+			budget -= placedSuspects + placed
 			if missing > 0 && halfEmpty {
 				budget -= d.placeThrottled(c, hosts)
 			}
@@ -91,7 +91,7 @@
 				exhausted[placementClassOf(c)] = append(exhausted[placementClassOf(c)], needed)
 			}
 			if kindOf(c.step) != colocation.BestEffort {
-				preemptions -= d.preempt(c, hosts, missing, preemptions)
+				preemptions -= d.preempt(c, hosts, missing+missingSuspects, preemptions)
 			}
 		}
 	}
@@ -354,6 +354,7 @@
 	w.countUnproven(task.Step.Job, isSuspect, 1)
 	if delete(d.isolationWaits, key.Task); w.reservedFor == task.Step {
 		w.reservedUntil = time.Time{}
+		delete(d.reservations, task.Step)
 	}
 	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.incarnation.GetNumber()}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -97,7 +97,7 @@
 func (d *Dispatcher) speculate(hosts []host) {
 	for _, r := range d.runs {
 		step := r.task.Step
-		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.task.IsSuspect() {
+		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
 			continue
 		}
 		if !r.straggling && d.now.Sub(r.worker.lastAnswer) < unresponsiveAfter {
--- a/internal/decision/workload/crash.go
+++ b/internal/decision/workload/crash.go
@@ -7,11 +7,11 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A task is given up after two crashes if the latest one shows that it is to blame, and after a few more in any case.
+// A task is given up after minCrashes crashes if the latest one shows that it is to blame, and after a few more in any case.
 const (
-	minCrashes    = 2 // if the latest one is evidence against the task
-	minSuspicions = 4 // the same, including crashes for which it isn't certain that the task had started
-	maxCrashes    = 5
+	minCrashes    = 2
+	minSuspicions = 4 // if the latest one shows it, including crashes for which it isn't certain that the task had started
+	maxSuspicions = 5 // in any case, including such crashes
 )
 
 // recordCrash counts a crash of a worker for the tasks that may have caused it, and gives up those that are to blame.
@@ -26,7 +26,8 @@
 		} else {
 			t.Suspicions++
 		}
-		if t.Crashes >= maxCrashes || suspect.GetIsolated() && (t.Crashes >= minCrashes || t.Crashes+t.Suspicions >= minSuspicions) {
+		isProven := suspect.GetIsolated() && (t.Crashes >= minCrashes || t.Crashes+t.Suspicions >= minSuspicions)
+		if isProven || t.Crashes >= minCrashes && t.Crashes+t.Suspicions >= maxSuspicions {
 			s.giveUp(t)
 		}
 	}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -85,8 +85,9 @@
 
 // Run is one run of a task on a worker.
 type Run struct {
-	Number uint32
-	Worker uint32
+	Number     uint32
+	Worker     uint32
+	AssignedMs int64 // by the leaders' clocks, Unix milliseconds
 }
 
 // Demand returns the capacity that a task of the step reserves on its worker. A best-effort task reserves no processors.
@@ -135,6 +136,16 @@
 	return slices.ContainsFunc(t.Runs, func(r Run) bool { return r.Number == number })
 }
 
+// AssignedAt returns when the numbered run of the task was assigned, or the zero time if it isn't live.
+func (t *Task) AssignedAt(number uint32) time.Time {
+	for _, r := range t.Runs {
+		if r.Number == number {
+			return time.UnixMilli(r.AssignedMs)
+		}
+	}
+	return time.Time{}
+}
+
 // DueAt returns the earliest start of an occurrence, or the zero time if the job isn't scheduled for a time.
 func (j *Job) DueAt(occurrence uint32) time.Time {
 	if j.Spec.GetRepeats() == 0 {
@@ -250,7 +261,7 @@
 		t.Step.Waiting--
 	}
 	t.LastRun = start.GetRun()
-	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker()})
+	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time})
 	w.Runs[RunKey{Task: t.Key(), Run: start.GetRun()}] = t
 	t.Step.Job.liveRuns++
 	t.Step.Job.Started = true
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -44,7 +44,7 @@
 	j.forEachTask(func(t *Task) {
 		task := &controlpb.WorkTaskRecord{LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions}
 		for _, r := range t.Runs {
-			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker})
+			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs})
 		}
 		record.Tasks = append(record.Tasks, task)
 	})
@@ -135,7 +135,7 @@
 		if len(t.Runs) == 0 && !t.Done {
 			t.Step.Waiting--
 		}
-		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker()})
+		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs()})
 		t.Step.Job.liveRuns++
 		w.Runs[RunKey{Task: t.Key(), Run: r.GetRun()}] = t
 	}
