voters, controller: replace a lost voter in time when all processes restart

Cause: a learner replaces a voter after 3 s of inactivity. A new leader counted from its first check, up to 0.5 s after its election, and checked every 0.5 s. When a voter was lost for good and all processes were then killed or without power, the voter kept its vote for more than the 4 s that its successor has. A disk lost after that time left two of three voters gone.

A leader that is elected within 2 s of the start of its process now counts the inactivity of members that haven't replied yet from that start, as there was no leader to whom they could reply, and the check runs every 200 ms. Other leader changes are as before, so that a leader that is lost for some seconds doesn't lose its vote earlier to a standby.

--- a/internal/decision/voters/reconciler.go
+++ b/internal/decision/voters/reconciler.go
@@ -16,9 +16,12 @@
 
 	// replaceVoterAfter is the inactivity after which a learner replaces a voter. A killed process restarts within 1 s and
 	// reconnects within 2 s more. The platform considers a loss recovered 4 s after its successor's start, which follows the
-	// loss by 1 s; another host may be lost from then on.
+	// loss by 1 s, and after the successor's last restart; another disk may be lost from then on.
 	replaceVoterAfter = 3 * time.Second
 
+	// maxElectionTime is the time from the restart of all processes to the first check of the leader that they elect.
+	maxElectionTime = 2 * time.Second
+
 	// removeVoterAfter is the inactivity after which a voter that no learner can replace is removed. A restart, a process
 	// freeze or a network partition is usually over by then.
 	removeVoterAfter = 12 * time.Second
@@ -32,16 +35,18 @@
 	Active bool // replied recently
 }
 
-// Reconciler proposes one membership change at a time. It is not safe for concurrent use.
+// Reconciler proposes one membership change at a time, for one leader in one term. It is not safe for concurrent use.
 type Reconciler struct {
 	minVoters     int
+	started       time.Time // of this process
+	checked       bool      // Next was called before
 	inactiveSince map[uint64]time.Time
 }
 
-// New returns a Reconciler without any record of inactive members. The group must tolerate the simultaneous loss of the
-// given number of disks.
-func New(tolerated int) *Reconciler {
-	return &Reconciler{minVoters: min(MaxVoters, 2*tolerated+1), inactiveSince: map[uint64]time.Time{}}
+// New returns a Reconciler without any record of inactive members, for a process that was started at the given time. The
+// group must tolerate the simultaneous loss of the given number of disks.
+func New(tolerated int, started time.Time) *Reconciler {
+	return &Reconciler{minVoters: min(MaxVoters, 2*tolerated+1), started: started, inactiveSince: map[uint64]time.Time{}}
 }
 
 // Next returns the membership change that the leader, which is the member self, should propose now, or nil.
@@ -121,13 +126,18 @@
 
 // updateActivity records since when members have been inactive.
 func (r *Reconciler) updateActivity(now time.Time, self uint64, members []*controlpb.Member, peers map[uint64]Peer) {
+	since := now
+	if !r.checked && now.Sub(r.started) <= maxElectionTime {
+		since = r.started // there was no leader for them to reply to
+	}
+	r.checked = true
 	known := map[uint64]bool{}
 	for _, m := range members {
 		known[m.GetId()] = true
 		if m.GetId() == self || peers[m.GetId()].Active {
 			delete(r.inactiveSince, m.GetId())
 		} else if _, ok := r.inactiveSince[m.GetId()]; !ok {
-			r.inactiveSince[m.GetId()] = now
+			r.inactiveSince[m.GetId()] = since
 		}
 	}
 	for id := range r.inactiveSince {
--- a/internal/decision/voters/reconciler_test.go
+++ b/internal/decision/voters/reconciler_test.go
@@ -12,8 +12,8 @@
 )
 
 // TestMembershipChanges guards against groups that lose their majority and against groups that grow to an even number of voters.
-// Each file of the archive lists the members, one per line as "ID voter|learner ADDRESS [inactive]"; after "for", how long
-// they have been in this state; after "tolerates", the number of losses that the group must tolerate (1 by default); and
+// Each file of the archive lists the members, one per line as "ID voter|learner ADDRESS [inactive|lost]", where a lost member
+// has replied to this leader and an inactive one never has; after "for", how long they have been in this state; after "tolerates", the number of losses that the group must tolerate (1 by default); and
 // after "->", the expected change.
 func TestMembershipChanges(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/groups.txtar")
@@ -23,8 +23,9 @@
 	for _, file := range archive.Files {
 		t.Run(file.Name, func(t *testing.T) {
 			state, want, _ := strings.Cut(string(file.Data), "->")
+			started := time.Hour
 			wait, tolerated, members := time.Duration(0), 1, []*controlpb.Member(nil)
-			peers := map[uint64]Peer{}
+			peers, elected := map[uint64]Peer{}, map[uint64]Peer{}
 			for line := range strings.Lines(state) {
 				fields := strings.Fields(line)
 				if len(fields) == 2 && fields[0] == "for" {
@@ -34,6 +35,13 @@
 					}
 					continue
 				}
+				if len(fields) == 2 && fields[0] == "started" {
+					started, err = time.ParseDuration(fields[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					continue
+				}
 				if len(fields) == 2 && fields[0] == "tolerates" {
 					tolerated, err = strconv.Atoi(fields[1])
 					if err != nil {
@@ -50,9 +58,11 @@
 				}
 				members = append(members, &controlpb.Member{Id: id, Voter: fields[1] == "voter", Address: fields[2]})
 				peers[id] = Peer{Active: len(fields) == 3}
+				elected[id] = Peer{Active: len(fields) == 3 || fields[3] == "lost"}
 			}
-			reconciler := New(tolerated)
 			now := time.Unix(0, 0)
+			reconciler := New(tolerated, now.Add(-started))
+			reconciler.Next(now, 1, members, elected)
 			reconciler.Next(now, 1, members, peers)
 			if got := describe(reconciler.Next(now.Add(wait), 1, members, peers)); got != strings.TrimSpace(want) {
 				t.Errorf("%s, expected %s", got, strings.TrimSpace(want))
--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	// membershipCheckInterval is the interval between membership checks.
-	membershipCheckInterval = 500 * time.Millisecond
+	// membershipCheckInterval is the interval between membership checks. It delays the first check of a new leader and the
+	// replacement of a lost voter.
+	membershipCheckInterval = 200 * time.Millisecond
 	// membershipRecheckDelay is the delay from a membership change to the next check. It is short because replacing a voter
 	// takes two changes, and losing another voter between them would lose the quorum.
 	membershipRecheckDelay = 50 * time.Millisecond
@@ -291,7 +292,8 @@
 // reconcileMembership repairs the membership while this process leads. It returns errRemoved once this replica was removed,
 // and an error when the replica has failed.
 func (c *controller) reconcileMembership(ctx context.Context, localReplica *replica.Replica) error {
-	reconciler := voters.New(c.ToleratedFailures)
+	started := c.Clock.Now()
+	reconciler := voters.New(c.ToleratedFailures, started)
 	wait := membershipCheckInterval
 	for {
 		select {
@@ -308,7 +310,7 @@
 			return trace.Wrap(view.Failed, "the replica has failed; the process exits to be restarted")
 		}
 		if !view.Leading {
-			reconciler = voters.New(c.ToleratedFailures)
+			reconciler = voters.New(c.ToleratedFailures, started)
 			continue
 		}
 		peers := map[uint64]voters.Peer{}
--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -87,7 +87,7 @@
 		d := &simDaemon{name: string(rune('a' + i)), learner: i >= voters}
 		c.newIdentity(d)
 		c.daemons[d.name] = d
-		bootstrap.Members = append(bootstrap.Members, &controlpb.Member{Id: d.id, Host: d.name, Voter: !d.learner})
+		bootstrap.Members = append(bootstrap.Members, &controlpb.Member{Id: d.id, Host: d.name, Address: d.name, Voter: !d.learner})
 	}
 	for _, d := range c.sorted() {
 		c.boot(d, bootstrap)
@@ -373,7 +373,7 @@
 }
 
 func membership(kind controlpb.MembershipChange_Kind, d *simDaemon, id uint64) *operation {
-	member := &controlpb.Member{Id: id, Host: d.name, Voter: kind == controlpb.MembershipChange_PROMOTE}
+	member := &controlpb.Member{Id: id, Host: d.name, Address: d.name, Voter: kind == controlpb.MembershipChange_PROMOTE}
 	return &operation{key: fmt.Sprintf("%s %s %d", kind, d.name, id), origin: d.name, request: &controlpb.LeaderRequest{
 		Kind: &controlpb.LeaderRequest_Membership{Membership: &controlpb.MembershipChange{Kind: kind, Member: member}},
 	}}
