logstore: discard a folder in a way that a crash can't leave half done

What users would see: a controller that never starts again, and whose process ends again and again, after a kill or a loss of power while it rejoins its group with an empty data folder.

Cause: the controller removed the files of its folder one by one, the identity first, without a sync. A crash in between left a log without an identity, or an identity without a log, and Open refuses both.

Discard, which replaces that code, first makes a marker durable. Open removes all files of a marked folder before it reads anything, and the marker last, after a sync of the folder.

Evidence: TestInterruptedDiscard kills the process or cuts the power at every operation of Discard.

--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -92,27 +91,13 @@
 			return err
 		}
 		options.Log.Info("restarting with an empty data folder", "Step", "rejoin", "Folder", options.DataFolder)
-		if err := removeContents(options.DataFolder); err != nil {
-			return err
+		if err := logstore.Discard(options.DataFolder, logstore.Options{}); err != nil {
+			return trace.Wrap(err, "empty %s", options.DataFolder)
 		}
 		options.Bootstrap = false
 	}
 }
 
-// removeContents removes the contents of a folder.
-func removeContents(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return trace.Wrap(trace.ConvertSystemError(err), "empty %s", folder)
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(folder + "/" + entry.Name()); err != nil {
-			return trace.Wrap(trace.ConvertSystemError(err), "empty %s", folder)
-		}
-	}
-	return nil
-}
-
 func (c *controller) run(ctx context.Context) error {
 	store, recovered, err := logstore.Open(c.DataFolder, logstore.Options{})
 	if err != nil {
--- a/internal/shell/logstore/recover.go
+++ b/internal/shell/logstore/recover.go
@@ -29,6 +29,7 @@
 // folderFiles holds the files in the folder, by kind.
 type folderFiles struct {
 	identity  bool
+	discard   bool     // the removal of all files was interrupted
 	segments  []uint64 // sequence numbers of the first records, sorted
 	snapshots []uint64 // log indexes, sorted
 }
@@ -36,6 +37,12 @@
 // recover reads the folder and prepares the store for Save.
 func (s *Store) recover(newIdentity func() (uint64, error)) (*Recovered, error) {
 	files, err := s.list()
+	if err == nil && files.discard {
+		if err := s.finishDiscard(); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		files, err = s.list()
+	}
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -98,9 +105,8 @@
 			}
 			continue
 		}
-		if name == identityName {
-			files.identity = true
-		}
+		files.identity = files.identity || name == identityName
+		files.discard = files.discard || name == discardName
 		if sequence, ok := parseName(name, segmentPrefix); ok {
 			files.segments = append(files.segments, sequence)
 		}
--- a/internal/shell/logstore/store.go
+++ b/internal/shell/logstore/store.go
@@ -6,6 +6,7 @@
 //	identity                JSON: format version and replica identity, written once on an empty folder
 //	log-<sequence>          a segment of the log: records in the order of writing, named after its first record
 //	snapshot-<index>        a snapshot of the state up to a log index
+//	discard                 empty; marks a folder whose contents are being removed
 //
 // Each Save writes its batch as one record and syncs it; a batch with a snapshot takes one more record for the term
 // and vote. A record's header holds the payload length, a sequence number that increases by one with each record, and
@@ -407,6 +408,7 @@
 const (
 	lockName        = "lock"
 	identityName    = "identity"
+	discardName     = "discard"
 	segmentPrefix   = "log-"
 	snapshotPrefix  = "snapshot-"
 	temporarySuffix = ".tmp"
--- a/internal/shell/logstore/store_test.go
+++ b/internal/shell/logstore/store_test.go
@@ -442,3 +442,43 @@
 		}
 	})
 }
+
+// A crash while a folder is discarded must leave a folder that can be opened: either with all that it held, or empty with a
+// new identity. Otherwise a controller that was removed from its group could never start again.
+func TestInterruptedDiscard(t *testing.T) {
+	for seed := range uint64(10) {
+		script, models := randomScript(rand.New(rand.NewPCG(seed, 1)), 25)
+		full := newFaultFS()
+		runScript(t, full, script)
+		random := rand.New(rand.NewPCG(seed, 2))
+		for limit, complete := 0, false; !complete; limit++ {
+			for _, kill := range []bool{false, true} {
+				fs := full.afterCrash(random)
+				fs.limit, fs.crash = limit, true
+				discarded := Discard("data", Options{FS: fs}) == nil
+				if kill { // the process is killed; unsynced changes stay visible
+					fs.limit, fs.crash = -1, false
+				} else {
+					fs = fs.afterCrash(random)
+				}
+				description := fmt.Sprintf("seed %d, unit %d, kill %v", seed, limit, kill)
+				store, recovered, err := Open("data", Options{FS: fs, NewIdentity: func() (uint64, error) { return 8, nil }})
+				if err != nil {
+					t.Fatalf("%s: %v", description, trace.DebugReport(err))
+				}
+				store.Close()
+				kept := recovered.Identity == 7 && models[len(script)].equal(recovered)
+				empty := recovered.Identity == 8 && !recovered.IsUsed()
+				if !empty && (discarded || !kept) {
+					t.Fatalf("%s: discarded %v, recovered %v", description, discarded, recovered)
+				}
+				if reopened, again, err := open(fs.afterCrash(random)); err != nil || again.Identity != recovered.Identity {
+					t.Fatalf("%s: reopened: %v, %v", description, again, err)
+				} else {
+					reopened.Close()
+				}
+				complete = discarded
+			}
+		}
+	}
+}
