logstore: let the test file system leave holes in torn writes

A loss of power may keep the end of an unsynced write and lose what is before it. TestFaultAtEveryUnit, TestKillThenPowerLoss and TestInterruptedDiscard now cover that too; they passed with it at once, so no fault was found.

--- a/internal/shell/logstore/faultfs_test.go
+++ b/internal/shell/logstore/faultfs_test.go
@@ -57,13 +57,18 @@
 	return nil
 }
 
-// afterCrash returns the file system as it may be after a crash: with all synced contents, a random prefix of the unsynced
-// contents of each file, and each unsynced change of a name either made or not.
+// afterCrash returns the file system as it may be after a crash: with all synced contents, a random part of the unsynced
+// contents of each file, and each unsynced change of a name either made or not. The part is a prefix, or a prefix with a range
+// of zeros, as left by a file system that has extended the file before it wrote the contents.
 func (f *faultFS) afterCrash(random *rand.Rand) *faultFS {
 	crashed := newFaultFS()
 	add := func(name string, file *faultFile) {
 		tail := file.data[file.synced:]
 		data := append(slices.Clone(file.data[:file.synced]), tail[:random.IntN(len(tail)+1)]...)
+		if tail = data[file.synced:]; len(tail) > 0 && random.IntN(2) == 0 {
+			hole := tail[random.IntN(len(tail)):]
+			clear(hole[:1+random.IntN(len(hole))])
+		}
 		copied := &faultFile{fs: crashed, data: data, synced: len(data)}
 		crashed.files[name], crashed.durable[name] = copied, copied
 	}
