--- a/internal/shell/leaderclient/client_test.go
+++ b/internal/shell/leaderclient/client_test.go
@@ -24,6 +24,7 @@
 	requests int
 	// answerPings makes the leader reply to pings as usual even if override is set.
 	answerPings  bool
+	empty        netip.AddrPort // controller that lost its disk and knows no member; invalid if there is none
 	unresponsive netip.AddrPort // member that receives requests and never replies; invalid if there is none
 	lostRequests int            // requests other than pings received by the unresponsive member
 }
@@ -50,6 +51,9 @@
 		g.mutex.Lock()
 		return nil, ctx.Err()
 	}
+	if to == g.empty {
+		return errorReply(controlpb.ResultCode_RESULT_UNAVAILABLE, "not the leader"), nil
+	}
 	members := &controlpb.Membership{Members: []*controlpb.Member{{Address: address(1).String()}, {Address: address(2).String()}, {Address: address(3).String()}}}
 	if to != g.leader {
 		reply := errorReply(controlpb.ResultCode_RESULT_UNAVAILABLE, "not the leader")
@@ -91,6 +95,18 @@
 	}
 }
 
+// Checks that after a restart the leader is found although of the seeds one lost its disk, one is down, and the third doesn't
+// lead.
+func TestFindsLeaderThroughOneSeed(t *testing.T) {
+	g := &fakeGroup{empty: address(4), unresponsive: address(5)}
+	g.setLeader(3)
+	seeds := []netip.AddrPort{address(4), address(5), address(1)}
+	client := New(g, seeds, discardLatencies{}, clockwork.NewRealClock(), logr.Discard())
+	if code := client.Submit(context.Background(), &controlpb.LeaderRequest{}).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_OK {
+		t.Errorf("%v, expected RESULT_OK", code)
+	}
+}
+
 // Checks that without a leader a request is rejected as not run, even if its context has no deadline.
 func TestNoLeader(t *testing.T) {
 	reply := newClient(&fakeGroup{}).Submit(context.Background(), &controlpb.LeaderRequest{})
