--- a/internal/shell/replica/disk_loss_test.go
+++ b/internal/shell/replica/disk_loss_test.go
@@ -226,6 +226,10 @@
 		}
 		first = g.random.IntN(2)
 		g.loseAllPower(list[first : first+group.tolerated])
+		if g.random.IntN(2) == 0 { // power is lost again while the lost disks are replaced
+			g.run(time.Duration(g.random.Int64N(int64(4 * time.Second))))
+			g.loseAllPower(nil)
+		}
 		g.checkServes(fmt.Sprintf("round %d", round))
 		g.run(group.catchUp + 2*time.Second)
 	}
