--- a/internal/decision/consensus/fuzz_test.go
+++ b/internal/decision/consensus/fuzz_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+// losePower makes all hosts lose power at the same moment, shortly after a proposal. As many of them as a quorum can spare lose
+// their disks.
+func (s *sim) losePower() {
+	if leader := s.leader(); leader != nil && leader.propose(8) {
+		leader.processOutputs()
+	}
+	s.run(time.Duration(s.rng.Int64N(int64(10 * time.Millisecond))))
+	for _, h := range s.hosts {
+		h.crash()
+	}
+	for _, i := range s.rng.Perm(len(s.hosts)) {
+		if h := s.hosts[i]; s.keepsQuorum(func(id uint64) bool { return id == h.id }) {
+			h.wipe()
+		}
+	}
+	s.run(time.Second)
+}
+
 // checkRecovery ends all faults and checks that a new entry commits and reaches every member.
 func (s *sim) checkRecovery() {
 	s.network.jitter, s.network.lossPct, s.network.duplicatePct = 0, 0, 0
@@ -305,6 +323,9 @@
 			}
 			s.step(st)
 		}
+		if rng.IntN(2) == 0 {
+			s.losePower()
+		}
 		s.checkRecovery()
 		return s.failure
 	}
