--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -34,8 +33,9 @@
 )
 
 const (
-	// membershipCheckInterval is the interval between membership checks.
-	membershipCheckInterval = 500 * time.Millisecond
+	// membershipCheckInterval is the interval between membership checks. It delays the first check of a new leader and the
+	// replacement of a lost voter.
+	membershipCheckInterval = 200 * time.Millisecond
 	// membershipRecheckDelay is the delay from a membership change to the next check. It is short because replacing a voter
 	// takes two changes, and losing another voter between them would lose the quorum.
 	membershipRecheckDelay = 50 * time.Millisecond
@@ -91,27 +91,13 @@
 			return err
 		}
 		options.Log.Info("restarting with an empty data folder", "Step", "rejoin", "Folder", options.DataFolder)
-		if err := removeContents(options.DataFolder); err != nil {
-			return err
+		if err := logstore.Discard(options.DataFolder, logstore.Options{}); err != nil {
+			return trace.Wrap(err, "empty %s", options.DataFolder)
 		}
 		options.Bootstrap = false
 	}
 }
 
-// removeContents removes the contents of a folder.
-func removeContents(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return trace.Wrap(trace.ConvertSystemError(err), "empty %s", folder)
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(folder + "/" + entry.Name()); err != nil {
-			return trace.Wrap(trace.ConvertSystemError(err), "empty %s", folder)
-		}
-	}
-	return nil
-}
-
 func (c *controller) run(ctx context.Context) error {
 	store, recovered, err := logstore.Open(c.DataFolder, logstore.Options{})
 	if err != nil {
@@ -291,7 +277,8 @@
 // reconcileMembership repairs the membership while this process leads. It returns errRemoved once this replica was removed,
 // and an error when the replica has failed.
 func (c *controller) reconcileMembership(ctx context.Context, localReplica *replica.Replica) error {
-	reconciler := voters.New(c.ToleratedFailures)
+	started := c.Clock.Now()
+	reconciler := voters.New(c.ToleratedFailures, started)
 	wait := membershipCheckInterval
 	for {
 		select {
@@ -308,7 +295,7 @@
 			return trace.Wrap(view.Failed, "the replica has failed; the process exits to be restarted")
 		}
 		if !view.Leading {
-			reconciler = voters.New(c.ToleratedFailures)
+			reconciler = voters.New(c.ToleratedFailures, started)
 			continue
 		}
 		peers := map[uint64]voters.Peer{}
