--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -217,7 +217,7 @@
 		suspects = d.unseenSuspects(w)
 	}
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.unproven && !w.lastAnswer.IsZero() {
+		if r := d.runs[key]; r != nil && r.unproven && !w.lastAnswer.IsZero() && mayRestart(r.task) {
 			suspects = append(suspects, &controlpb.CrashSuspect{
 				Task: key.Task.Ref(), Started: r.seen || r.started,
 				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && d.areCrashesRare(r.task),
@@ -228,6 +228,9 @@
 	return suspects
 }
 
+// mayRestart reports whether another run of a task may start.
+func mayRestart(task *workload.Task) bool { return !task.Done && !task.Step.Job.IsTerminal() }
+
 // areCrashesRare reports whether crashes of other causes are so rare that a further crash under a task is unlikely to be a
 // coincidence.
 func (d *Dispatcher) areCrashesRare(task *workload.Task) bool {
@@ -252,7 +255,7 @@
 	oldest := d.config.Wall().Add(-d.now.Sub(d.leadingSince) - maxUnseenAge)
 	var suspects []*controlpb.CrashSuspect
 	for key, task := range w.incarnation.Runs {
-		if task.AssignedAt(key.Run).After(oldest) {
+		if mayRestart(task) && task.AssignedAt(key.Run).After(oldest) {
 			suspects = append(suspects, &controlpb.CrashSuspect{Task: key.Task.Ref()})
 		}
 	}
