dispatch: acknowledge only ends that the newest poll has listed

A task whose run had ended 'done' could start again (TWICE). A worker that restarts under the same ID may carry out a start that was ordered from its earlier incarnation. Until the leader notices, its polls acknowledge the ends of the earlier incarnation up to, say, 57. Calls name the worker's ID only, and PROTOCOL.md says that ends up to 'last_seen' are forgotten: the later incarnation forgets its own ends 1 to 57 before the answer shows the leader another 'born'. The leader then settles the earlier incarnation without these ends, and their tasks start elsewhere. The class: acting on a worker by state of its earlier incarnation.

The simulation hid this: its workers rejected polls for an earlier incarnation without any effect. They now forget the ends when they receive the poll, as the protocol says, and a poll that is held open gets no answer if the worker restarts.

A poll now acknowledges ends only if the newest answered poll has listed them, and otherwise 0, which forgets nothing. A restart breaks the pending poll, so that the next one acknowledges nothing and the answer shows the later incarnation with its ends. What remains is a restart between the poll that lists ends and the one that acknowledges them, of a worker that ends a run by then.

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// A poll for an earlier incarnation must not acknowledge ends of the later one, whose tasks would start again.
+func TestPollForEarlierIncarnation(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.submit("urgent", "acknowledged", dedicated(8, 300*time.Millisecond))
+	sim.run(2 * time.Second)
+	sim.submit("urgent", "a", dedicated(8, 300*time.Millisecond))
+	for len(sim.dispatcher.assigning) == 0 {
+		sim.run(10 * time.Millisecond)
+	}
+	for _, worker := range sim.workers {
+		worker.startIncarnation(worker.incarnation)
+		worker.answersLost = true
+	}
+	sim.run(2 * time.Second)
+	for _, worker := range sim.workers {
+		worker.answersLost = false
+	}
+	sim.run(10 * time.Second)
+	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
+
 // Unanswered orders that are carried out late must neither duplicate tasks nor lose them.
 func TestLostAndDelayedOrders(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -279,7 +279,7 @@
 
 // handlePoll handles a worker's report of running and ended runs.
 func (d *Dispatcher) handlePoll(w *worker, a *order.Answer) {
-	w.pendingPoll = nil
+	w.pendingPoll, w.listedEnds = nil, 0
 	if w.superseded {
 		d.handleSuccessorPoll(w, a)
 		return
@@ -297,6 +297,7 @@
 	}
 	for _, ended := range a.Ended {
 		listed[ended.Run] = true
+		w.listedEnds = max(w.listedEnds, ended.Number)
 	}
 	for key := range w.incarnation.Runs {
 		if r := d.runs[key]; r != nil && !listed[key] {
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -216,20 +216,31 @@
 	worker := sim.workerAt(call.Address)
 	lost := worker == nil || !worker.up || sim.random.Float64() < sim.lossRate
 	if lost && worker != nil && sim.random.Float64() < sim.delayedRate {
-		sim.after(2*time.Second+time.Duration(sim.random.Int64N(int64(4*time.Second))), func() { worker.handle(call) })
+		sim.after(2*time.Second+time.Duration(sim.random.Int64N(int64(4*time.Second))), func() {
+			worker.forgetEnds(call)
+			worker.handle(call)
+		})
 	}
 	if lost {
 		sim.after(time.Second+call.Wait, func() { sim.answer(call, &order.Answer{}) })
 		return
 	}
-	sim.after(time.Millisecond, func() { worker.answerWhenDue(call, sim.now.Add(call.Wait)) })
+	sim.after(time.Millisecond, func() {
+		worker.forgetEnds(call)
+		worker.answerWhenDue(call, sim.now.Add(call.Wait), worker.began)
+	})
 }
 
-// answerWhenDue answers a call; a poll is held open until a run has ended or its wait time has elapsed.
-func (s *simWorker) answerWhenDue(call *order.Call, due time.Time) {
+// answerWhenDue answers a call that the incarnation of the given start has received. A poll is held open until a run has
+// ended or its wait time has elapsed, and gets no answer if the worker restarts meanwhile.
+func (s *simWorker) answerWhenDue(call *order.Call, due, receivedBy time.Time) {
 	sim := s.simulation
+	if !s.began.Equal(receivedBy) {
+		sim.answer(call, &order.Answer{})
+		return
+	}
 	if s.up && sim.now.Before(due) && !slices.ContainsFunc(s.ended, func(e simEnd) bool { return e.Number > call.RecordedEnds }) {
-		sim.after(5*time.Millisecond, func() { s.answerWhenDue(call, due) })
+		sim.after(5*time.Millisecond, func() { s.answerWhenDue(call, due, receivedBy) })
 		return
 	}
 	answer := s.handle(call)
@@ -326,9 +337,6 @@
 		return &order.Answer{Status: order.OtherIncarnation}
 	}
 	clock := s.simulation.now.Sub(s.began) + time.Second
-	if call.Kind == order.Poll && call.IncarnationStartMs != 0 && call.IncarnationStartMs != s.incarnation.GetBornMs() {
-		return &order.Answer{Status: order.OtherIncarnation, IncarnationStartMs: s.incarnation.GetBornMs(), Clock: clock}
-	}
 	if call.Fence < s.fence {
 		return &order.Answer{Status: order.Fenced, Clock: clock}
 	}
@@ -400,8 +408,11 @@
 	s.ended = append(s.ended, simEnd{Ended: order.Ended{Number: s.nextEnd, Run: key, Result: result}, at: s.simulation.now, beforeLast: beforeLast})
 }
 
-func (s *simWorker) poll(call *order.Call, clock time.Duration) *order.Answer {
-	answer := &order.Answer{Status: order.OK, Clock: clock}
+// forgetEnds discards the ends that a poll acknowledges, also if it was sent to an earlier incarnation under the same ID.
+func (s *simWorker) forgetEnds(call *order.Call) {
+	if call.Kind != order.Poll || call.ID != s.incarnation.GetId() || !s.up || call.Fence < s.fence {
+		return
+	}
 	s.ended = slices.DeleteFunc(s.ended, func(e simEnd) bool {
 		seen := e.Number <= call.RecordedEnds
 		if seen && !e.discarded && e.Result == controlpb.RunEnd_RUN_DONE {
@@ -409,6 +420,13 @@
 		}
 		return seen
 	})
+}
+
+func (s *simWorker) poll(call *order.Call, clock time.Duration) *order.Answer {
+	if call.IncarnationStartMs != 0 && call.IncarnationStartMs != s.incarnation.GetBornMs() {
+		return &order.Answer{Status: order.OtherIncarnation, IncarnationStartMs: s.incarnation.GetBornMs(), Clock: clock}
+	}
+	answer := &order.Answer{Status: order.OK, Clock: clock}
 	for _, e := range s.ended {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -74,8 +74,9 @@
 
 	pendingPoll   *order.Call
 	nextPoll      time.Time
-	recordingEnds bool // ends are proposed and not yet decided
-	missedCalls   int  // consecutive calls without an answer
+	listedEnds    uint64 // number of the last end in the answer to the newest poll; 0 if there was none or no answer
+	recordingEnds bool   // ends are proposed and not yet decided
+	missedCalls   int    // consecutive calls without an answer
 
 	// Resource usage and placement, including proposed runs.
 	used                 resource.Vector         // reserved by runs and proposed runs
@@ -211,10 +212,11 @@
 	}
 }
 
-// poll asks a worker for its runs and ends, and extends its lease.
+// poll asks a worker for its runs and ends, and extends its lease. It acknowledges only ends that the newest answer has
+// listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	call.RecordedEnds = w.incarnation.GetEndsSeen()
+	call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	if w.missedCalls == 0 && !w.clockReadAt.IsZero() {
 		call.Wait = pollWait
 		if w.pollOften {
