dispatch: don't suspect a run of a crash that a later incarnation carries out

A start that was ordered from a worker just before the leader learns of its restart may be carried out by the later incarnation. The run counted as a suspect of the crash, and its job could be given up after one crash under it. A run that the later incarnation lists has not crashed the earlier one.

--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -66,6 +66,7 @@
 	for _, running := range a.Running {
 		if _, assigned := w.incarnation.Runs[running.Run]; assigned {
 			orphans++
+			d.clearSuspicion(running.Run)
 			d.stopOrphan(w, running.Run)
 		}
 	}
@@ -75,12 +76,20 @@
 	var ends []*controlpb.EndedRun
 	for _, e := range a.Ended {
 		if _, assigned := w.incarnation.Runs[e.Run]; assigned {
+			d.clearSuspicion(e.Run)
 			ends = append(ends, endedRun(&e))
 		}
 	}
 	d.endCrashed(w, "a later incarnation has started", ends...)
 }
 
+// clearSuspicion excludes a run that a later incarnation has started as the cause of the end of the earlier one.
+func (d *Dispatcher) clearSuspicion(key workload.RunKey) {
+	if r := d.runs[key]; r != nil {
+		r.markProven()
+	}
+}
+
 // stopOrphan stops a run that isn't in the replicated state.
 func (d *Dispatcher) stopOrphan(w *worker, key workload.RunKey) {
 	call := d.newCall(order.Stop, w)
