--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -77,13 +77,14 @@
 	}
 }
 
-// othersUnproven reports whether a worker has unproven runs of other jobs, with which one of the job could be confused.
-func (w *worker) othersUnproven(job *workload.Job) bool {
-	others := len(w.unproven)
-	if w.unproven[job] > 0 {
-		others--
+// othersUnproven reports whether a worker has unproven runs that could be confused with a run of the step: those of other
+// jobs and, if tasks of the step are given up one by one, more than own of its own job.
+func (w *worker) othersUnproven(step *workload.Step, own int) bool {
+	ofJob := w.unproven[step.Job]
+	if ofJob > 0 && len(w.unproven) > 1 || ofJob == 0 && len(w.unproven) > 0 {
+		return true
 	}
-	return others > 0
+	return step.GetPerpetual() && !step.GetGang() && ofJob > own
 }
 
 // markUnproven marks a run, which is being started, as a possible cause of a crash of its worker.
@@ -124,8 +125,8 @@
 func (d *Dispatcher) allowsSuspects(c candidate, w *worker) bool {
 	switch {
 	case c.suspect:
-		return !w.othersUnproven(c.step.Job) && (w.reservedFor == c.step || !d.now.Before(w.reservedUntil))
-	case w.suspectRuns > 0 && w.othersUnproven(c.step.Job):
+		return !w.othersUnproven(c.step, 0) && (w.reservedFor == c.step || !d.now.Before(w.reservedUntil))
+	case w.suspectRuns > 0 && w.othersUnproven(c.step, 0):
 		return false
 	}
 	return !d.now.Before(w.reservedUntil)
@@ -219,7 +220,7 @@
 		if r := d.runs[key]; r != nil && r.unproven && !w.lastAnswer.IsZero() && mayRestart(r.task) {
 			suspects = append(suspects, &controlpb.CrashSuspect{
 				Task: key.Task.Ref(), Started: r.seen || r.started,
-				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step.Job) && d.areCrashesRare(r.task),
+				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && d.areCrashesRare(r.task),
 			})
 		}
 	}
--- a/internal/decision/dispatch/crash_test.go
+++ b/internal/decision/dispatch/crash_test.go
@@ -55,7 +55,14 @@
 					if starts := sim.starts["deadly.0.0.1"]; starts < 2 || starts > maxDeadlyStarts {
 						t.Errorf("%d starts of a task that crashes its workers, expected 2 to %d", starts, maxDeadlyStarts)
 					}
-					sim.expect("deadly", controlpb.WorkState_WORK_FAILED)
+					if step.GetPerpetual() {
+						sim.expect("deadly", controlpb.WorkState_WORK_ACTIVE)
+						if runs := sim.state.Job("deadly").LiveRuns(); runs != 2 {
+							t.Errorf("%d of the other 2 lasting tasks run", runs)
+						}
+					} else {
+						sim.expect("deadly", controlpb.WorkState_WORK_FAILED)
+					}
 					sim.expect("serving", controlpb.WorkState_WORK_ACTIVE)
 					sim.expectMixCompleted("before", 4)
 					sim.expectMixCompleted("between", leaderChange)
--- a/internal/decision/workload/crash.go
+++ b/internal/decision/workload/crash.go
@@ -14,8 +14,7 @@
 	maxSuspicions = 5 // in any case, including such crashes
 )
 
-// recordCrash counts a crash of a worker for the tasks that may have caused it, and fails the jobs of
-// those that are to blame.
+// recordCrash counts a crash of a worker for the tasks that may have caused it, and gives up those that are to blame.
 func (s *State) recordCrash(suspects []*controlpb.CrashSuspect) {
 	for _, suspect := range suspects {
 		t := s.Task(TaskKeyFromRef(suspect.GetTask()))
@@ -29,12 +28,23 @@
 		}
 		isProven := suspect.GetIsolated() && (t.Crashes >= minCrashes || t.Crashes+t.Suspicions >= minSuspicions)
 		if isProven || t.Crashes >= minCrashes && t.Crashes+t.Suspicions >= maxSuspicions {
-			t.Step.Job.Failed = true
-			s.finalizeJob(t.Step.Job)
+			s.giveUp(t)
 		}
 	}
 }
 
+// giveUp ends a task under which workers crash. Its job fails, unless other tasks of a perpetual step can do without it.
+func (s *State) giveUp(t *Task) {
+	job := t.Step.Job
+	if t.Step.GetPerpetual() && !t.Step.GetGang() {
+		s.finishTask(t)
+	}
+	if !t.Done || job.unfinished == 0 {
+		job.Failed = true
+	}
+	s.finalizeJob(job)
+}
+
 // settleLosses decides about lost workers whose end wasn't certain, now that an incarnation is there under the ID or address of
 // one: a later incarnation shows that it has crashed.
 func (s *State) settleLosses(incarnation *controlpb.WorkerLife) {
