dispatch: allow an early copy of a task's first run again

Without any copy before a run has been seen at work, tasks on workers that were only slow to answer waited for the end of their leases.

TestDeadlyTasksAcrossLeaders still passes.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -118,8 +118,11 @@
 	}
 }
 
-// mayCrash reports whether a run may have crashed its worker, or be about to, so that no copy of it may start.
-func (r *run) mayCrash() bool { return r.task.IsSuspect() || r.unproven || !r.seen }
+// mayCrash reports whether a run may have crashed its worker, so that no copy of it may start. The first run of a task may get
+// a copy before it is known whether its worker has crashed or is only slow to answer.
+func (r *run) mayCrash() bool {
+	return r.task.IsSuspect() || r.key.Run > 1 && (r.unproven || !r.seen)
+}
 
 // allowsSuspects reports whether a step may start runs on a worker in view of suspect tasks.
 func (d *Dispatcher) allowsSuspects(c candidate, w *worker) bool {
