--- a/internal/decision/voters/reconciler_test.go
+++ b/internal/decision/voters/reconciler_test.go
@@ -13,8 +13,9 @@
 
 // TestMembershipChanges guards against groups that lose their majority and against groups that grow to an even number of voters.
 // Each file of the archive lists the members, one per line as "ID voter|learner ADDRESS [inactive|lost]", where a lost member
-// has replied to this leader and an inactive one never has; after "for", how long they have been in this state; after "tolerates", the number of losses that the group must tolerate (1 by default); and
-// after "->", the expected change.
+// has replied to this leader and an inactive one never has; after "for", how long they have been in this state; after "started",
+// how long the leader's process had been running by its first check (1 h by default); after "tolerates", the number of losses
+// that the group must tolerate (1 by default); and after "->", the expected change.
 func TestMembershipChanges(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/groups.txtar")
 	if err != nil {
