--- a/internal/decision/dispatch/crash_test.go
+++ b/internal/decision/dispatch/crash_test.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// expectDeadlyGivenUp checks that the deadly jobs were given up in time, and that the jobs of the mixes beside them completed.
+func (sim *simulation) expectDeadlyGivenUp(seed uint64, count int) {
+	sim.t.Helper()
+	for i := range count {
+		id := fmt.Sprintf("deadly-%d", i)
+		if starts := sim.starts[id+".0.0.0"]; starts < 2 || starts > maxDeadlyStarts {
+			sim.t.Errorf("seed %d: %d starts of %s, expected 2 to %d", seed, starts, id, maxDeadlyStarts)
+		}
+		sim.expect(id, controlpb.WorkState_WORK_FAILED)
+		sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
+	}
+}
+
 // TestManyDeadlyTasks guards against blaming innocent tasks while several tasks crash their workers at the same time.
 func TestManyDeadlyTasks(t *testing.T) {
 	for seed := range uint64(10) {
@@ -85,14 +98,7 @@
 			sim.submitMix(fmt.Sprint("mix-", i), 4)
 		}
 		sim.run(40 * time.Second)
-		for i := range 8 {
-			id := fmt.Sprintf("deadly-%d", i)
-			if starts := sim.starts[id+".0.0.0"]; starts < 2 || starts > maxDeadlyStarts {
-				t.Errorf("seed %d: %d starts of %s, expected 2 to %d", seed, starts, id, maxDeadlyStarts)
-			}
-			sim.expect(id, controlpb.WorkState_WORK_FAILED)
-			sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
-		}
+		sim.expectDeadlyGivenUp(seed, 8)
 	}
 }
 
@@ -142,13 +148,6 @@
 			sim.run(200 * time.Millisecond)
 		}
 		sim.run(40 * time.Second)
-		for i := range 8 {
-			id := fmt.Sprintf("deadly-%d", i)
-			if starts := sim.starts[id+".0.0.0"]; starts < 2 || starts > maxDeadlyStarts {
-				t.Errorf("seed %d: %d starts of %s, expected 2 to %d", seed, starts, id, maxDeadlyStarts)
-			}
-			sim.expect(id, controlpb.WorkState_WORK_FAILED)
-			sim.expectMixCompleted(fmt.Sprint("mix-", i), 4)
-		}
+		sim.expectDeadlyGivenUp(seed, 8)
 	}
 }
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -100,7 +100,7 @@
 		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
 			continue
 		}
-		if !r.straggling && min(d.now.Sub(r.worker.lastAnswer), d.now.Sub(r.worker.addedAt)) < unresponsiveAfter {
+		if !r.straggling && d.silenceOf(r.worker) < unresponsiveAfter {
 			continue
 		}
 		queue := d.state.Queue(step.Job.Spec.GetQueue())
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -216,7 +216,7 @@
 		switch {
 		case w.terminating && w.incarnation.GetLeaving() && len(w.incarnation.Runs) == 0:
 			d.endIncarnation(w, "it terminates and runs nothing")
-		case d.now.After(w.leaseExpires) && min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt)) > unresponsiveAfter && !w.superseded:
+		case d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded:
 			d.endIncarnation(w, "its lease has expired")
 		}
 		if !d.now.Before(w.leaveAckBy) {
@@ -236,6 +236,11 @@
 	}
 }
 
+// silenceOf returns how long a worker hasn't answered this leader, counted at most since the leader tracks it.
+func (d *Dispatcher) silenceOf(w *worker) time.Duration {
+	return min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt))
+}
+
 // poll asks a worker for its runs and ends, and extends its lease. It acknowledges only ends that the newest answer has
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
