--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -20,7 +20,7 @@
 	return found
 }
 
-// failedEnds returns, for a job, the number of its gang runs or tasks' runs that have ended failed: the largest of any task.
+// failedEnds returns the largest number of runs of one task of a job that have ended failed.
 func (d *deployment) failedEnds(id string) int {
 	most := map[string]int{}
 	worst := 0
@@ -84,8 +84,7 @@
 	return "", nil
 }
 
-// runCrashCase: a worker crashes right after the start of a lasting or a plain task, twice, at different workers. No run has
-// ended failed.
+// runCrashCase: the worker that has begun a job's only task crashes, and so does the next one. No run has ended failed.
 func runCrashCase(d *deployment, trouble bool) (broken string, err error) {
 	const downTime = 3 * time.Second
 	id := newJobID()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -324,8 +324,7 @@
 	return int(min(99, 100*time.Since(r.working)/r.step.work))
 }
 
-// end ends a run and lists the end. The other members of a gang end as broken, unless the gang is done. The caller holds
-// the mutex.
+// end ends a run and lists the end. The caller holds the mutex.
 func (w *worker) end(r *runRecord, how string) {
 	if r.how != "" {
 		return
@@ -372,7 +371,7 @@
 	}
 }
 
-// endGangs ends the members of gangs of which another has ended otherwise than done, 20 ms later at the latest.
+// endGangs ends the members of gangs of which another has ended otherwise than done, but for those that fail on their own.
 func (d *deployment) endGangs() {
 	broken := map[*gangState]bool{}
 	for _, r := range d.runs {
