dispatch: ask again about a worker whose ticket was rejected or that has restarted

Cause: tickets, and the note that a worker had been asked about, were kept by the worker's ID. A later incarnation got starts under the tickets of the earlier one, which it rejects. The rejected ticket was deleted while the worker remained noted as asked about, so that it counted as one that the policy doesn't allow, and no new ticket was requested. The latter also shows without a restart, when a start is repeated after its ticket has expired.

Change: answers of the service are kept by the number of the incarnation. A rejected ticket is marked as expired, and is renewed before other workers are asked about. What the service answered about an incarnation says nothing about a later one, which is asked about again.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"galenamoor/internal/decision/order"
@@ -22,17 +23,18 @@
 	ticketMargin = 250 * time.Millisecond
 )
 
-// advice holds the service's answers about a step. The set of workers that may run a step doesn't change, so a worker
-// without a ticket is asked about only once.
+// advice holds the service's answers about a step. The set of workers that may run a step doesn't change, so an incarnation
+// without a ticket is asked about only once. A later incarnation of the same worker is asked about again: it rejects the
+// tickets of the earlier one, and the service may have left that one out because it was down.
 type advice struct {
-	pending bool
+	asking  []*worker // named in the pending call; nil if none is pending
 	retryAt time.Time
-	asked   map[string]bool   // worker IDs that the service has been asked about
-	tickets map[string]ticket // by ID of the workers that may run the step
+	tickets map[uint32]ticket // by number of each incarnation that the service has answered about
 }
 
+// ticket allows the tasks of a step on an incarnation of a worker.
 type ticket struct {
-	text    string
+	text    string // empty if the incarnation may not run the step
 	expires time.Time
 }
 
@@ -40,7 +42,7 @@
 func (d *Dispatcher) adviceOn(step *workload.Step) *advice {
 	cached := d.advices[step]
 	if cached == nil {
-		cached = &advice{asked: map[string]bool{}, tickets: map[string]ticket{}}
+		cached = &advice{tickets: map[uint32]ticket{}}
 		d.advices[step] = cached
 	}
 	return cached
@@ -52,52 +54,64 @@
 	if cached == nil {
 		return ""
 	}
-	if t := cached.tickets[w.incarnation.GetId()]; d.now.Before(t.expires) {
+	if t := cached.tickets[w.incarnation.GetNumber()]; d.now.Before(t.expires) {
 		return t.text
 	}
 	return ""
 }
 
+// expireTicket marks a ticket that a worker has rejected as expired, so that it is renewed, unless a newer one is known.
+func (d *Dispatcher) expireTicket(step *workload.Step, w *worker, text string) {
+	tickets := d.adviceOn(step).tickets
+	if t := tickets[w.incarnation.GetNumber()]; t.text != "" && t.text == text {
+		tickets[w.incarnation.GetNumber()] = ticket{text: text}
+	}
+}
+
 // requestAdvice asks the service about a step that has fewer usable workers with tickets than waiting tasks. Expired
 // tickets are renewed before other workers are asked about.
 func (d *Dispatcher) requestAdvice(c candidate, hosts []host) {
 	cached := d.adviceOn(c.step)
-	if cached.pending || d.now.Before(cached.retryAt) || d.adviceCalls >= maxAdviceCalls {
+	if cached.asking != nil || d.now.Before(cached.retryAt) || d.adviceCalls >= maxAdviceCalls {
 		return
 	}
 	usable := 0
-	var unasked, expired []string
+	var unasked, expired []*worker
 	for i := range hosts {
 		w := hosts[i].worker
-		id := w.incarnation.GetId()
 		if !c.step.Demand().Fits(hosts[i].Free) || !d.allowsUnadvised(c, w) {
 			continue
 		}
-		_, hadTicket := cached.tickets[id]
+		t, answered := cached.tickets[w.incarnation.GetNumber()]
 		switch {
-		case d.ticketFor(c.step, w) != "":
+		case !answered:
+			unasked = append(unasked, w)
+		case t.text == "":
+		case d.now.Before(t.expires):
 			usable++
-		case hadTicket:
-			expired = append(expired, id)
-		case !cached.asked[id]:
-			unasked = append(unasked, id)
+		default:
+			expired = append(expired, w)
 		}
 	}
 	if usable >= c.step.Waiting {
 		return
 	}
-	ids := expired
-	if len(ids) == 0 {
-		ids = unasked
+	workers := expired
+	if len(workers) == 0 {
+		workers = unasked
 	}
-	if len(ids) > 0 {
-		d.sendAdviceCall(c.step, cached, ids[:min(len(ids), maxAdviceWorkers)])
+	if len(workers) > 0 {
+		d.sendAdviceCall(c.step, cached, workers[:min(len(workers), maxAdviceWorkers)])
 	}
 }
 
-func (d *Dispatcher) sendAdviceCall(step *workload.Step, cached *advice, ids []string) {
-	cached.pending = true
+func (d *Dispatcher) sendAdviceCall(step *workload.Step, cached *advice, workers []*worker) {
+	cached.asking = workers
 	d.adviceCalls++
+	var ids []string
+	for _, w := range workers {
+		ids = append(ids, w.incarnation.GetId())
+	}
 	d.config.WorkerCalls.Send(&order.Call{
 		Kind: order.Advise, Epoch: d.epoch, Sent: d.now, Step: step, WorkerIDs: ids,
 	})
@@ -106,7 +120,8 @@
 // handleAdvice handles an answer of the service.
 func (d *Dispatcher) handleAdvice(a *order.Answer) {
 	cached := d.adviceOn(a.Call.Step)
-	cached.pending = false
+	asked := cached.asking
+	cached.asking = nil
 	d.adviceCalls--
 	d.dirty = true
 	if a.Status != order.OK {
@@ -114,20 +129,20 @@
 		d.config.Log.Info("advice call failed", "Step", a.Call.Step.Name(), "Status", a.Status.String(), "Error", errorText(a.Err))
 		return
 	}
-	for _, id := range a.Call.WorkerIDs {
-		cached.asked[id] = true
-	}
-	for id, text := range a.Tickets {
-		cached.tickets[id] = ticket{text: text, expires: a.Call.Sent.Add(a.ValidFor - ticketMargin)}
+	expires := a.Call.Sent.Add(a.ValidFor - ticketMargin)
+	for _, w := range asked {
+		cached.tickets[w.incarnation.GetNumber()] = ticket{text: a.Tickets[w.incarnation.GetId()], expires: expires}
 	}
 	d.config.Log.Info("advice", "Step", a.Call.Step.Name(), "Asked", len(a.Call.WorkerIDs), "Tickets", len(a.Tickets), "Took", d.now.Sub(a.Call.Sent).String())
 }
 
-// forgetAdvice drops the advice on steps that are done or whose jobs are terminal.
+// forgetAdvice drops the advice on steps that are done or whose jobs are terminal, and on incarnations that have ended.
 func (d *Dispatcher) forgetAdvice() {
 	for step, cached := range d.advices {
-		if !cached.pending && (step.Job.IsTerminal() || step.Unfinished == 0) {
+		if cached.asking == nil && (step.Job.IsTerminal() || step.Unfinished == 0) {
 			delete(d.advices, step)
+			continue
 		}
+		maps.DeleteFunc(cached.tickets, func(incarnation uint32, _ ticket) bool { return d.workers[incarnation] == nil })
 	}
 }
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -222,7 +222,7 @@
 		d.config.Log.Info("start refused", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "Status", a.Status.String())
 		r.nextStart = time.Time{}
 		if a.Status == order.NoTicket {
-			delete(d.adviceOn(r.task.Step).tickets, r.worker.incarnation.GetId())
+			d.expireTicket(r.task.Step, r.worker, a.Call.Ticket)
 		} else {
 			r.worker.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 		}
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -45,6 +45,9 @@
 	// interference returns by how much an aggressor raises the latency ratio of a victim; nil for not at all.
 	interference func(victim, aggressor string) float64
 
+	tickets         map[string]simTicket // issued by the advice service, by text
+	adviceBusyUntil time.Time            // when the advice service has handled all calls
+
 	endedUnder map[workload.TaskKey]int // incarnations that restarted while the task ran on them
 
 	deadly map[string]bool // tasks that crash each worker that starts them, by name
@@ -113,6 +116,7 @@
 	sim := &simulation{
 		t: t, commitTime: defaultCommitTime, endedUnder: map[workload.TaskKey]int{}, maxDelay: 6 * time.Second, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1_000_000, 0), state: workload.New(),
 		requests: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){}, done: map[workload.TaskKey]time.Time{}, starts: map[string]int{}, started: map[workload.TaskKey]time.Time{},
+		tickets: map[string]simTicket{},
 	}
 	sim.dispatcher = New(Config{
 		State: func() *workload.State { return sim.state }, WorkerCalls: sim, Mailbox: sim,
@@ -202,19 +206,45 @@
 // Empty implements Mailbox.
 func (sim *simulation) Empty() bool { return len(sim.mailbox) == 0 }
 
-// advise simulates the advice service: every other worker may run the step, with tickets valid for 3 s.
+// ticketValidity is how long a ticket of the simulated advice service is valid.
+const ticketValidity = 3 * time.Second
+
+// simTicket allows the tasks of a step on one incarnation of a worker.
+type simTicket struct {
+	step    string
+	worker  *simWorker
+	bornMs  int64
+	expires time.Time
+}
+
+// advise simulates the advice service, which handles one call at a time: every other worker may run the step, and gets a
+// ticket if it is up.
 func (sim *simulation) advise(call *order.Call) {
-	sim.after(100*time.Millisecond+10*time.Millisecond*time.Duration(len(call.WorkerIDs)), func() {
-		answer := &order.Answer{Status: order.OK, Tickets: map[string]string{}, ValidFor: 3 * time.Second}
-		for _, name := range call.WorkerIDs {
-			if n := name[len(name)-1]; n%2 == 0 {
-				answer.Tickets[name] = call.Step.Name() + name
+	began := sim.now
+	if sim.adviceBusyUntil.After(began) {
+		began = sim.adviceBusyUntil
+	}
+	sim.adviceBusyUntil = began.Add(100*time.Millisecond + 10*time.Millisecond*time.Duration(len(call.WorkerIDs)))
+	sim.after(sim.adviceBusyUntil.Sub(sim.now), func() {
+		answer := &order.Answer{Status: order.OK, Tickets: map[string]string{}, ValidFor: ticketValidity}
+		for _, worker := range sim.workers {
+			id := worker.incarnation.GetId()
+			if n := id[len(id)-1]; n%2 == 0 && worker.up && slices.Contains(call.WorkerIDs, id) {
+				text := fmt.Sprintf("ticket-%d", len(sim.tickets))
+				sim.tickets[text] = simTicket{call.Step.Name(), worker, worker.incarnation.GetBornMs(), sim.now.Add(ticketValidity)}
+				answer.Tickets[id] = text
 			}
 		}
 		sim.answer(call, answer)
 	})
 }
 
+// hasTicket reports whether a start of a task of an advised queue carries a valid ticket.
+func (s *simWorker) hasTicket(call *order.Call, step string) bool {
+	t := s.simulation.tickets[call.Ticket]
+	return t.step == step && t.worker == s && t.bornMs == s.incarnation.GetBornMs() && s.simulation.now.Before(t.expires)
+}
+
 // Send implements WorkerCalls.
 func (sim *simulation) Send(call *order.Call) {
 	switch call.Kind {
@@ -427,7 +457,7 @@
 	if task == nil {
 		return order.Invalid
 	}
-	if task.Step.Job.Spec.GetQueue() == "advised" && call.Ticket != task.Step.Name()+s.incarnation.GetId() {
+	if task.Step.Job.Spec.GetQueue() == "advised" && !s.hasTicket(call, task.Step.Name()) {
 		return order.NoTicket
 	}
 	s.simulation.starts[key.Task.String()]++
