workload: count a run of a gang as one attempt, however many members fail

Cause: each member that ended failed added a failed attempt to every member, so that a run with two failed members counted as two attempts.

The script "members that fail in the same run of a gang are one attempt" failed before the change: state failed, expected active.

The runs of a gang end in order, as the next one starts once no member has a live run.

--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -75,7 +75,8 @@
 	Step       *Step
 	Index      uint32
 	LastRun    uint32 // number of the latest run, 0 before the first
-	Failures   uint32
+	Failures   uint32 // failed attempts; an attempt of a gang is a run of all its members
+	FailedRun  uint32 // of a gang: number of the latest run that Failures counts
 	Crashes    uint32 // incarnations of workers that crashed while the task started on them
 	Suspicions uint32 // the same, but it isn't certain that the task had started
 	Done       bool
@@ -319,7 +320,7 @@
 		}
 	case controlpb.RunEnd_RUN_FAILED:
 		if !t.Done {
-			s.recordFailure(t)
+			s.recordFailure(t, end.GetRun())
 		}
 	}
 	s.finalizeJob(t.Step.Job)
@@ -336,15 +337,17 @@
 	}
 }
 
-// recordFailure counts a failed attempt, for every member if the step is a gang. The job fails once a task that isn't
-// perpetual has used all attempts that its queue allows.
-func (s *State) recordFailure(t *Task) {
-	if t.Step.GetGang() {
+// recordFailure counts a failed run of a task. A run of a gang counts once for every member, however many members failed in
+// it. The job fails once a task that isn't perpetual has used all attempts that its queue allows.
+func (s *State) recordFailure(t *Task, run uint32) {
+	switch {
+	case !t.Step.GetGang():
+		t.Failures++
+	case t.FailedRun != run: // a gang has no live run when the next one starts, so its runs end in order
 		for _, member := range t.Step.Tasks {
 			member.Failures++
+			member.FailedRun = run
 		}
-	} else {
-		t.Failures++
 	}
 	queue := s.queues[t.Step.Job.Spec.GetQueue()]
 	if !t.Step.GetPerpetual() && queue.GetMaxAttempts() > 0 && t.Failures >= queue.GetMaxAttempts() && !t.Step.Job.IsTerminal() {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -42,7 +42,9 @@
 func (j *Job) record() *controlpb.WorkJobRecord {
 	record := &controlpb.WorkJobRecord{Job: j.Spec, Cancelled: j.Cancelled, Failed: j.Failed, Started: j.Started}
 	j.forEachTask(func(t *Task) {
-		task := &controlpb.WorkTaskRecord{LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions}
+		task := &controlpb.WorkTaskRecord{
+			LastRun: t.LastRun, Failures: t.Failures, FailedRun: t.FailedRun, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions,
+		}
 		for _, r := range t.Runs {
 			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs})
 		}
@@ -123,7 +125,7 @@
 
 func (s *State) restoreTask(t *Task, record *controlpb.WorkTaskRecord) error {
 	t.LastRun, t.Failures, t.Checkpoint = record.GetLastRun(), record.GetFailures(), record.GetCheckpoint()
-	t.Crashes, t.Suspicions = record.GetCrashes(), record.GetSuspicions()
+	t.FailedRun, t.Crashes, t.Suspicions = record.GetFailedRun(), record.GetCrashes(), record.GetSuspicions()
 	if record.GetDone() {
 		s.finishTask(t)
 	}
