dispatch: don't start a task again on the worker on which it has just failed

Cause: a worker that has failed a run is rated lower, but chosen if no other has room, as for a gang that needs all workers or a task that may run on one only. The next attempt follows within milliseconds. The quarantine of a worker starts with its third failure in a row, when the attempts are used up.

In the simulation, a failed member now breaks its gang.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -146,7 +146,7 @@
 		}
 		var chosen *host
 		if waiting == 0 {
-			chosen = d.choose(c, demand, hosts, nil)
+			chosen = d.choose(c, demand, hosts, d.hasFailed(task))
 		}
 		if chosen == nil {
 			waiting++
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -92,9 +92,10 @@
 	workers           map[uint32]*worker
 	orderedWorkers    []*worker // the values of workers by incarnation number, for decisions that must not depend on map order
 	runs              map[workload.RunKey]*run
-	assigning         map[workload.TaskKey]bool // tasks whose next run is proposed and not yet committed
-	checkpoints       map[workload.TaskKey]string
-	migrations        map[workload.TaskKey]int // number of times that a straggling task was stopped to run elsewhere
+	assigning         map[workload.TaskKey]bool                  // tasks whose next run is proposed and not yet committed
+	checkpoints       map[workload.TaskKey]string                // by unitKey
+	migrations        map[workload.TaskKey]int                   // number of times that a straggling task was stopped to run elsewhere
+	failures          map[workload.TaskKey]map[*worker]time.Time // when a run last failed on a worker; by unitKey
 	lastAnnouncements map[string]announcementVersion
 	runtimes          *runtimeStats
 	headroom          *headroom.Estimator // for dedicated tasks
@@ -141,6 +142,7 @@
 	d.assigning = map[workload.TaskKey]bool{}
 	d.checkpoints = map[workload.TaskKey]string{}
 	d.migrations = map[workload.TaskKey]int{}
+	d.failures = map[workload.TaskKey]map[*worker]time.Time{}
 	d.lastAnnouncements = map[string]announcementVersion{}
 	d.runtimes = newRuntimeStats()
 	d.headroom = &headroom.Estimator{}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -62,11 +62,12 @@
 	}
 	demand := d.demand(c)
 	placed := map[*worker]int{}
+	hasFailed := d.hasFailed(c.step.Tasks[0])
 	chosen := make([]*worker, 0, len(c.step.Tasks))
 	for range c.step.Tasks {
 		best := d.choose(c, demand, scratch, func(w *worker) bool {
 			limit := int(c.step.GetMaxPerWorker())
-			return rack != "" && rackOf(w.incarnation) != rack || limit > 0 && placed[w] >= limit
+			return rack != "" && rackOf(w.incarnation) != rack || limit > 0 && placed[w] >= limit || hasFailed != nil && hasFailed(w)
 		})
 		if best == nil {
 			return nil
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -266,7 +266,11 @@
 		}
 		var chosen *host
 		if missing == 0 {
-			chosen = d.choose(c, demand, hosts, nil)
+			hasFailed := d.hasFailed(task)
+			chosen = d.choose(c, demand, hosts, hasFailed)
+			if chosen == nil && hasFailed != nil && d.choose(c, demand, hosts, nil) != nil {
+				continue // there is room, but only where the task has just failed
+			}
 		}
 		if chosen == nil {
 			missing++
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -16,13 +16,14 @@
 )
 
 // report logs the state of the fleet every reportInterval, so that operators can find out later why tasks waited. It also
-// drops advice that is no longer needed and proposes changed interference ratings.
+// drops advice and failures that are no longer needed and proposes changed interference ratings.
 func (d *Dispatcher) report(candidates []candidate, hosts []host) {
 	if d.now.Sub(d.reportedAt) < reportInterval {
 		return
 	}
 	d.reportedAt = d.now
 	d.forgetAdvice()
+	d.forgetFailures()
 	d.recordInterference()
 	waiting := map[string]int{}
 	for _, c := range candidates {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -181,8 +181,8 @@
 	return ""
 }
 
-// checkpointKey returns the key under which a task's checkpoint is kept. The members of a gang share one.
-func checkpointKey(t *workload.Task) workload.TaskKey {
+// unitKey returns the key of what is started as a unit: of the task itself, or of the first member of its gang.
+func unitKey(t *workload.Task) workload.TaskKey {
 	key := t.Key()
 	if t.Step.GetGang() {
 		key.Index = 0
@@ -192,7 +192,7 @@
 
 // checkpoint returns the checkpoint from which a task resumes. All members of a gang get the same.
 func (d *Dispatcher) checkpoint(t *workload.Task) string {
-	if saved := d.checkpoints[checkpointKey(t)]; saved != "" {
+	if saved := d.checkpoints[unitKey(t)]; saved != "" {
 		return saved
 	}
 	return t.Checkpoint
@@ -348,7 +348,7 @@
 	d.observeProof(r)
 	d.checkStraggler(r)
 	if running.Checkpoint != "" {
-		d.checkpoints[checkpointKey(r.task)] = running.Checkpoint
+		d.checkpoints[unitKey(r.task)] = running.Checkpoint
 	}
 }
 
@@ -420,7 +420,7 @@
 	if r.task.Done {
 		d.forgetTask(e.Run.Task)
 	} else if e.Checkpoint != "" {
-		d.checkpoints[checkpointKey(r.task)] = e.Checkpoint
+		d.checkpoints[unitKey(r.task)] = e.Checkpoint
 	}
 	d.config.Count("RunsEnded." + e.Result.String())
 	d.config.Log.Info("run ended", "Task", e.Run.Task.String(), "Run", e.Run.Run, "Worker", w.incarnation.GetId(), "How", e.Result.String(),
--- a/internal/decision/dispatch/runtimes.go
+++ b/internal/decision/dispatch/runtimes.go
@@ -91,6 +91,7 @@
 		}
 	case controlpb.RunEnd_RUN_FAILED:
 		w.consecutiveFailures++
+		d.noteFailure(r.task, w)
 		if w.consecutiveFailures >= maxConsecutiveFailures {
 			w.quarantinedUntil = d.now.Add(quarantineTime)
 			d.config.Log.Info("worker quarantined", "Worker", w.incarnation.GetId(), "ConsecutiveFailures", w.consecutiveFailures, "For", quarantineTime.String())
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -329,12 +329,18 @@
 // configure installs queues of one pool: "urgent", "batch" and "advised", with at most three attempts per task.
 func (sim *simulation) configure() {
 	sim.run(50 * time.Millisecond)
+	sim.replaceRouting(1, 3)
+}
+
+// replaceRouting installs a version of the queues, with a limit of attempts per task.
+func (sim *simulation) replaceRouting(version uint64, maxAttempts uint32) {
+	sim.t.Helper()
 	sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_ReplaceRouting{ReplaceRouting: &controlpb.Routing{
-		Version: 1, Document: []byte("{}"), Pools: []*controlpb.WorkPool{{Name: "pool"}},
+		Version: version, Document: []byte("{}"), Pools: []*controlpb.WorkPool{{Name: "pool"}},
 		Queues: []*controlpb.WorkQueue{
-			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: 3, Pool: "pool", Stretch: 1.5, TargetRuntimeMs: 250},
-			{Name: "batch", Host: "h", PathPrefix: "/batch/", MaxAttempts: 3, Pool: "pool", Priority: 2, Stretch: 2, TargetRuntimeMs: 1000},
-			{Name: "advised", Host: "h", PathPrefix: "/advised/", MaxAttempts: 3, Pool: "pool", Stretch: 2, Advised: true},
+			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: maxAttempts, Pool: "pool", Stretch: 1.5, TargetRuntimeMs: 250},
+			{Name: "batch", Host: "h", PathPrefix: "/batch/", MaxAttempts: maxAttempts, Pool: "pool", Priority: 2, Stretch: 2, TargetRuntimeMs: 1000},
+			{Name: "advised", Host: "h", PathPrefix: "/advised/", MaxAttempts: maxAttempts, Pool: "pool", Stretch: 2, Advised: true},
 		},
 	}}})
 }
@@ -395,9 +401,12 @@
 	})
 }
 
-// breakGang ends the other members of the gang of a run.
+// breakGang ends the other members of the gang of a run, except on workers on which they fail by themselves.
 func (sim *simulation) breakGang(key workload.RunKey) {
 	for _, worker := range sim.workers {
+		if worker.failing {
+			continue
+		}
 		for other := range worker.runs {
 			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
 				worker.end(other, controlpb.RunEnd_RUN_BROKEN)
@@ -604,6 +613,9 @@
 		switch {
 		case s.failing && r.worked > 100*time.Millisecond:
 			s.end(key, controlpb.RunEnd_RUN_FAILED)
+			if r.task.Step.GetGang() {
+				s.simulation.breakGang(key)
+			}
 		case !r.task.Step.GetPerpetual() && r.worked >= r.runtime:
 			s.end(key, controlpb.RunEnd_RUN_DONE)
 		}
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -105,7 +105,8 @@
 		}
 		queue := d.state.Queue(step.Job.Spec.GetQueue())
 		c := candidate{step: step, queue: queue}
-		chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool { return w == r.worker })
+		hasFailed := d.hasFailed(r.task)
+		chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool { return w == r.worker || hasFailed != nil && hasFailed(w) })
 		if chosen == nil {
 			continue
 		}
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -43,7 +43,7 @@
 		case !task.IsWaiting():
 			continue
 		}
-		chosen := d.choose(c, demand, hosts, nil)
+		chosen := d.choose(c, demand, hosts, d.hasFailed(task))
 		if chosen == nil {
 			return 0
 		}
