dispatch: retract evidence of interference that a slow worker has given

Cause: the tail latencies of the serving tasks on a slow worker are over their targets whatever runs beside them. The best-effort images that happen to run there were rated harmful to all serving images, one after the other, and were kept away from these on all workers for up to a minute.

Change: a worker's evidence is remembered until it is settled. If a serving image is still over its target once no best-effort task has worked on the worker for a whole measurement window, the evidence against those beside it is retracted; if it falls below the target before, the evidence stands.

--- a/internal/decision/dispatch/interference.go
+++ b/internal/decision/dispatch/interference.go
@@ -32,6 +32,7 @@
 	if w.speed < fullSpeed {
 		wholeWindow, inWindow = nil, nil // paused runs can't interfere, so they give no evidence
 	}
+	worstRatios := map[string]float64{}
 	for key := range w.incarnation.Runs {
 		r := d.runs[key]
 		if r == nil || !r.task.Step.IsServing() || r.measurement < 0 || r.progress < servingProgress {
@@ -40,9 +41,11 @@
 		latencyRatio := float64(r.measurement) / float64(r.task.Step.GetTargetMs())
 		w.latencyRatio = max(w.latencyRatio, latencyRatio)
 		served := image{imageOf(r.task.Step), false}
-		d.interference.Observe(d.now, served.name, latencyRatio, 1/float64(max(1, w.images[served])), wholeWindow, inWindow)
+		worstRatios[served.name] = max(worstRatios[served.name], latencyRatio)
+		w.noteBlame(d.interference.Observe(d.now, served.name, latencyRatio, 1/float64(max(1, w.images[served])), wholeWindow, inWindow))
 	}
-	w.pollOften = (w.latencyRatio >= pollOftenRatio || w.speed < fullSpeed) && len(bestEffort) > 0
+	d.settleBlames(w, worstRatios)
+	w.pollOften = (w.latencyRatio >= pollOftenRatio || w.speed < fullSpeed) && (len(bestEffort) > 0 || len(w.blames) > 0)
 	for _, r := range bestEffort {
 		switch d.interferenceWith(r.task.Step, w) {
 		case imagepair.Harmful:
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -87,6 +87,7 @@
 	rejectsStarts   bool    // it rejects starts without any effect
 	rejectionRate   float64 // share of the starts that it rejects without any effect
 	slowdown        float64 // factor by which its tasks take longer; 0 for 1
+	slowTail        float64 // added to the latency ratio of its serving tasks
 }
 
 // simEnd is an end that isn't acknowledged yet. It is discarded if the worker's lease expires first.
@@ -539,10 +540,16 @@
 	return answer
 }
 
+// normalLatencyRatio is the tail latency of a serving task without load or interference, as a share of its target.
+const normalLatencyRatio = 0.4
+
+// isSlow reports whether the worker is so slow that its serving tasks exceed their targets whatever runs beside them.
+func (s *simWorker) isSlow() bool { return normalLatencyRatio+s.slowTail > 1 }
+
 // tailLatencyMs returns the tail latency of a serving task in milliseconds: 40% of its target, plus the effects of its own
 // load and of the interfering best-effort tasks.
 func (s *simWorker) tailLatencyMs(r *simRun) int64 {
-	ratio := 0.4
+	ratio := normalLatencyRatio + s.slowTail
 	if s.simulation.ownLoad != nil {
 		ratio += s.simulation.ownLoad(s.simulation.now)
 	}
@@ -592,7 +599,7 @@
 		case s.simulation.now.After(s.leaseExpires):
 			s.end(key, controlpb.RunEnd_RUN_LAPSED)
 			continue
-		case r.task.Step.IsServing() && s.tailLatencyMs(r) > r.task.Step.GetTargetMs():
+		case r.task.Step.IsServing() && s.tailLatencyMs(r) > r.task.Step.GetTargetMs() && !s.isSlow():
 			s.simulation.overTarget += step
 			if r.overTarget += step; r.overTarget == s.simulation.dispatcher.config.Limits.MaxOverTarget {
 				s.simulation.t.Errorf("%v: %s has exceeded its latency target for %v beside best-effort tasks", s.simulation.now, key.Task, r.overTarget)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/imagepair"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 	"galenamoor/pkg/resource"
@@ -80,22 +81,24 @@
 	missedCalls   int    // consecutive calls without an answer
 
 	// Resource usage and placement, including proposed runs.
-	used                 resource.Vector         // reserved by runs and proposed runs
-	bestEffortProcessors int64                   // milli-cores that its best-effort tasks can use
-	servingTasks         int                     // number of serving tasks
-	latencyRatio         float64                 // highest tail latency of a serving task as a share of its latency target
-	servingProcessors    int64                   // milli-cores of serving tasks
-	dedicatedTasks       int                     // number of finite tasks with dedicated processors
-	images               map[image]int           // number of serving and best-effort tasks by image
-	victims, aggressors  []string                // image names of the serving and of the best-effort tasks, sorted
-	bestEffortSeen       map[string]time.Time    // when a best-effort task of an image was last seen
-	belowTargetAt        time.Time               // last poll at which all serving tasks were certainly below their latency targets
-	speed                int                     // percent of full speed at which best-effort tasks may run
-	throttledProcessors  int64                   // milli-cores of best-effort tasks that run throttled
-	pausedAt             time.Time               // when the best-effort tasks were paused
-	pollOften            bool                    // polls use shortPollWait
-	proposedRuns         map[*workload.Step]int  // number of proposed runs
-	preempting           map[*workload.Step]bool // steps for which the current pass preempts runs here
+	used                 resource.Vector              // reserved by runs and proposed runs
+	bestEffortProcessors int64                        // milli-cores that its best-effort tasks can use
+	servingTasks         int                          // number of serving tasks
+	latencyRatio         float64                      // highest tail latency of a serving task as a share of its latency target
+	servingProcessors    int64                        // milli-cores of serving tasks
+	dedicatedTasks       int                          // number of finite tasks with dedicated processors
+	images               map[image]int                // number of serving and best-effort tasks by image
+	victims, aggressors  []string                     // image names of the serving and of the best-effort tasks, sorted
+	bestEffortSeen       map[string]time.Time         // when a best-effort task of an image was last seen
+	belowTargetAt        time.Time                    // last poll at which all serving tasks were certainly below their latency targets
+	blames               map[string][]imagepair.Blame // unsettled evidence of interference, by image of the serving tasks
+	quietSince           time.Time                    // last time at which best-effort tasks may have been at work
+	speed                int                          // percent of full speed at which best-effort tasks may run
+	throttledProcessors  int64                        // milli-cores of best-effort tasks that run throttled
+	pausedAt             time.Time                    // when the best-effort tasks were paused
+	pollOften            bool                         // polls use shortPollWait
+	proposedRuns         map[*workload.Step]int       // number of proposed runs
+	preempting           map[*workload.Step]bool      // steps for which the current pass preempts runs here
 
 	// Reasons to avoid the worker or to exclude it from placement.
 	consecutiveFailures int // runs that failed in a row
@@ -130,7 +133,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", incarnation.GetId(), "Address", incarnation.GetAddress())
 		return
 	}
-	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, bestEffortSeen: map[string]time.Time{}}
+	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, blames: map[string][]imagepair.Blame{}, quietSince: d.now, bestEffortSeen: map[string]time.Time{}}
 	longestLease := time.Duration(float64(d.config.Limits.MaxLease) * (1 + maxClockDrift))
 	w.leaseExpires = d.leadingSince.Add(longestLease + leaseExpiryMargin)
 	if d.now.Sub(d.leadingSince) > longestLease {
--- a/internal/decision/imagepair/ledger.go
+++ b/internal/decision/imagepair/ledger.go
@@ -102,23 +102,44 @@
 	return count
 }
 
+// Blame is evidence of interference that an observation has added to a pair.
+type Blame struct {
+	Victim, Aggressor string
+	Evidence          float64 // by how much it has raised the log-odds
+}
+
 // Observe learns from one observation of a victim; latencyRatio is its tail latency divided by its latency target. The weight
 // is 1, or less if several victims of the same image on one host are observed together. wholeWindow lists the images of the
 // aggressors that ran beside the victim for the whole period that the tail latency covers, and inWindow those that ran for
-// any part of it, each once.
-func (l *Ledger) Observe(now time.Time, victim string, latencyRatio, weight float64, wholeWindow, inWindow []string) {
-	switch {
-	case latencyRatio < lowRatio:
+// any part of it, each once. It returns what Retract takes back, which is zero without evidence of interference.
+func (l *Ledger) Observe(now time.Time, victim string, latencyRatio, weight float64, wholeWindow, inWindow []string) Blame {
+	if latencyRatio < lowRatio {
 		for _, aggressor := range wholeWindow {
 			l.add(now, victim, aggressor, weight*lowEvidence)
 		}
-	case latencyRatio >= severeRatio:
-		l.add(now, victim, l.likeliestAggressor(now, victim, inWindow), weight*severeEvidence)
-	case latencyRatio >= highRatio:
-		l.add(now, victim, l.likeliestAggressor(now, victim, inWindow), weight*highEvidence)
 	}
+	if latencyRatio < highRatio {
+		return Blame{}
+	}
+	evidence := weight * highEvidence
+	if latencyRatio >= severeRatio {
+		evidence = weight * severeEvidence
+	}
+	aggressor := l.likeliestAggressor(now, victim, inWindow)
+	if aggressor == "" {
+		return Blame{}
+	}
+	return Blame{victim, aggressor, l.add(now, victim, aggressor, evidence)}
+}
+
+// Retract takes back evidence of interference, for example after it has turned out that the latency had another cause.
+func (l *Ledger) Retract(now time.Time, b Blame) {
+	l.add(now, b.Victim, b.Aggressor, -b.Evidence)
 }
 
+// IsOverTarget reports whether a latency ratio is evidence of interference.
+func IsOverTarget(latencyRatio float64) bool { return latencyRatio >= highRatio }
+
 // Restore sets the log-odds of a pair, for example from replicated state. DrainChanges doesn't report the restored rating.
 func (l *Ledger) Restore(now time.Time, p Pair) {
 	key := pair{p.Victim, p.Aggressor}
@@ -156,10 +177,8 @@
 	return likeliest
 }
 
-func (l *Ledger) add(now time.Time, victim, aggressor string, evidence float64) {
-	if aggressor == "" {
-		return
-	}
+// add adds evidence to a pair, and returns by how much it has changed the log-odds.
+func (l *Ledger) add(now time.Time, victim, aggressor string, evidence float64) float64 {
 	key := pair{victim, aggressor}
 	r := l.pairs[key]
 	if r == nil {
@@ -169,8 +188,10 @@
 		r = &record{reported: Unknown}
 		l.pairs[key] = r
 	}
-	r.logOdds = min(maxLogOdds, max(minLogOdds, r.logOddsAt(now)+evidence))
+	before := r.logOddsAt(now)
+	r.logOdds = min(maxLogOdds, max(minLogOdds, before+evidence))
 	r.at = now
+	return r.logOdds - before
 }
 
 // logOddsAt returns the log-odds. Positive ones decay since the last evidence, because a pair rated harmful is kept apart and
--- a/internal/decision/imagepair/ledger_test.go
+++ b/internal/decision/imagepair/ledger_test.go
@@ -63,6 +63,33 @@
 	}
 }
 
+// TestRetract guards against a rating that stays after the evidence for it has turned out to be false, and against one that
+// is lost with more evidence than there was.
+func TestRetract(t *testing.T) {
+	l := New()
+	now := time.Unix(0, 0)
+	for range 4 {
+		l.Observe(now, "victim", 0.5, 1, []string{"harmless"}, []string{"harmless"})
+		l.Observe(now, "victim", 5, 1, nil, []string{"harmful"})
+	}
+	for _, aggressor := range []string{"harmless", "harmful"} {
+		want := l.Rating(now, "victim", aggressor)
+		var blames []Blame
+		for range 5 {
+			blames = append(blames, l.Observe(now, "victim", 5, 1, nil, []string{aggressor}))
+		}
+		if got := l.Rating(now, "victim", aggressor); got != Harmful {
+			t.Errorf("%s is rated %d, expected Harmful", aggressor, got)
+		}
+		for _, b := range blames {
+			l.Retract(now, b)
+		}
+		if got := l.Rating(now, "victim", aggressor); got != want {
+			t.Errorf("%s is rated %d after the evidence was retracted, expected %d as before", aggressor, got, want)
+		}
+	}
+}
+
 // TestHarmfulRatingDecays guards against keeping a pair apart forever, although the behaviour of images changes.
 func TestHarmfulRatingDecays(t *testing.T) {
 	l := New()
