dispatch, colocation: count throttled tasks by what they use

Cause: a throttled task works at a fifth of its speed, but its whole demand counted against the quarter of a host's processors that throttled tasks may use, so that a host took one or two of them. With more waiting jobs than such places, the others starved.

TestThrottledTasksCountByUse failed before the change: six of ten jobs have nothing running.

Change: the share counts the processors that throttled tasks may use. As more of them fit on a host, they start at least a second apart, so that the tail latencies show the effect of each before the next one joins.

--- a/internal/decision/colocation/score.go
+++ b/internal/decision/colocation/score.go
@@ -31,7 +31,7 @@
 	MixesImages     bool             // the host already serves other images than that of this serving task
 	KeepsEmptyHosts bool             // a serving task should leave the hosts without serving tasks to dedicated tasks
 	TrialBlocked    bool             // no further trial of an unknown pair of images may start on the host
-	Throttled       bool             // a best-effort task that runs at such low speed that it interferes little
+	Throttled       int64            // milli-cores that a best-effort task may use at such low speed that it interferes little; 0 at full speed
 	DataRack        string           // rack that holds the task's data; empty for none
 	WorstRating     imagepair.Rating // worst rating of the task with the tasks that run on the host
 }
@@ -46,7 +46,8 @@
 	Paused               bool            // its best-effort tasks are paused to protect serving tasks
 
 	Processors          int64 // total milli-cores of the host
-	ThrottledProcessors int64 // milli-cores of throttled best-effort tasks (Demand.Throttled)
+	ThrottledProcessors int64 // milli-cores that throttled best-effort tasks may use (Demand.Throttled)
+	Unmeasured          bool  // LatencyRatio doesn't show yet the effect of a throttled task that has started
 
 	Rack    string
 	Suspect bool // has recently failed or delayed runs
@@ -112,9 +113,9 @@
 	case Dedicated:
 		score = h.Spare
 	case BestEffort:
-		if demand.Throttled {
-			throttledShare := float64(h.ThrottledProcessors+demand.Processors) / float64(max(1, h.Processors))
-			if h.Paused || h.LatencyRatio > maxThrottledLatencyRatio || throttledShare > maxThrottledShare {
+		if demand.Throttled > 0 {
+			throttledShare := float64(h.ThrottledProcessors+demand.Throttled) / float64(max(1, h.Processors))
+			if h.Unmeasured || h.Paused || h.LatencyRatio > maxThrottledLatencyRatio || throttledShare > maxThrottledShare {
 				return 0, false
 			}
 			return int64(-h.LatencyRatio*throttledLatencyRatioPenalty) - h.ThrottledProcessors, true
--- a/internal/decision/colocation/score_test.go
+++ b/internal/decision/colocation/score_test.go
@@ -28,6 +28,7 @@
 	lowRatio := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.4, Processors: 32_000}
 	mediumRatio := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.6, Processors: 32_000}
 	throttled := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.4, Processors: 32_000, ThrottledProcessors: 6000}
+	unmeasured := Host{Free: withFree(8000), Spare: 20_000, ServingTasks: 4, LatencyRatio: 0.4, Processors: 32_000, Unmeasured: true}
 	suspect := Host{Free: withFree(32_000), Spare: 32_000, Suspect: true}
 	noMemory := Host{Free: resource.Vector{Processors: 32_000, Memory: 1024}, Spare: 32_000}
 	for name, test := range map[string]struct {
@@ -60,9 +61,9 @@
 			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000, WorstRating: imagepair.Unknown}, []Host{empty, serving}, []Host{crowded},
 		},
 		"throttled best-effort tasks prefer a low latency ratio": {
-			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000, WorstRating: imagepair.Harmful, Throttled: true},
+			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000, WorstRating: imagepair.Harmful, Throttled: 4000},
 			[]Host{lowRatio, mediumRatio},
-			[]Host{nearTarget, paused, throttled},
+			[]Host{nearTarget, paused, throttled, unmeasured},
 		},
 		"only one image with an unknown rating on a serving host": {
 			Demand{Kind: BestEffort, Need: withProcessors(0), Processors: 4000, WorstRating: imagepair.Unknown, TrialBlocked: true}, []Host{empty}, []Host{serving},
--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -155,7 +155,7 @@
 		}
 		d.config.Log.Info("starting suspect task in isolation", "Task", task.Key().String(), "Worker", chosen.worker.incarnation.GetId(), "Crashes", task.Crashes)
 		d.assign(task, chosen.worker, task.LastRun+1, false)
-		chosen.refresh()
+		chosen.refresh(d.now)
 		placed++
 	}
 	if waiting > 0 && !d.reserveFor(c, hosts) {
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -624,3 +624,28 @@
 		t.Errorf("accepted %v, expected %d and %d", accepted, want, maxJobs-want)
 	}
 }
+
+// More jobs than hosts wait, with tasks so large that only one fits into the share of a host that throttled tasks may use at
+// full speed. Each job must have something running soon, as throttled tasks use a fraction of that.
+func TestThrottledTasksCountByUse(t *testing.T) {
+	const hosts, jobs = 4, 10
+	sim := newSimulationWithWorkers(t, 1, hosts)
+	sim.interference = func(string, string) float64 { return 0.5 }
+	spread := serving(2*hosts, "image")
+	spread.MaxPerWorker = 2
+	sim.submit("urgent", "serving", spread)
+	sim.run(3 * time.Second)
+	sim.submit("batch", "learned", bestEffort(hosts, "harmful", time.Second))
+	sim.run(10 * time.Second)
+	for i := range jobs {
+		step := bestEffort(2, "harmful", 20*time.Second)
+		step.Processors = 6000
+		sim.submit("batch", fmt.Sprintf("job-%d", i), step)
+	}
+	sim.run(10 * time.Second)
+	for i := range jobs {
+		if sim.state.Job(fmt.Sprintf("job-%d", i)).LiveRuns() == 0 {
+			t.Errorf("job-%d has nothing running", i)
+		}
+	}
+}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -26,7 +26,7 @@
 				d.assign(task, chosen[i], number+1, false)
 			}
 			for i := range hosts {
-				hosts[i].refresh()
+				hosts[i].refresh(d.now)
 			}
 			return len(chosen)
 		}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -209,18 +209,19 @@
 		}
 		w.preempting = nil
 		h := host{Host: &colocation.Host{Rack: rackOf(w.incarnation), Suspect: w.consecutiveFailures > 0 || d.now.Before(w.suspectUntil)}, worker: w}
-		h.refresh()
+		h.refresh(d.now)
 		hosts = append(hosts, h)
 	}
 	return hosts
 }
 
 // refresh updates the description from the worker's state, for example after a placement.
-func (h *host) refresh() {
+func (h *host) refresh(now time.Time) {
 	w := h.worker
 	h.Free = w.incarnation.Capacity().Sub(w.used)
 	h.ServingTasks, h.LatencyRatio, h.BestEffortProcessors, h.Paused = w.servingTasks, w.latencyRatio, w.bestEffortProcessors, w.speed < fullSpeed
 	h.Processors, h.ThrottledProcessors = w.incarnation.GetProcessors(), w.throttledProcessors
+	h.Unmeasured = now.Before(w.measuredAt)
 	h.Spare = spare(w)
 }
 
@@ -278,7 +279,7 @@
 		}
 		opensHost := demand.Kind == colocation.Serving && chosen.ServingTasks == 0
 		d.assign(task, chosen.worker, task.LastRun+1, false)
-		chosen.refresh()
+		chosen.refresh(d.now)
 		if opensHost {
 			d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
 		}
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -113,7 +113,7 @@
 		d.config.Count("CopiesStarted")
 		d.config.Log.Info("starting speculative copy", "Task", r.key.Task.String(), "OriginalRun", r.key.Run, "Slow", r.straggling, "SinceLastReply", d.now.Sub(r.worker.lastAnswer).String())
 		d.assign(r.task, chosen.worker, r.task.LastRun+1, false)
-		chosen.refresh()
+		chosen.refresh(d.now)
 	}
 }
 
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"time"
+
 	"galenamoor/internal/decision/colocation"
 	"galenamoor/internal/decision/imagepair"
+	"galenamoor/internal/decision/workload"
 )
 
 // After zone outages and recoveries, every host may run serving tasks that the waiting best-effort tasks interfere with.
@@ -17,6 +20,10 @@
 // It is below 0.5 to allow for runs that are being started.
 const halfEmptyShare = 0.45
 
+// throttledStartEffect is the time from a throttled start until tail latencies show its effect: the commit, the order, the
+// window of a tail latency and a poll. Throttled starts on a worker are at least so far apart, or too many join at once.
+const throttledStartEffect = time.Second
+
 // isHalfEmpty reports whether the usable hosts are half empty.
 func isHalfEmpty(hosts []host) bool {
 	unused, total := int64(0), int64(0)
@@ -27,6 +34,11 @@
 	return float64(unused) >= halfEmptyShare*float64(total)
 }
 
+// throttledUse returns the milli-cores that a throttled task of a step may use.
+func throttledUse(step *workload.Step) int64 {
+	return max(1, step.GetProcessors()*throttledSpeed/fullSpeed)
+}
+
 // placeThrottled assigns one task of a best-effort step to a worker, throttled and regardless of interference, if its job
 // has no live run. It returns the number of tasks placed.
 func (d *Dispatcher) placeThrottled(c candidate, hosts []host) int {
@@ -34,7 +46,7 @@
 		return 0
 	}
 	demand := d.demand(c)
-	demand.Throttled = true
+	demand.Throttled = throttledUse(c.step)
 	for _, task := range c.step.Tasks {
 		c.suspect = d.mustIsolate(task)
 		switch {
@@ -48,8 +60,9 @@
 			return 0
 		}
 		d.assign(task, chosen.worker, task.LastRun+1, true)
-		chosen.worker.throttledProcessors += c.step.GetProcessors()
-		chosen.refresh()
+		chosen.worker.throttledProcessors += throttledUse(c.step)
+		chosen.worker.measuredAt = d.now.Add(throttledStartEffect)
+		chosen.refresh(d.now)
 		return 1
 	}
 	return 0
@@ -63,7 +76,7 @@
 	return r.worker.speed
 }
 
-// updateThrottled recomputes the throttled processors of a worker, and lifts the throttling of runs that no longer
+// updateThrottled recomputes what the throttled runs of a worker may use, and lifts the throttling of runs that no longer
 // interfere with the serving tasks there.
 func (d *Dispatcher) updateThrottled(w *worker, bestEffort []*run) {
 	w.throttledProcessors = 0
@@ -72,7 +85,7 @@
 			r.throttled = false
 		}
 		if r.throttled {
-			w.throttledProcessors += r.task.Step.GetProcessors()
+			w.throttledProcessors += throttledUse(r.task.Step)
 		}
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -94,7 +94,8 @@
 	blames               map[string][]imagepair.Blame // unsettled evidence of interference, by image of the serving tasks
 	quietSince           time.Time                    // last time at which best-effort tasks may have been at work
 	speed                int                          // percent of full speed at which best-effort tasks may run
-	throttledProcessors  int64                        // milli-cores of best-effort tasks that run throttled
+	throttledProcessors  int64                        // milli-cores that throttled best-effort tasks may use
+	measuredAt           time.Time                    // when the tail latencies show the effect of the newest throttled start
 	pausedAt             time.Time                    // when the best-effort tasks were paused
 	pollOften            bool                         // polls use shortPollWait
 	proposedRuns         map[*workload.Step]int       // number of proposed runs
