dispatch: start one throttled task of late jobs where half isn't reserved

Cause: the throttled starts of jobs of which nothing runs depended on half of the processors being expected to be unused, and best-effort tasks at work count as use there. With many of them, no job that interferes with the serving tasks gets such a start, though best-effort tasks reserve nothing and the fleet is half empty by what is reserved.

TestBestEffortTasksDontStarveBesideOthers failed before the change: three jobs active, three queued after 60 s.

Change: where half of the processors isn't reserved, late jobs get the start too. Jobs that can be in time still wait for a host without interference.

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -625,6 +625,32 @@
 	}
 }
 
+// Every host runs a serving image that one best-effort image interferes with, and harmless best-effort tasks use most of the
+// processors that aren't reserved. The jobs of the other image must not wait forever while most of the capacity is unreserved.
+func TestBestEffortTasksDontStarveBesideOthers(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 6)
+	sim.interference = func(_, aggressor string) float64 {
+		if aggressor == "harmful" {
+			return 1.2
+		}
+		return 0.01
+	}
+	spread := serving(12, "image")
+	spread.MaxPerWorker = 2
+	sim.submit("urgent", "serving", spread)
+	sim.run(3 * time.Second)
+	sim.submit("batch", "harmless", bestEffort(24, "harmless", 5*time.Minute))
+	sim.run(10 * time.Second)
+	const jobs = 6
+	for i := range jobs {
+		sim.submit("batch", fmt.Sprintf("job-%d", i), bestEffort(2, "harmful", 2*time.Second))
+	}
+	sim.run(60 * time.Second)
+	for i := range jobs {
+		sim.expect(fmt.Sprintf("job-%d", i), controlpb.WorkState_WORK_COMPLETED)
+	}
+}
+
 // More jobs than hosts wait, with tasks so large that only one fits into the share of a host that throttled tasks may use at
 // full speed. Each job must have something running soon, as throttled tasks use a fraction of that.
 func TestThrottledTasksCountByUse(t *testing.T) {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -61,7 +61,7 @@
 		d.countTrials()
 		d.findLeastUrgent()
 	}
-	preemptions, halfEmpty := maxPreemptionsPerPass, isHalfEmpty(hosts)
+	preemptions, fleet := maxPreemptionsPerPass, vacancyOf(hosts)
 	exhausted := map[placementClass][]resource.Vector{}
 	d.ratingBudget = maxRatingsPerPass
 	for _, c := range candidates {
@@ -70,7 +70,7 @@
 		}
 		needed := need(c.step)
 		if slices.ContainsFunc(exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) }) {
-			if halfEmpty {
+			if fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
 			continue // no host had room for a demand of the same class that is no larger
@@ -84,7 +84,7 @@
 			placedSuspects, missingSuspects := d.placeSuspects(c, hosts)
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placedSuspects + placed
-			if missing > 0 && halfEmpty {
+			if missing > 0 && fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
 			if missing > 0 && c.step.GetMaxPerWorker() == 0 { // otherwise the limit per worker may be the reason, not a lack of room
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -16,22 +16,35 @@
 // with. A fifth of the interference is within the normal load variation of a serving task.
 const throttledSpeed = 20
 
-// halfEmptyShare is the minimum expected unused share of the usable hosts' processors for the fleet to count as half empty.
-// It is below 0.5 to allow for runs that are being started.
+// halfEmptyShare is the minimum unused or unreserved share of the usable hosts' processors for the fleet to count as half
+// empty. It is below 0.5 to allow for runs that are being started.
 const halfEmptyShare = 0.45
 
 // throttledStartEffect is the time from a throttled start until tail latencies show its effect: the commit, the order, the
 // window of a tail latency and a poll. Throttled starts on a worker are at least so far apart, or too many join at once.
 const throttledStartEffect = time.Second
 
-// isHalfEmpty reports whether the usable hosts are half empty.
-func isHalfEmpty(hosts []host) bool {
-	unused, total := int64(0), int64(0)
+// vacancy tells how far the usable hosts are empty.
+type vacancy struct {
+	halfUnused     bool // half of their processors are expected to be unused
+	halfUnreserved bool // half of their processors aren't reserved, but best-effort tasks may use them
+}
+
+func vacancyOf(hosts []host) vacancy {
+	unused, unreserved, total := int64(0), int64(0), int64(0)
 	for i := range hosts {
 		unused += hosts[i].Spare
+		unreserved += hosts[i].Free.Processors
 		total += hosts[i].worker.incarnation.GetProcessors()
 	}
-	return float64(unused) >= halfEmptyShare*float64(total)
+	isHalf := func(processors int64) bool { return float64(processors) >= halfEmptyShare*float64(total) }
+	return vacancy{halfUnused: isHalf(unused), halfUnreserved: isHalf(unreserved)}
+}
+
+// allowsThrottled reports whether a step may get a throttled start. Beside other best-effort tasks only steps of late jobs may:
+// the others can still be in time on a host without interference.
+func (v vacancy) allowsThrottled(c candidate) bool {
+	return v.halfUnused || v.halfUnreserved && c.timeliness != onTime
 }
 
 // throttledUse returns the milli-cores that a throttled task of a step may use.
