dispatch, workload: record an order of maintenance before it is sent

Cause: an order that gets no answer may be carried out seconds later, but only the leader that sent it knew of it. Its successor took the host for an untouched one and ordered the maintenance of another. Fencing tokens are compared for each host separately, so a newer leader's order for another host doesn't stop it.

Change: the replicated state records the order before it is sent. A leader drains the hosts with such a record from its start, counts them towards the limit, and orders their maintenance again under its own token. A host whose maintenance has begun isn't drained and ordered again before the next list.

--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -36,7 +36,7 @@
 	wave      uint64
 	ordering  bool      // a maintenance order is in flight
 	orderAt   time.Time // earliest time of the next order
-	recording bool      // the record that its maintenance has begun is proposed
+	recording bool      // the record that its maintenance is ordered or has begun is proposed
 }
 
 // tickMaintenance advances the maintenance waves. A new leader waits until the orders of its predecessor can no longer
@@ -44,6 +44,7 @@
 // their wave.
 func (d *Dispatcher) tickMaintenance() {
 	active := d.state.ActiveMaintenance()
+	d.resumeOrdered(active)
 	if len(active) == 0 && len(d.maintenance.draining) == 0 || d.now.Sub(d.leadingSince) < d.config.Limits.MaintenanceHandover || !d.config.LeaseValid(d.now) {
 		return
 	}
@@ -59,25 +60,38 @@
 	}
 }
 
+// resumeOrdered drains the hosts whose maintenance an earlier leader has ordered, as it may begin at any time.
+func (d *Dispatcher) resumeOrdered(active []*controlpb.Maintenance) {
+	for _, wave := range active {
+		for _, host := range wave.GetOrdered() {
+			if d.maintenance.draining[host] == nil && !d.recordingMaintained[maintainedKey{wave.GetWave(), host}] {
+				d.config.Log.Info("resuming ordered maintenance", "Wave", wave.GetWave(), "Host", host)
+				d.maintenance.draining[host] = &drainingHost{wave: wave.GetWave()}
+			}
+		}
+	}
+}
+
 // advanceWave selects the next hosts of a wave, and drains those selected before.
 func (d *Dispatcher) advanceWave(wave *controlpb.Maintenance) {
 	hosts := make([]maintenance.Host, 0, len(wave.GetHosts()))
 	for _, name := range wave.GetHosts() {
 		state, isListed := d.maintenance.hosts[name]
 		begun := slices.Contains(wave.GetBegun(), name)
-		if !isListed {
-			if !begun && !d.maintenance.incomplete {
-				d.recordMaintained(wave.GetWave(), name, "the host no longer exists")
-			}
+		if !isListed && !begun && !d.maintenance.incomplete {
+			d.recordMaintained(wave.GetWave(), name, "the host no longer exists")
 			continue
 		}
 		draining := d.maintenance.draining[name]
+		if !isListed && (begun || draining == nil) {
+			continue
+		}
 		w := d.workerOn(name)
 		h := maintenance.Host{Name: name, Begun: begun, Up: state == order.HostUp && w != nil, Draining: draining != nil}
 		if w != nil {
 			h.Load = w.used.Processors + w.bestEffortProcessors
 		}
-		if draining != nil && draining.wave == wave.GetWave() && w != nil {
+		if draining != nil && draining.wave == wave.GetWave() && w != nil && !begun {
 			d.drain(name, draining, w)
 		}
 		hosts = append(hosts, h)
@@ -104,7 +118,8 @@
 	return d.maintenance.draining[w.incarnation.GetHost()] != nil
 }
 
-// drain stops the runs on a host, and orders its maintenance once none is left.
+// drain stops the runs on a host, and orders its maintenance once none is left. That is recorded first: an order may be
+// carried out late, so a later leader has to repeat it before it orders the maintenance of other hosts.
 func (d *Dispatcher) drain(host string, draining *drainingHost, w *worker) {
 	for key := range w.incarnation.Runs {
 		r := d.runs[key]
@@ -115,6 +130,10 @@
 	if len(w.incarnation.Runs) > 0 || len(w.proposedRuns) > 0 || draining.ordering || draining.recording || d.now.Before(draining.orderAt) {
 		return
 	}
+	if !slices.Contains(d.state.Maintenance(draining.wave).GetOrdered(), host) {
+		d.recordOrdered(host, draining)
+		return
+	}
 	draining.ordering = true
 	d.config.Log.Info("ordering maintenance", "Wave", draining.wave, "Host", host, "Epoch", d.epoch)
 	d.config.WorkerCalls.Send(&order.Call{Kind: order.Maintain, Epoch: d.epoch, Fence: d.epoch, Sent: d.now, Host: host, Wave: draining.wave})
@@ -176,6 +195,14 @@
 	}
 }
 
+// recordOrdered proposes to record that the maintenance of a host is about to be ordered.
+func (d *Dispatcher) recordOrdered(host string, draining *drainingHost) {
+	draining.recording = true
+	ordered := &controlpb.MaintenanceOrdered{Wave: draining.wave, Host: host}
+	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_MaintenanceOrdered{MaintenanceOrdered: ordered}}
+	d.propose(change, func(*controlpb.Result) { draining.recording = false })
+}
+
 // recordMaintained proposes to record that the maintenance of a host of a wave has begun, or that the host no longer
 // exists.
 func (d *Dispatcher) recordMaintained(wave uint64, host, reason string) {
--- a/internal/decision/dispatch/maintenance_test.go
+++ b/internal/decision/dispatch/maintenance_test.go
@@ -21,6 +21,8 @@
 	begun          []string
 	fences         map[string]uint64
 	unreadable     string  // host whose entry in the list can't be read
+	orders         int     // orders received
+	removed        string  // host that is listed, but gone when its maintenance is ordered
 	delayedRate    float64 // share of orders that get no answer and are carried out seconds later
 }
 
@@ -32,6 +34,9 @@
 // send carries out a call after a delay; an unanswered order is carried out later.
 func (h *hostService) send(call *order.Call) {
 	sim := h.simulation
+	if call.Kind == order.Maintain {
+		h.orders++
+	}
 	if call.Kind == order.Maintain && sim.random.Float64() < h.delayedRate {
 		sim.after(2*time.Second+time.Duration(sim.random.Int64N(int64(4*time.Second))), func() { h.maintain(call) })
 		sim.after(time.Second, func() { sim.answer(call, &order.Answer{}) })
@@ -66,6 +71,8 @@
 func (h *hostService) maintain(call *order.Call) *order.Answer {
 	sim := h.simulation
 	switch {
+	case call.Host == h.removed:
+		return &order.Answer{Status: order.Invalid}
 	case call.Fence < h.fences[call.Host]:
 		return &order.Answer{Status: order.Fenced}
 	case slices.Contains(h.begun, call.Host):
@@ -170,6 +177,46 @@
 	}
 }
 
+// A host is removed after its maintenance was ordered, so that the platform doesn't know it any more. The wave must go on.
+func TestOrderedHostIsRemoved(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 3)
+	hosts := newHostService(sim, 1)
+	hosts.removed = "host-1"
+	sim.beginWave(1, 1, "host-1", "host-2", "host-3")
+	sim.run(20 * time.Second)
+	if !sim.isCompleted(1) || len(hosts.begun) != 2 {
+		t.Errorf("completed %v; %d of 2 hosts were maintained", sim.isCompleted(1), len(hosts.begun))
+	}
+}
+
+// A leader's order gets no answer and is carried out late, after the leader has changed. Its successor mustn't take down another
+// host of the wave meanwhile, also if that one is easier to drain.
+func TestLateMaintenanceOrderOfEarlierLeader(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, seed, 4)
+			hosts := newHostService(sim, 1)
+			hosts.delayedRate = 1
+			sim.beginWave(1, 1, "host-1", "host-2", "host-3", "host-4")
+			for hosts.orders == 0 {
+				sim.run(10 * time.Millisecond)
+			}
+			hosts.delayedRate = 0
+			sim.changeLeader()
+			sim.run(50 * time.Millisecond)
+			loaded := serving(1, "image")
+			loaded.RequiredLabel = sim.workers[0].incarnation.GetLabels()[1]
+			sim.submit("urgent", "serving", loaded)
+			for range 40 {
+				sim.run(time.Second)
+			}
+			if !sim.isCompleted(1) || len(hosts.begun) != 4 {
+				t.Errorf("completed %v; %d of 4 hosts were maintained", sim.isCompleted(1), len(hosts.begun))
+			}
+		})
+	}
+}
+
 // A host whose entry in the list can't be read must not be recorded as maintained, and the maintenance of the others must go
 // on.
 func TestUnreadableHost(t *testing.T) {
--- a/internal/decision/workload/maintenance.go
+++ b/internal/decision/workload/maintenance.go
@@ -15,10 +15,20 @@
 	return &controlpb.Result{}
 }
 
+// recordMaintenanceOrdered records that the maintenance of a host is about to be ordered. It is idempotent.
+func (s *State) recordMaintenanceOrdered(o *controlpb.MaintenanceOrdered) *controlpb.Result {
+	m, host := s.maintenance[o.GetWave()], o.GetHost()
+	if m != nil && !slices.Contains(m.GetBegun(), host) && !slices.Contains(m.GetOrdered(), host) {
+		m.Ordered = append(m.Ordered, host)
+	}
+	return &controlpb.Result{}
+}
+
 // recordHostMaintained records that the maintenance of a host has begun. It is idempotent.
 func (s *State) recordHostMaintained(h *controlpb.HostMaintained) *controlpb.Result {
 	if m := s.maintenance[h.GetWave()]; m != nil && !slices.Contains(m.GetBegun(), h.GetHost()) {
 		m.Begun = append(m.Begun, h.GetHost())
+		m.Ordered = slices.DeleteFunc(m.Ordered, func(host string) bool { return host == h.GetHost() })
 	}
 	return &controlpb.Result{}
 }
--- a/internal/decision/workload/script_test.go
+++ b/internal/decision/workload/script_test.go
@@ -100,6 +100,9 @@
 		return strings.TrimSpace(queue.GetName() + " " + rest)
 	case "pending":
 		return strconv.FormatUint(s.state.CountQueued(words[1]), 10)
+	case "wave": // wave NUMBER
+		m := s.state.Maintenance(s.parseNumber(words[1]))
+		return fmt.Sprintf("ordered %v begun %v complete %v", m.GetOrdered(), m.GetBegun(), IsWaveComplete(m))
 	case "version":
 		return strconv.FormatUint(s.state.Routing().GetVersion(), 10)
 	}
@@ -217,6 +220,15 @@
 			job.Steps = append(job.Steps, step)
 		}
 		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}
+	case "begin-wave": // begin-wave NUMBER HOST...
+		wave := &controlpb.Maintenance{Wave: s.parseNumber(options[0]), Hosts: options[1:], MostAtOnce: 1}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginMaintenance{BeginMaintenance: wave}}
+	case "order": // order WAVE HOST
+		ordered := &controlpb.MaintenanceOrdered{Wave: s.parseNumber(options[0]), Host: options[1]}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_MaintenanceOrdered{MaintenanceOrdered: ordered}}
+	case "maintained": // maintained WAVE HOST
+		maintained := &controlpb.HostMaintained{Wave: s.parseNumber(options[0]), Host: options[1]}
+		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_HostMaintained{HostMaintained: maintained}}
 	case "cancel":
 		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: options[0]}}}
 	case "start": // start TASK RUN WORKER
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -111,6 +111,8 @@
 		return s.learnPairs(kind.LearnPairs)
 	case *controlpb.WorkChange_BeginMaintenance:
 		return s.beginMaintenance(kind.BeginMaintenance)
+	case *controlpb.WorkChange_MaintenanceOrdered:
+		return s.recordMaintenanceOrdered(kind.MaintenanceOrdered)
 	case *controlpb.WorkChange_HostMaintained:
 		return s.recordHostMaintained(kind.HostMaintained)
 	}
