workload: give up a task only after as many crashes as its queue allows attempts

Cause: two crashes, the latter with the task in isolation, were taken for proof that the task crashes its workers, whatever its queue allows. Two workers that crash for other reasons look the same.

The script "a task isn't given up before it has crashed under as many attempts as its queue allows" failed before the change: state failed, expected active. TestFalseAnnouncementsFailNoJobs failed in 5 of 60 runs.

Change: the limit is the queue's number of attempts, and at least two.

--- a/internal/decision/workload/crash.go
+++ b/internal/decision/workload/crash.go
@@ -7,9 +7,10 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A task is given up after minCrashes crashes if the latest one shows that it is to blame, and after a few more in any case.
+// A task is given up after as many crashes as its queue allows attempts if the latest one shows that it is to blame, and after
+// a few more in any case.
 const (
-	minCrashes    = 2
+	minCrashes    = 2 // also if the queue allows fewer attempts, as one crash may be a coincidence
 	minSuspicions = 4 // if the latest one shows it, including crashes for which it isn't certain that the task had started
 	maxSuspicions = 5 // in any case, including such crashes
 )
@@ -26,8 +27,10 @@
 		} else {
 			t.Suspicions++
 		}
-		isProven := suspect.GetIsolated() && (t.Crashes >= minCrashes || t.Crashes+t.Suspicions >= minSuspicions)
-		if isProven || t.Crashes >= minCrashes && t.Crashes+t.Suspicions >= maxSuspicions {
+		allowed := max(minCrashes, s.queues[t.Step.Job.Spec.GetQueue()].GetMaxAttempts())
+		total := t.Crashes + t.Suspicions
+		isProven := suspect.GetIsolated() && (t.Crashes >= allowed || total >= max(minSuspicions, allowed))
+		if isProven || t.Crashes >= allowed && total >= max(maxSuspicions, allowed) {
 			s.giveUp(t)
 		}
 	}
--- a/internal/decision/workload/script_test.go
+++ b/internal/decision/workload/script_test.go
@@ -181,10 +181,15 @@
 	options := words[1:]
 	has := func(option string) bool { return slices.Contains(options, option) }
 	switch words[0] {
-	case "route": // route VERSION QUEUE...
+	case "route": // route VERSION QUEUE[:ATTEMPTS]...
 		routing := &controlpb.Routing{Version: s.parseNumber(options[0]), Pools: []*controlpb.WorkPool{{Name: "pool"}}}
-		for _, name := range options[1:] {
-			routing.Queues = append(routing.Queues, &controlpb.WorkQueue{Name: name, Host: "h", PathPrefix: "/" + name + "/", MaxAttempts: 2, Pool: "pool"})
+		for _, option := range options[1:] {
+			name, attempts, isLimited := strings.Cut(option, ":")
+			queue := &controlpb.WorkQueue{Name: name, Host: "h", PathPrefix: "/" + name + "/", MaxAttempts: 2, Pool: "pool"}
+			if isLimited {
+				queue.MaxAttempts = uint32(s.parseNumber(attempts))
+			}
+			routing.Queues = append(routing.Queues, queue)
 		}
 		return &controlpb.WorkChange{Kind: &controlpb.WorkChange_ReplaceRouting{ReplaceRouting: routing}}
 	case "announce": // announce ID START-MS ADDRESS [leaving]
