--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -86,7 +86,7 @@
 		switch {
 		case !answered:
 			unasked = append(unasked, w)
-		case t.text == "":
+		case t.text == "": // it may not run the step
 		case d.now.Before(t.expires):
 			usable++
 		default:
--- a/internal/decision/dispatch/blame.go
+++ b/internal/decision/dispatch/blame.go
@@ -6,12 +6,12 @@
 	"galenamoor/internal/decision/imagepair"
 )
 
-// The tail latency of a serving task also rises because its worker is slow or its own load is high. Best-effort tasks that
-// happen to run beside it are blamed all the same, and kept away from its image on all workers. Once they have been stopped or
-// paused on the worker, its tail latency shows whether they were the cause.
+// The tail latency of a serving task also rises when its worker is slow or its own load is high. The best-effort images beside it
+// are blamed all the same, and kept away from its image on all workers. Once they have been stopped or paused on the worker,
+// its tail latency shows whether they were the cause.
 
-// quietTime is how long no best-effort task must have worked on a worker until its tail latencies are certainly its own: the
-// time until a pause is in force, and the window of a tail latency.
+// quietTime is how long no best-effort task must have worked on a worker before its tail latencies certainly have other causes:
+// the time until a pause is in force, and the window of a tail latency.
 const quietTime = tailExposure + 200*time.Millisecond
 
 // noteBlame remembers evidence of interference that a worker has given, until settleBlames decides about it.
@@ -29,9 +29,9 @@
 	w.blames[b.Victim] = append(blames, b)
 }
 
-// settleBlames retracts a worker's evidence of interference with images that are still over their latency target after
-// quietTime. The evidence stands if their latency has fallen below it before. The worst latency ratios are those of all images
-// that serve on the worker.
+// settleBlames retracts a worker's evidence of interference with a serving image whose latency ratio is still over the target
+// after quietTime. The evidence stands if the ratio falls below the target before. worstRatios holds the highest latency ratio
+// of each image that serves on the worker.
 func (d *Dispatcher) settleBlames(w *worker, worstRatios map[string]float64) {
 	if w.bestEffortProcessors > 0 && w.speed > pausedSpeed {
 		w.quietSince = d.now
--- a/internal/decision/dispatch/blame_test.go
+++ b/internal/decision/dispatch/blame_test.go
@@ -15,9 +15,7 @@
 	const workers, images = 8, 3
 	sim := newSimulationWithWorkers(t, 1, workers)
 	sim.interference = func(string, string) float64 { return 0.01 }
-	spread := serving(2*workers, "image")
-	spread.MaxPerWorker = 2
-	sim.submit("urgent", "serving", spread)
+	sim.submit("urgent", "serving", servingOnAll(workers))
 	sim.run(3 * time.Second)
 	jobs := 0
 	submitAll := func() {
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -22,6 +22,13 @@
 	return &controlpb.WorkStep{Count: count, Processors: 6000, Memory: 8192, Perpetual: true, Image: image, TargetMs: 100}
 }
 
+// servingOnAll returns a serving step of which two tasks run on each of the workers.
+func servingOnAll(workers uint32) *controlpb.WorkStep {
+	step := serving(2*workers, "image")
+	step.MaxPerWorker = 2
+	return step
+}
+
 // newSimulationWithWorkers returns a simulation with queues, and with workers in two zones and four racks that have announced
 // themselves.
 func newSimulationWithWorkers(t *testing.T, seed uint64, workers int) *simulation {
@@ -635,9 +642,7 @@
 		}
 		return 0.01
 	}
-	spread := serving(12, "image")
-	spread.MaxPerWorker = 2
-	sim.submit("urgent", "serving", spread)
+	sim.submit("urgent", "serving", servingOnAll(6))
 	sim.run(3 * time.Second)
 	sim.submit("batch", "harmless", bestEffort(24, "harmless", 5*time.Minute))
 	sim.run(10 * time.Second)
@@ -657,9 +662,7 @@
 	const hosts, jobs = 4, 10
 	sim := newSimulationWithWorkers(t, 1, hosts)
 	sim.interference = func(string, string) float64 { return 0.5 }
-	spread := serving(2*hosts, "image")
-	spread.MaxPerWorker = 2
-	sim.submit("urgent", "serving", spread)
+	sim.submit("urgent", "serving", servingOnAll(hosts))
 	sim.run(3 * time.Second)
 	sim.submit("batch", "learned", bestEffort(hosts, "harmful", time.Second))
 	sim.run(10 * time.Second)
--- a/internal/decision/dispatch/failure.go
+++ b/internal/decision/dispatch/failure.go
@@ -6,8 +6,8 @@
 	"galenamoor/internal/decision/workload"
 )
 
-// A worker may fail everything that it starts. A task that is started there again at once loses one attempt after the other,
-// while the worker would recover or another one become free. It is therefore started elsewhere, or waits.
+// A worker may fail everything that it starts. A task that is started there again at once uses up its attempts before the worker
+// recovers or another one has room. It is therefore started elsewhere, or waits.
 
 // failedWorkerAvoidance is how long a task isn't started again on a worker on which it has failed. It is shorter than the 3 s
 // for which a job may have nothing running.
@@ -26,8 +26,8 @@
 	d.failures[key][w] = d.now
 }
 
-// hasFailed returns a function that reports whether a task, or a member of its gang, has failed on a worker of late. It returns
-// nil if there is no such worker.
+// hasFailed returns a function that reports whether a task, or a member of its gang, has failed on a worker within
+// failedWorkerAvoidance. It returns nil if no failure is known.
 func (d *Dispatcher) hasFailed(t *workload.Task) func(*worker) bool {
 	failedAt := d.failures[unitKey(t)]
 	if len(failedAt) == 0 {
@@ -39,7 +39,7 @@
 	}
 }
 
-// forgetFailures drops the failures that no longer matter.
+// forgetFailures drops the failures that are older than failedWorkerAvoidance.
 func (d *Dispatcher) forgetFailures() {
 	for key, failedAt := range d.failures {
 		for w, at := range failedAt {
