--- a/internal/decision/dispatch/failure_test.go
+++ b/internal/decision/dispatch/failure_test.go
@@ -70,7 +70,12 @@
 		worker.failing = true
 	}
 	sim.submit("urgent", "a", dedicated(10, time.Second))
-	sim.run(2 * time.Second)
+	for sim.stateOf("a") != controlpb.WorkState_WORK_FAILED {
+		sim.run(10 * time.Millisecond)
+	}
+	if len(sim.dispatcher.failures) == 0 {
+		t.Error("no failure is remembered")
+	}
 	sim.run(finishTime)
 	if n := len(sim.dispatcher.failures); n != 0 {
 		t.Errorf("failures of %d tasks are remembered", n)
--- a/internal/decision/workload/crash.go
+++ b/internal/decision/workload/crash.go
@@ -7,12 +7,12 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A task is given up after as many crashes as its queue allows attempts if the latest one shows that it is to blame, and after
-// a few more in any case.
+// A task is given up after as many crashes as its queue allows attempts if the latest one shows that it is to blame, and
+// without that after maxSuspicions, if as many of them are certain as its queue allows attempts.
 const (
 	minCrashes    = 2 // also if the queue allows fewer attempts, as one crash may be a coincidence
 	minSuspicions = 4 // if the latest one shows it, including crashes for which it isn't certain that the task had started
-	maxSuspicions = 5 // in any case, including such crashes
+	maxSuspicions = 5 // if none shows it, including such crashes
 )
 
 // recordCrash counts a crash of a worker for the tasks that may have caused it, and gives up those that are to blame.
