dispatch: don't repeat the start of a run that its worker has listed

What callers saw: nothing yet.

Cause: a start whose answer is lost times out after 1 s and is ordered again 250 ms later, even if a poll has listed the run as running or as ended since. The incarnation that knows the run rejects the repeated start. A later incarnation under the same ID knows nothing: it carries the order out if it arrives late, when the end of the run is recorded already.

Change: a run that was listed isn't ordered to start again, and a run whose end is being recorded gets no calls. A run whose start was never answered now counts as proven from when it was first listed.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -106,14 +106,18 @@
 // observeProof marks a run that its worker lists as running as proven once it has worked for provenAfter. The members of a
 // gang work only once all are present.
 func (d *Dispatcher) observeProof(r *run) {
-	if !r.unproven || r.acknowledgedAt.IsZero() {
+	if !r.unproven {
 		return
 	}
+	since := r.acknowledgedAt
+	if since.IsZero() {
+		since = r.began // the start wasn't answered
+	}
 	needed := provenAfter
 	if r.task.Step.GetGang() && r.progress == 0 {
 		needed += d.config.Limits.GangTimeout
 	}
-	if d.now.Sub(r.acknowledgedAt) >= needed {
+	if d.now.Sub(since) >= needed {
 		r.markProven()
 	}
 }
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -44,7 +44,8 @@
 	unproven  bool // it may crash its worker: it is being started, or hasn't worked for provenAfter
 	isSuspect bool // its task was suspect when the run became unproven
 
-	seen          bool      // a poll has listed it
+	seen          bool      // a poll has listed it as running
+	ended         bool      // a poll has listed its end, which isn't recorded yet
 	missingPolls  int       // consecutive polls that didn't list it
 	began         time.Time // when it was first seen; until then, when tracking started
 	progress      int       // percent, as last reported
@@ -93,8 +94,12 @@
 	}
 }
 
-// tickRun sends the calls that are due for a run.
+// tickRun sends the calls that are due for a run. A run whose end is being recorded gets none: a later incarnation of its
+// worker would carry out a start again.
 func (d *Dispatcher) tickRun(r *run) {
+	if r.ended {
+		return
+	}
 	if !r.stopRequested {
 		if reason := d.stopReason(r); reason != "" {
 			d.requestStop(r, reason)
@@ -212,6 +217,9 @@
 		d.observeStart(r, a)
 	case order.NoAnswer:
 		r.startUnanswered = true
+		if r.seen || r.ended {
+			return
+		}
 		r.nextStart = d.now.Add(callRetryDelay)
 		if d.now.Sub(r.orderedAt) > d.config.Limits.GangTimeout/2 {
 			d.stopGang(r)
@@ -314,6 +322,9 @@
 	for _, ended := range a.Ended {
 		listed[ended.Run] = true
 		w.listedEnds = max(w.listedEnds, ended.Number)
+		if r := d.runs[ended.Run]; r != nil && r.worker == w {
+			r.ended = true
+		}
 	}
 	for key := range w.incarnation.Runs {
 		if r := d.runs[key]; r != nil && !listed[key] {
