dispatch: stop a refused run that an earlier leader may have ordered

What callers saw: nothing yet. In virtual time two runs of one task were at work at the same time (TWICE).

Cause: a leader drops a run at once if its worker refuses the start and no call for it is unanswered. A new leader knows only its own calls. The start of its predecessor may still be on its way, and a worker that refuses a start does nothing: a restarted one hasn't even kept the fencing token of the call. It carries out the late start after the task has started elsewhere.

The simulated worker kept the fencing token and the lease of starts that it refused, which the platform doesn't promise; it doesn't any more.

Change: a run that a leader takes over counts as one with an unanswered start. If it is refused, it is stopped, which also makes later starts void, and dropped once the worker doesn't know it.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -24,7 +24,7 @@
 	orderedAt       time.Time // of the first start call
 	checkpoint      string    // sent with the start calls; the same in every retry
 	started         bool      // the worker has confirmed the start
-	startUnanswered bool      // a start call got no answer and may still be carried out
+	startUnanswered bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
 	acknowledgedAt  time.Time // when the newest start or stop call got a conclusive answer
 
 	throttled        bool      // runs at reduced speed beside serving tasks that it interferes with
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -425,6 +425,9 @@
 	if call.Fence < s.fence {
 		return &order.Answer{Status: order.Fenced, Clock: clock}
 	}
+	if call.Kind == order.Start && s.refuses(call) {
+		return &order.Answer{Status: order.Unhealthy}
+	}
 	s.fence = call.Fence
 	if call.LeaseExpiry > clock {
 		expires := s.simulation.now.Add(min(call.LeaseExpiry-clock, 6*time.Second))
@@ -448,6 +451,14 @@
 	return &order.Answer{Status: order.OK, Clock: clock}
 }
 
+// refuses reports whether the worker refuses a start as unhealthy. It does nothing then, and doesn't keep the fencing token.
+func (s *simWorker) refuses(call *order.Call) bool {
+	if s.runs[call.Run] != nil || call.Run.Run <= s.highestRun[call.Run.Task] {
+		return false
+	}
+	return s.rejectsStarts || s.rejectionRate > 0 && s.simulation.random.Float64() < s.rejectionRate
+}
+
 func (s *simWorker) start(call *order.Call, clock time.Duration) order.Status {
 	key := call.Run
 	switch {
@@ -457,8 +468,6 @@
 		return order.StaleRun
 	case call.LeaseExpiry <= clock:
 		return order.Expired
-	case s.rejectsStarts, s.rejectionRate > 0 && s.simulation.random.Float64() < s.rejectionRate:
-		return order.Unhealthy
 	}
 	if call.IncarnationStartMs == s.incarnation.GetBornMs() {
 		s.simulation.checkStart(s, key, call.Sent)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -143,7 +143,7 @@
 	d.workers[incarnation.GetNumber()] = w
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
-		d.addRun(key, task, w)
+		d.addRun(key, task, w).startUnanswered = true // an earlier leader may have ordered it without an answer
 	}
 }
 
