dispatch: keep a worker whose later incarnation may still carry out a start

What callers saw: nothing yet.

Cause: when a worker is declared lost its runs are removed and their tasks start elsewhere. By then its leases have expired, but a start may still be on its way for up to 12 s, and a later incarnation under the same ID carries it out. The leader didn't wait for that even when it knew that there is one: if the later incarnation had announced itself and didn't answer, the loss was declared when the leases had expired; if it had answered once, after twice the longest lease, which is shorter than 12 s and a lease where leases take 6 s.

Evidence: TestOrderForSilentLaterIncarnation failed in 6 of 8 cases: orders 3 to 11.9 s late to an announced incarnation, 9 and 11.9 s late to one that had answered once.

Change: a run is open while a start of it was ordered and not confirmed by a poll, or got no answer, and neither lateness nor a lease of the worker has passed since. A known later incarnation is settled by its answer, or once no run is open. If it has answered once and no run is open, the earlier one ends at once, without waiting for twice the longest lease. A later incarnation of which nothing is known can't be waited for; that stays open.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -22,6 +22,7 @@
 	nextStart       time.Time // of the next start call; zero when none is needed
 	startPending    bool      // a start call is in flight
 	orderedAt       time.Time // of the first start call
+	lastOrderedAt   time.Time // of the newest start call, or the latest time of one of an earlier leader
 	checkpoint      string    // sent with the start calls; the same in every retry
 	started         bool      // the worker has confirmed the start
 	startUnanswered bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
@@ -167,10 +168,14 @@
 		r.markUnproven()
 	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
-	r.startPending = true
+	r.startPending, r.lastOrderedAt = true, d.now
 	d.config.WorkerCalls.Send(call)
 }
 
+// mayStartLate reports whether a start may be carried out after all known ones, as long as that isn't too long ago. An answer to a
+// start doesn't exclude it, because it doesn't show which incarnation of the worker has answered.
+func (r *run) mayStartLate() bool { return r.startUnanswered || !r.seen && !r.lastOrderedAt.IsZero() }
+
 // startBlocker returns why a worker may not start runs any more, or an empty string.
 func (d *Dispatcher) startBlocker(w *worker) string {
 	switch {
--- /dev/null
+++ b/internal/decision/dispatch/successor_test.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
+)
+
+// silentRestart delays the first start order, and restarts its worker under the same ID before it arrives. The later incarnation
+// announces itself, answers some polls, and then no call until the given time.
+type silentRestart struct {
+	*simulation
+	delay       time.Duration // of the start order
+	answers     int           // polls that the later incarnation still answers
+	silentUntil time.Time
+	restarted   *simWorker
+}
+
+func (c *silentRestart) Send(call *order.Call) {
+	worker := c.workerAt(call.Address)
+	switch {
+	case c.restarted == nil && call.Kind == order.Start:
+		c.restarted = worker
+		c.after(c.delay, func() { worker.handle(call) })
+		worker.startIncarnation(worker.incarnation)
+	case worker == c.restarted && call.Kind == order.Poll && c.answers > 0:
+		c.answers--
+		c.simulation.Send(call)
+		return
+	case worker != c.restarted || !c.now.Before(c.silentUntil):
+		c.simulation.Send(call)
+		return
+	}
+	c.after(time.Second, func() { c.answer(call, &order.Answer{}) })
+}
+
+// A task must not start elsewhere while a later incarnation of its worker, which is known but doesn't answer, may still carry out
+// an order for it, or runs it.
+func TestOrderForSilentLaterIncarnation(t *testing.T) {
+	for answers := range 2 {
+		for _, delay := range []time.Duration{3 * time.Second, 5 * time.Second, 9 * time.Second, maxCallDelay - 100*time.Millisecond} {
+			t.Run(fmt.Sprintf("answers=%d/delay=%v", answers, delay), func(t *testing.T) {
+				sim := newSimulationWithWorkers(t, 1, 2)
+				sim.run(30 * time.Second)
+				calls := &silentRestart{simulation: sim, delay: delay, answers: answers, silentUntil: sim.now.Add(40 * time.Second)}
+				sim.dispatcher.config.WorkerCalls = calls
+				sim.submit("batch", "a", dedicated(1, 20*time.Second))
+				for range 7000 {
+					sim.run(10 * time.Millisecond)
+					if running := sim.running(workload.TaskKey{Job: "a"}); running > 1 {
+						t.Fatalf("%d runs of the task at the same time", running)
+					}
+				}
+				sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+			})
+		}
+	}
+}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -8,10 +8,14 @@
 	"galenamoor/internal/decision/workload"
 )
 
-// checkIncarnation polls a worker after the announcement of a later incarnation, or of another worker at its address. The
+// checkIncarnation polls a worker after the announcement of a later incarnation with the given ID at its address. The
 // announcement may be false, and the answer shows which incarnation is there. Until then the worker gets no new runs.
-func (d *Dispatcher) checkIncarnation(w *worker) {
-	if w.superseded || !w.laterAnnouncedAt.IsZero() {
+func (d *Dispatcher) checkIncarnation(w *worker, id string) {
+	if w.superseded {
+		return
+	}
+	w.restartAnnounced = w.restartAnnounced || id == w.incarnation.GetId()
+	if !w.laterAnnouncedAt.IsZero() {
 		return
 	}
 	w.laterAnnouncedAt, w.nextPoll = d.now, d.now
@@ -24,7 +28,7 @@
 	if w.laterAnnouncedAt.IsZero() || a.Call.Sent.Before(w.laterAnnouncedAt) {
 		return false
 	}
-	w.laterAnnouncedAt = time.Time{}
+	w.laterAnnouncedAt, w.restartAnnounced = time.Time{}, false
 	if a.IncarnationStartMs > w.incarnation.GetBornMs() {
 		d.supersede(w)
 		return true
@@ -40,10 +44,21 @@
 	if w.superseded || w.ending {
 		return
 	}
-	w.superseded, w.supersededAt, w.nextPoll = true, d.now, d.now
+	w.superseded, w.nextPoll = true, d.now
 	d.config.Log.Info("worker incarnation superseded", "Worker", w.incarnation.GetId(), "Runs", len(w.incarnation.Runs))
 }
 
+// hasOpenStarts reports whether a later incarnation of a worker may still carry out a start that was ordered from this one, or run
+// what it has started that way.
+func (d *Dispatcher) hasOpenStarts(w *worker) bool {
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.mayStartLate() && d.now.Before(r.lastOrderedAt.Add(maxCallDelay+d.longestLease())) {
+			return true
+		}
+	}
+	return false
+}
+
 // pollSuccessor polls the later incarnation with a fencing token that invalidates earlier orders.
 func (d *Dispatcher) pollSuccessor(w *worker) {
 	call := d.newCall(order.Poll, w)
@@ -53,12 +68,12 @@
 }
 
 // handleSuccessorPoll ends the earlier incarnation once the later one runs nothing that was ordered from the earlier
-// one, or has been unresponsive for so long that every lease has expired.
+// one, or doesn't answer and can't run anything of that any more.
 func (d *Dispatcher) handleSuccessorPoll(w *worker, a *order.Answer) {
 	w.nextPoll = d.now.Add(d.pollDelayAfter(w))
 	if a.Status != order.OK || a.Call.IncarnationStartMs != 0 {
-		if d.now.Sub(w.supersededAt) > 2*d.config.Limits.MaxLease {
-			d.endCrashed(w, "its later incarnation doesn't answer, and every lease has expired")
+		if !d.hasOpenStarts(w) {
+			d.endCrashed(w, "its later incarnation doesn't answer, and every order and lease has expired")
 		}
 		return
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -111,10 +111,10 @@
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
 	laterAnnouncedAt    time.Time // when a later incarnation here was announced; zero once an answer shows whether it exists
+	restartAnnounced    bool      // that one has the same ID, so that it accepts orders for this one
 	crashed             bool      // a later incarnation of its host has shown that it ended without notice
 	superseded          bool      // a later incarnation under the same ID has answered
-	supersededAt        time.Time
-	ending              bool // the end of its incarnation is proposed
+	ending              bool      // the end of its incarnation is proposed
 
 	// Runs that may crash the worker.
 	unproven      map[*workload.Job]int // number of runs, including proposed ones, that haven't worked for provenAfter
@@ -135,18 +135,24 @@
 		return
 	}
 	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, blames: map[string][]imagepair.Blame{}, quietSince: d.now, bestEffortSeen: map[string]time.Time{}}
-	longestLease := time.Duration(float64(d.config.Limits.MaxLease) * (1 + maxClockDrift))
-	w.leaseExpires = d.leadingSince.Add(longestLease + leaseExpiryMargin)
-	if d.now.Sub(d.leadingSince) > longestLease {
+	w.leaseExpires = d.leadingSince.Add(d.longestLease())
+	if d.now.After(w.leaseExpires) {
 		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
 	}
 	d.workers[incarnation.GetNumber()] = w
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
-		d.addRun(key, task, w).startUnanswered = true // an earlier leader may have ordered it without an answer
+		r := d.addRun(key, task, w)
+		r.startUnanswered, r.lastOrderedAt = true, d.leadingSince // an earlier leader may have ordered it without an answer
 	}
 }
 
+// longestLease returns the time after which a lease has certainly expired, however long it is and however slow the worker's
+// clock.
+func (d *Dispatcher) longestLease() time.Duration {
+	return time.Duration(float64(d.config.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpiryMargin
+}
+
 // incarnationChanged updates the soft state after a committed change of an incarnation. leavesAt is the earliest time at
 // which a leaving worker terminates.
 func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time) {
@@ -220,7 +226,7 @@
 		switch {
 		case w.terminating && w.incarnation.GetLeaving() && len(w.incarnation.Runs) == 0:
 			d.endIncarnation(w, "it terminates and runs nothing")
-		case d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded:
+		case d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.restartAnnounced && d.hasOpenStarts(w)):
 			d.endIncarnation(w, "its lease has expired")
 		}
 		if !d.now.Before(w.leaveAckBy) {
