dispatch: don't take a run for unknown while a worker has unlisted ends

What callers saw: nothing yet. In virtual time tasks were started again after they had ended, one run after the other (TWICE).

Cause: a worker lists at most 500 ends in one answer. A run whose end comes after those is in neither list. Two such answers count as proof that the worker doesn't know the run, and the task starts elsewhere.

Evidence: TestManyEndsAtOnce, 1,200 small tasks that end on one worker while commits take 400 ms: 200 of them started twice. With 600 none did, because polls wait until the listed ends are recorded.

Change: the client of the workers tells whether there may be more ends than those listed; such an answer doesn't count as one that lacks a run.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -380,9 +380,10 @@
 }
 
 // observeMissing counts a poll that didn't list a run, and drops the run after minMissingPolls of them. Polls sent before
-// the last order was acknowledged don't count. A run that the worker hasn't acknowledged yet is ordered again instead.
+// the last order was acknowledged don't count, nor those that may lack the run's end. A run that the worker hasn't acknowledged
+// yet is ordered again instead.
 func (d *Dispatcher) observeMissing(r *run, a *order.Answer) {
-	if r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
+	if a.EndsIncomplete || r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
 		return
 	}
 	if r.acknowledgedAt.IsZero() && !r.seen {
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -67,6 +67,9 @@
 	do       func()
 }
 
+// maxListedEnds is the number of ends that a simulated worker lists in one answer.
+const maxListedEnds = 500
+
 // simWorker simulates a worker.
 type simWorker struct {
 	simulation      *simulation
@@ -533,9 +536,10 @@
 	if call.IncarnationStartMs == 0 {
 		answer.IncarnationStartMs = s.incarnation.GetBornMs()
 	}
-	for _, e := range s.ended {
+	for _, e := range s.ended[:min(len(s.ended), maxListedEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
+	answer.EndsIncomplete = len(answer.Ended) == maxListedEnds
 	for key, r := range s.runs {
 		report := order.Running{Run: key, Percent: 100, Measurement: -1}
 		if r.task.Step.IsServing() {
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -92,6 +92,7 @@
 	IncarnationStartMs int64                // start of the responding incarnation if it has the same ID and isn't the addressed one, else 0
 	Running            []Running            // of Poll
 	Ended              []Ended              // of Poll
+	EndsIncomplete     bool                 // of Poll: there may be more ends than those listed
 	Tickets            map[string]string    // of Advise: by ID of each worker that may run the step
 	ValidFor           time.Duration        // of Advise: validity of the tickets, from when they were issued
 	Hosts              map[string]HostState // of ListHosts: by host name
