--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -22,9 +22,10 @@
 	nextStart       time.Time // of the next start call; zero when none is needed
 	startPending    bool      // a start call is in flight
 	orderedAt       time.Time // of the first start call
+	lastOrderedAt   time.Time // of the newest start call, or the latest time of one of an earlier leader
 	checkpoint      string    // sent with the start calls; the same in every retry
 	started         bool      // the worker has confirmed the start
-	startUnanswered bool      // a start call got no answer and may still be carried out
+	startUnanswered bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
 	acknowledgedAt  time.Time // when the newest start or stop call got a conclusive answer
 
 	throttled        bool      // runs at reduced speed beside serving tasks that it interferes with
@@ -44,7 +45,8 @@
 	unproven  bool // it may crash its worker: it is being started, or hasn't worked for provenAfter
 	isSuspect bool // its task was suspect when the run became unproven
 
-	seen          bool      // a poll has listed it
+	seen          bool      // a poll has listed it as running
+	ended         bool      // a poll has listed its end, which isn't recorded yet
 	missingPolls  int       // consecutive polls that didn't list it
 	began         time.Time // when it was first seen; until then, when tracking started
 	progress      int       // percent, as last reported
@@ -93,8 +95,12 @@
 	}
 }
 
-// tickRun sends the calls that are due for a run.
+// tickRun sends the calls that are due for a run. A run whose end is being recorded gets none: a later incarnation of its
+// worker would carry out a start again.
 func (d *Dispatcher) tickRun(r *run) {
+	if r.ended {
+		return
+	}
 	if !r.stopRequested {
 		if reason := d.stopReason(r); reason != "" {
 			d.requestStop(r, reason)
@@ -162,10 +168,14 @@
 		r.markUnproven()
 	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
-	r.startPending = true
+	r.startPending, r.lastOrderedAt = true, d.now
 	d.config.WorkerCalls.Send(call)
 }
 
+// mayStartLate reports whether a start may be carried out after all known ones, as long as that isn't too long ago. An answer to a
+// start doesn't exclude it, because it doesn't show which incarnation of the worker has answered.
+func (r *run) mayStartLate() bool { return r.startUnanswered || !r.seen && !r.lastOrderedAt.IsZero() }
+
 // startBlocker returns why a worker may not start runs any more, or an empty string.
 func (d *Dispatcher) startBlocker(w *worker) string {
 	switch {
@@ -212,6 +222,9 @@
 		d.observeStart(r, a)
 	case order.NoAnswer:
 		r.startUnanswered = true
+		if r.seen || r.ended {
+			return
+		}
 		r.nextStart = d.now.Add(callRetryDelay)
 		if d.now.Sub(r.orderedAt) > d.config.Limits.GangTimeout/2 {
 			d.stopGang(r)
@@ -314,6 +327,9 @@
 	for _, ended := range a.Ended {
 		listed[ended.Run] = true
 		w.listedEnds = max(w.listedEnds, ended.Number)
+		if r := d.runs[ended.Run]; r != nil && r.worker == w {
+			r.ended = true
+		}
 	}
 	for key := range w.incarnation.Runs {
 		if r := d.runs[key]; r != nil && !listed[key] {
@@ -364,9 +380,10 @@
 }
 
 // observeMissing counts a poll that didn't list a run, and drops the run after minMissingPolls of them. Polls sent before
-// the last order was acknowledged don't count. A run that the worker hasn't acknowledged yet is ordered again instead.
+// the last order was acknowledged don't count, nor those that may lack the run's end. A run that the worker hasn't acknowledged
+// yet is ordered again instead.
 func (d *Dispatcher) observeMissing(r *run, a *order.Answer) {
-	if r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
+	if a.EndsIncomplete || r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
 		return
 	}
 	if r.acknowledgedAt.IsZero() && !r.seen {
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -67,6 +67,9 @@
 	do       func()
 }
 
+// maxListedEnds is the number of ends that a simulated worker lists in one answer.
+const maxListedEnds = 500
+
 // simWorker simulates a worker.
 type simWorker struct {
 	simulation      *simulation
@@ -425,6 +428,9 @@
 	if call.Fence < s.fence {
 		return &order.Answer{Status: order.Fenced, Clock: clock}
 	}
+	if call.Kind == order.Start && s.refuses(call) {
+		return &order.Answer{Status: order.Unhealthy}
+	}
 	s.fence = call.Fence
 	if call.LeaseExpiry > clock {
 		expires := s.simulation.now.Add(min(call.LeaseExpiry-clock, 6*time.Second))
@@ -448,6 +454,14 @@
 	return &order.Answer{Status: order.OK, Clock: clock}
 }
 
+// refuses reports whether the worker refuses a start as unhealthy. It does nothing then, and doesn't keep the fencing token.
+func (s *simWorker) refuses(call *order.Call) bool {
+	if s.runs[call.Run] != nil || call.Run.Run <= s.highestRun[call.Run.Task] {
+		return false
+	}
+	return s.rejectsStarts || s.rejectionRate > 0 && s.simulation.random.Float64() < s.rejectionRate
+}
+
 func (s *simWorker) start(call *order.Call, clock time.Duration) order.Status {
 	key := call.Run
 	switch {
@@ -457,8 +471,6 @@
 		return order.StaleRun
 	case call.LeaseExpiry <= clock:
 		return order.Expired
-	case s.rejectsStarts, s.rejectionRate > 0 && s.simulation.random.Float64() < s.rejectionRate:
-		return order.Unhealthy
 	}
 	if call.IncarnationStartMs == s.incarnation.GetBornMs() {
 		s.simulation.checkStart(s, key, call.Sent)
@@ -524,9 +536,10 @@
 	if call.IncarnationStartMs == 0 {
 		answer.IncarnationStartMs = s.incarnation.GetBornMs()
 	}
-	for _, e := range s.ended {
+	for _, e := range s.ended[:min(len(s.ended), maxListedEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
+	answer.EndsIncomplete = len(answer.Ended) == maxListedEnds
 	for key, r := range s.runs {
 		report := order.Running{Run: key, Percent: 100, Measurement: -1}
 		if r.task.Step.IsServing() {
