dispatch: log and count starts that are repeated or refused

A start that is ordered again left no trace, so the logs couldn't tell a late first order from a repeated one. Repeated orders are logged with the time since the last one, and both kinds are counted.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -167,6 +167,10 @@
 		r.orderedAt, r.checkpoint = d.now, d.checkpoint(r.task)
 		r.markUnproven()
 	}
+	if !r.lastOrderedAt.IsZero() {
+		d.config.Count("StartsRepeated")
+		d.config.Log.Info("repeating start", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "SinceLastOrder", d.now.Sub(r.lastOrderedAt).String())
+	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
 	r.startPending, r.lastOrderedAt = true, d.now
 	d.config.WorkerCalls.Send(call)
@@ -232,6 +236,7 @@
 	case order.Expired:
 		r.nextStart = d.now
 	case order.NoCapacity, order.Unhealthy, order.Invalid, order.NoTicket:
+		d.config.Count("StartsRefused")
 		d.config.Log.Info("start refused", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "Status", a.Status.String())
 		r.nextStart = time.Time{}
 		if a.Status == order.NoTicket {
