dispatch: don't wait for late orders to a worker that restarts elsewhere

What callers saw: nothing yet. In virtual time a task whose worker came back under its ID at another address waited 18.4 s for its next run.

Cause: waits for late orders to an announced later incarnation, which accepts them. It looked at the ID only. Orders go to the address of the earlier incarnation, so one at another address can't get them.

Evidence: found in review. TestRestartAtAnotherAddress/other: 18.41 s, without 5.15 s; it failed before this change.

Change: only a restart at the same address is waited for.

--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -206,7 +206,7 @@
 	current := d.state.WorkerByID(incarnation.GetId())
 	if current != nil && incarnation.GetBornMs() > current.GetBornMs() {
 		if w := d.workers[current.GetNumber()]; w != nil && !w.ending {
-			d.checkIncarnation(w, incarnation.GetId())
+			d.checkIncarnation(w, incarnation)
 			return unavailable("orders for the earlier life are being settled"), false
 		}
 	}
@@ -221,7 +221,7 @@
 	unchanged := current != nil && isUnchanged(current, incarnation)
 	if !unchanged {
 		if other := d.otherAt(incarnation); other != nil && incarnation.GetBornMs() >= other.incarnation.GetBornMs() {
-			d.checkIncarnation(other, incarnation.GetId())
+			d.checkIncarnation(other, incarnation)
 			return unavailable("another worker is known at this address"), false
 		}
 	}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -8,13 +8,15 @@
 	"galenamoor/internal/decision/workload"
 )
 
-// checkIncarnation polls a worker after the announcement of a later incarnation with the given ID at its address. The
-// announcement may be false, and the answer shows which incarnation is there. Until then the worker gets no new runs.
-func (d *Dispatcher) checkIncarnation(w *worker, id string) {
+// checkIncarnation polls a worker after the announcement of a later incarnation under its ID or at its address. The announcement may
+// be false, and the answer shows which incarnation is there. Until then the worker gets no new runs.
+func (d *Dispatcher) checkIncarnation(w *worker, announced *controlpb.WorkerLife) {
 	if w.superseded {
 		return
 	}
-	w.restartAnnounced = w.restartAnnounced || id == w.incarnation.GetId()
+	if announced.GetId() == w.incarnation.GetId() && announced.GetAddress() == w.incarnation.GetAddress() {
+		w.restartAnnounced = true
+	}
 	if !w.laterAnnouncedAt.IsZero() {
 		return
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -111,7 +111,7 @@
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
 	laterAnnouncedAt    time.Time // when a later incarnation here was announced; zero once an answer shows whether it exists
-	restartAnnounced    bool      // that one has the same ID, so that it accepts orders for this one
+	restartAnnounced    bool      // that one has the same ID and address, so that it accepts orders for this one
 	crashed             bool      // a later incarnation of its host has shown that it ended without notice
 	superseded          bool      // a later incarnation under the same ID has answered
 	ending              bool      // the end of its incarnation is proposed
