dispatch: count late leases with late starts of a later incarnation

What callers saw: nothing yet.

Cause: waits for starts that a later incarnation may carry out late, and for one lease after that. A poll that extends the lease may be late as well, and then extends what such a start has begun.

Evidence: found in review. TestLateLeaseOfLaterIncarnation failed for polls that are 6 and 7 s late, not for 2 s.

Change: the wait also counts from the newest call that extends the lease. A run isn't open any more once a poll has shown the earlier incarnation at work after the last start had become void; otherwise each run with a start that was ever unanswered would stay open as long as leases are extended. No start is ordered while a restart of the worker at its address is announced and not yet checked.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -19,14 +19,14 @@
 	task   *workload.Task
 	worker *worker
 
-	nextStart       time.Time // of the next start call; zero when none is needed
-	startPending    bool      // a start call is in flight
-	orderedAt       time.Time // of the first start call
-	lastOrderedAt   time.Time // of the newest start call, or the latest time of one of an earlier leader
-	checkpoint      string    // sent with the start calls; the same in every retry
-	started         bool      // the worker has confirmed the start
-	startUnanswered bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
-	acknowledgedAt  time.Time // when the newest start or stop call got a conclusive answer
+	nextStart      time.Time // of the next start call; zero when none is needed
+	startPending   bool      // a start call is in flight
+	orderedAt      time.Time // of the first start call
+	lastOrderedAt  time.Time // of the newest start call; of an inherited run, when this leader took over
+	checkpoint     string    // sent with the start calls; the same in every retry
+	started        bool      // the worker has confirmed the start
+	startMayBeLate bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
+	acknowledgedAt time.Time // when the newest start or stop call got a conclusive answer
 
 	throttled        bool      // runs at reduced speed beside serving tasks that it interferes with
 	speed            int       // percent of full speed, as last acknowledged
@@ -156,6 +156,10 @@
 	if r.worker.superseded {
 		return // the later incarnation would accept the order under the token that rejects those for the earlier one
 	}
+	if r.worker.restartAnnounced {
+		r.nextStart = d.now.Add(callRetryDelay)
+		return
+	}
 	leaseExpiry := d.extendLease(r.worker)
 	if leaseExpiry == 0 || r.worker.ending {
 		r.nextStart = d.now.Add(callRetryDelay)
@@ -176,10 +180,6 @@
 	d.config.WorkerCalls.Send(call)
 }
 
-// mayStartLate reports whether a start may be carried out after all known ones, as long as that isn't too long ago. An answer to a
-// start doesn't exclude it, because it doesn't show which incarnation of the worker has answered.
-func (r *run) mayStartLate() bool { return r.startUnanswered || !r.seen && !r.lastOrderedAt.IsZero() }
-
 // startBlocker returns why a worker may not start runs any more, or an empty string.
 func (d *Dispatcher) startBlocker(w *worker) string {
 	switch {
@@ -225,7 +225,7 @@
 		r.started = r.started || a.Status == order.OK
 		d.observeStart(r, a)
 	case order.NoAnswer:
-		r.startUnanswered = true
+		r.startMayBeLate = true
 		if r.seen || r.ended {
 			return
 		}
@@ -245,7 +245,7 @@
 			r.worker.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 		}
 		d.stopGang(r)
-		if r.startUnanswered {
+		if r.startMayBeLate {
 			d.requestStop(r, "the worker rejected the start") // an earlier order may still be carried out
 			return
 		}
@@ -323,7 +323,7 @@
 	if d.handleIncarnationCheck(w, a) {
 		return
 	}
-	w.hasOrphans = false
+	w.hasOrphans, w.lastPoll = false, a.Received
 	listed := map[workload.RunKey]bool{}
 	for _, running := range a.Running {
 		listed[running.Run] = true
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -51,16 +51,29 @@
 }
 
 // hasOpenStarts reports whether a later incarnation of a worker may still carry out a start that was ordered from this one, or run
-// what it has started that way.
+// what it has started that way. It knows nothing of starts of runs whose assignment was removed: their tasks don't wait.
 func (d *Dispatcher) hasOpenStarts(w *worker) bool {
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.mayStartLate() && d.now.Before(r.lastOrderedAt.Add(maxCallDelay+d.longestLease())) {
+		if r := d.runs[key]; r != nil && d.hasOpenStart(r) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasOpenStart does the same for one run. Late orders may both start the run and extend its lease.
+func (d *Dispatcher) hasOpenStart(r *run) bool {
+	lastStart := r.lastOrderedAt.Add(maxCallDelay)
+	switch {
+	case r.lastOrderedAt.IsZero(), r.seen && !r.startMayBeLate:
+		return false
+	case r.worker.lastPoll.After(lastStart):
+		return false // no order for the run was on its way any more
+	}
+	lastGrant := r.worker.grantedAt.Add(maxCallDelay)
+	return d.now.Before(lastStart.Add(d.longestLease())) || d.now.Before(lastGrant.Add(d.longestLease()))
+}
+
 // pollSuccessor polls the later incarnation with a fencing token that invalidates earlier orders.
 func (d *Dispatcher) pollSuccessor(w *worker) {
 	call := d.newCall(order.Poll, w)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -71,7 +71,9 @@
 	workerClock  time.Duration // worker's clock when it sent its newest answer
 	clockReadAt  time.Time     // when that answer was received; zero before the first one
 	leaseExpires time.Time     // every lease granted to this incarnation has expired by then
+	grantedAt    time.Time     // of the newest call that extends the lease; when this leader took over, if there is none
 	lastAnswer   time.Time     // when the newest answer was received
+	lastPoll     time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
 	addedAt      time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
@@ -134,7 +136,7 @@
 		d.config.Log.Error(err, "worker has no usable address", "Worker", incarnation.GetId(), "Address", incarnation.GetAddress())
 		return
 	}
-	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, blames: map[string][]imagepair.Blame{}, quietSince: d.now, bestEffortSeen: map[string]time.Time{}}
+	w := &worker{incarnation: incarnation, address: address, addedAt: d.now, grantedAt: d.leadingSince, nextPoll: d.now, belowTargetAt: d.now, speed: fullSpeed, images: map[image]int{}, blames: map[string][]imagepair.Blame{}, quietSince: d.now, bestEffortSeen: map[string]time.Time{}}
 	w.leaseExpires = d.leadingSince.Add(d.longestLease())
 	if d.now.After(w.leaseExpires) {
 		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
@@ -143,7 +145,7 @@
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
-		r.startUnanswered, r.lastOrderedAt = true, d.leadingSince // an earlier leader may have ordered it without an answer
+		r.startMayBeLate, r.lastOrderedAt = true, d.leadingSince // an earlier leader may have ordered it without an answer
 	}
 }
 
@@ -226,7 +228,7 @@
 		switch {
 		case w.terminating && w.incarnation.GetLeaving() && len(w.incarnation.Runs) == 0:
 			d.endIncarnation(w, "it terminates and runs nothing")
-		case d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.restartAnnounced && d.hasOpenStarts(w)):
+		case d.isLost(w):
 			d.endIncarnation(w, "its lease has expired")
 		}
 		if !d.now.Before(w.leaveAckBy) {
@@ -246,6 +248,11 @@
 	}
 }
 
+// isLost reports whether an unresponsive worker runs nothing any more, nor does a later incarnation that is known of.
+func (d *Dispatcher) isLost(w *worker) bool {
+	return d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.restartAnnounced && d.hasOpenStarts(w))
+}
+
 // silenceOf returns how long a worker hasn't answered this leader, counted at most since the leader tracks it.
 func (d *Dispatcher) silenceOf(w *worker) time.Duration {
 	return min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt))
@@ -318,6 +325,7 @@
 	if expires.After(w.leaseExpires) {
 		w.leaseExpires = expires
 	}
+	w.grantedAt = d.now
 	return expiry
 }
 
