dispatch: drop a refused run of an earlier leader after one poll

What callers saw: nothing yet. In virtual time a task whose start was refused after a change of leader started elsewhere 4.3 s later, 0.1 s before; never if its worker also refuses stops.

Cause: stops such a run, because a start of the earlier leader may still be carried out. Only a later incarnation does that: the one that has answered this leader before rejects it.

Evidence: found in review. TestRefusedRunOfEarlierLeaderStartsElsewhere: 4.31 s, and not within a minute.

Change: the next poll, which is sent at once and without waiting, decides. If the same incarnation answers it, the run is dropped; a later one is settled as usual.

Result: the test passes, and so does TestRefusedRunOfEarlierLeader.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -19,14 +19,15 @@
 	task   *workload.Task
 	worker *worker
 
-	nextStart      time.Time // of the next start call; zero when none is needed
-	startPending   bool      // a start call is in flight
-	orderedAt      time.Time // of the first start call
-	lastOrderedAt  time.Time // of the newest start call; of an inherited run, when this leader took over
-	checkpoint     string    // sent with the start calls; the same in every retry
-	started        bool      // the worker has confirmed the start
-	startMayBeLate bool      // a start call, or one of an earlier leader, may have got no answer and may still be carried out
-	acknowledgedAt time.Time // when the newest start or stop call got a conclusive answer
+	nextStart       time.Time // of the next start call; zero when none is needed
+	startPending    bool      // a start call is in flight
+	orderedAt       time.Time // of the first start call
+	lastOrderedAt   time.Time // of the newest start call; of an inherited run, when this leader took over
+	checkpoint      string    // sent with the start calls; the same in every retry
+	started         bool      // the worker has confirmed the start
+	inherited       bool      // assigned by an earlier leader, whose start calls may still be carried out
+	startUnanswered bool      // a start call got no answer and may still be carried out
+	acknowledgedAt  time.Time // when the newest start or stop call got a conclusive answer
 
 	throttled        bool      // runs at reduced speed beside serving tasks that it interferes with
 	speed            int       // percent of full speed, as last acknowledged
@@ -35,8 +36,9 @@
 	staleSpeedUntil  time.Time // until then an earlier speed call may still be carried out
 	wasSlowed        bool      // has run below full speed, so that its runtime isn't representative
 
-	withdrawn     bool // it can't start any more and gets no orders; the removal of its assignment isn't committed yet
-	dropPending   bool // the removal is proposed and not yet decided
+	refusedAt     time.Time // when its worker refused it; zero unless the next poll decides about it
+	withdrawn     bool      // it can't start any more and gets no orders; the removal of its assignment isn't committed yet
+	dropPending   bool      // the removal is proposed and not yet decided
 	stopRequested bool
 	nextStop      time.Time // of the next stop call
 	stopPending   bool
@@ -225,7 +227,7 @@
 		r.started = r.started || a.Status == order.OK
 		d.observeStart(r, a)
 	case order.NoAnswer:
-		r.startMayBeLate = true
+		r.startUnanswered = true
 		if r.seen || r.ended {
 			return
 		}
@@ -245,11 +247,14 @@
 			r.worker.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 		}
 		d.stopGang(r)
-		if r.startMayBeLate {
+		switch {
+		case r.startUnanswered:
 			d.requestStop(r, "the worker rejected the start") // an earlier order may still be carried out
-			return
+		case r.inherited:
+			d.awaitPoll(r)
+		default:
+			d.drop(r)
 		}
-		d.drop(r)
 	}
 }
 
@@ -266,6 +271,13 @@
 	}
 }
 
+// awaitPoll keeps a refused run until a poll shows which incarnation of the worker has refused it. The one that has answered this
+// leader before rejects the orders of earlier leaders; a later one may not.
+func (d *Dispatcher) awaitPoll(r *run) {
+	r.refusedAt = d.now
+	r.worker.pollAtOnce, r.worker.nextPoll = true, d.now
+}
+
 // drop withdraws a run that doesn't exist and can't be started any more. It gets no orders while the removal of its
 // assignment is being committed: a start would be carried out beside the task's next run.
 func (d *Dispatcher) drop(r *run) {
@@ -361,7 +373,7 @@
 		r.seen, r.began, r.progressAt, r.firstProgress = true, d.now, d.now, running.Percent
 	}
 	r.missingPolls = 0
-	r.nextStart = time.Time{}
+	r.nextStart, r.refusedAt = time.Time{}, time.Time{}
 	if running.Percent != r.progress {
 		r.progress, r.progressAt = running.Percent, d.now
 	}
@@ -391,6 +403,12 @@
 	if a.EndsIncomplete || r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
 		return
 	}
+	if !r.refusedAt.IsZero() {
+		if !a.Call.Sent.Before(r.refusedAt) {
+			d.drop(r)
+		}
+		return
+	}
 	if r.acknowledgedAt.IsZero() && !r.seen {
 		if r.nextStart.IsZero() { // assigned by an earlier leader, whose orders the worker no longer accepts
 			r.nextStart = d.now
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -65,7 +65,7 @@
 func (d *Dispatcher) hasOpenStart(r *run) bool {
 	lastStart := r.lastOrderedAt.Add(maxCallDelay)
 	switch {
-	case r.lastOrderedAt.IsZero(), r.seen && !r.startMayBeLate:
+	case r.lastOrderedAt.IsZero(), r.seen && !r.startUnanswered && !r.inherited:
 		return false
 	case r.worker.lastPoll.After(lastStart):
 		return false // no order for the run was on its way any more
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -77,6 +77,7 @@
 	addedAt      time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
+	pollAtOnce    bool // the next poll doesn't wait for a run to end
 	nextPoll      time.Time
 	listedEnds    uint64 // number of the last end in the answer to the newest poll; 0 if there was none or no answer
 	recordingEnds bool   // ends are proposed and not yet decided
@@ -145,7 +146,7 @@
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
-		r.startMayBeLate, r.lastOrderedAt = true, d.leadingSince // an earlier leader may have ordered it without an answer
+		r.inherited, r.lastOrderedAt = true, d.leadingSince
 	}
 }
 
@@ -263,7 +264,7 @@
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
 	call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
-	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.laterAnnouncedAt.IsZero() {
+	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.laterAnnouncedAt.IsZero() && !w.pollAtOnce {
 		call.Wait = pollWait
 		if w.pollOften {
 			call.Wait = shortPollWait
@@ -272,6 +273,7 @@
 			call.Wait = provenAfter
 		}
 	}
+	w.pollAtOnce = false
 	if len(w.incarnation.Runs) > 0 {
 		call.LeaseExpiry = d.extendLease(w)
 	}
