dispatch: an ended serving task is unavailable before its end is recorded

What callers saw: nothing yet.

Cause: the disruption budget of a step counts tasks that don't serve. A run whose end was listed counted as serving until the end was committed, so another task could be stopped for maintenance meanwhile.

Evidence: found in review. TestEndedServingTaskUsesDisruptionBudget failed.

Change: a run whose end was listed doesn't serve. The test passes.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -385,11 +385,11 @@
 	}
 }
 
-// isServing reports whether a run of a serving task is ready to serve and not being stopped.
+// isServing reports whether a run of a serving task is ready to serve, and hasn't ended and isn't being stopped.
 func (d *Dispatcher) isServing(task *workload.Task) bool {
 	for _, assigned := range task.Runs {
 		r := d.runs[workload.RunKey{Task: task.Key(), Run: assigned.Number}]
-		if r != nil && r.seen && !r.stopRequested && r.progress >= servingProgress {
+		if r != nil && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress {
 			return true
 		}
 	}
