dispatch: drop a stopped run that its worker doesn't know sooner

What callers saw: tasks that waited for seconds after their start was lost and then refused.

Cause: two polls that were sent after the stop was acknowledged must not list the run. The polls wait for up to 0.8 s for a run to end, and the stop is repeated each 1.4 s; each acknowledgement of a repeated stop made the polls before it void.

Evidence: found in review.

Change: polls count from the first acknowledged stop, after which the worker rejects the run, and don't wait while they look for an unknown run.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -41,6 +41,7 @@
 	dropPending   bool      // the removal is proposed and not yet decided
 	stopRequested bool
 	nextStop      time.Time // of the next stop call
+	stoppedAt     time.Time // when the first stop call was acknowledged
 	stopPending   bool
 	stopReason    string
 
@@ -309,7 +310,10 @@
 func (d *Dispatcher) handleStop(r *run, a *order.Answer) {
 	r.stopPending = false
 	if a.Status == order.OK || a.Status == order.StaleRun {
-		r.acknowledgedAt = a.Received
+		if r.stoppedAt.IsZero() {
+			r.stoppedAt, r.acknowledgedAt = a.Received, a.Received
+		}
+		r.worker.pollAtOnce = r.worker.pollAtOnce || !r.seen
 		r.nextStart = time.Time{}
 		r.nextStop = d.now.Add(d.config.Limits.StopGrace + time.Second) // repeated if the run is still there by then
 		if r.worker.nextPoll.After(d.now) {
@@ -400,7 +404,7 @@
 // the last order was acknowledged don't count, nor those that may lack the run's end. A run that the worker hasn't acknowledged
 // yet is ordered again instead.
 func (d *Dispatcher) observeMissing(r *run, a *order.Answer) {
-	if a.EndsIncomplete || r.withdrawn || r.startPending || r.stopPending || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
+	if a.EndsIncomplete || r.withdrawn || r.startPending || r.stopPending && r.stoppedAt.IsZero() || !r.acknowledgedAt.IsZero() && !a.Call.Sent.After(r.acknowledgedAt) {
 		return
 	}
 	if !r.refusedAt.IsZero() {
@@ -416,6 +420,7 @@
 		return
 	}
 	r.missingPolls++
+	r.worker.pollAtOnce = true
 	if r.missingPolls >= minMissingPolls {
 		d.config.Log.Info("unknown run", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId())
 		d.drop(r)
