dispatch: stop everything that an unknown later incarnation runs

What callers saw: nothing yet.

Cause: once a later incarnation under the same ID answers, the runs that it has started late are stopped if they are still assigned to the earlier one.

Change: nothing was ordered from the later incarnation yet, so whatever it runs is stopped. It is always polled before the earlier one ends.

--- a/internal/decision/dispatch/successor_test.go
+++ b/internal/decision/dispatch/successor_test.go
@@ -60,3 +60,26 @@
 		}
 	}
 }
+
+// A later incarnation must not go on with a run that it has started late after the task has started elsewhere, although it isn't
+// known yet.
+func TestUnknownIncarnationStopsEveryRun(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.submit("batch", "a", dedicated(8, time.Minute))
+	sim.run(time.Second)
+	worker, other := sim.workers[0], sim.workers[1]
+	var task *workload.Task
+	for key, r := range other.runs {
+		task = r.task
+		worker.startIncarnation(worker.incarnation)
+		worker.runs[key] = &simRun{task: task, runtime: time.Minute, speed: 1, orphaned: true}
+		worker.leaseExpires = sim.now.Add(time.Minute)
+		break
+	}
+	for d := sim.dispatcher; d.workers[1] != nil; {
+		sim.run(10 * time.Millisecond)
+	}
+	if len(worker.runs) > 0 {
+		t.Error("the run goes on after its worker's earlier incarnation has ended")
+	}
+}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -82,25 +82,28 @@
 	d.config.WorkerCalls.Send(call)
 }
 
-// handleSuccessorPoll ends the earlier incarnation once the later one runs nothing that was ordered from the earlier
-// one, or doesn't answer and can't run anything of that any more.
+// handleSuccessorPoll stops what the later incarnation runs, and ends the earlier one once the later one runs nothing that was
+// ordered from the earlier one, or doesn't answer and can't run anything of that any more.
 func (d *Dispatcher) handleSuccessorPoll(w *worker, a *order.Answer) {
 	w.nextPoll = d.now.Add(d.pollDelayAfter(w))
-	if a.Status != order.OK || a.Call.IncarnationStartMs != 0 {
+	if a.Call.IncarnationStartMs != 0 {
+		return // sent to the earlier incarnation
+	}
+	if a.Status != order.OK {
 		if !d.hasOpenStarts(w) {
 			d.endCrashed(w, "its later incarnation doesn't answer, and every order and lease has expired")
 		}
 		return
 	}
-	orphans := 0
+	isRunning := false
 	for _, running := range a.Running {
+		d.stopOrphan(w, running.Run) // nothing was ordered from the later incarnation yet
 		if _, assigned := w.incarnation.Runs[running.Run]; assigned {
-			orphans++
+			isRunning = true
 			d.clearSuspicion(running.Run)
-			d.stopOrphan(w, running.Run)
 		}
 	}
-	if orphans > 0 {
+	if isRunning {
 		return
 	}
 	var ends []*controlpb.EndedRun
