dispatch: remember losses for as long as a worker may take to be lost

What callers saw: nothing yet.

Cause: a worker whose later incarnation may carry out a late start is declared lost up to 18 s later than others that failed together with it. Losses were remembered for 12 s, so the common cause was forgotten and the tasks that had just started there were suspected. A run whose end was listed was suspected too, though it can't have caused a later crash.

Evidence: found in review, by reading. TestLossIsRememberedAsLongAsOthersMayTake failed.

Change: losses are remembered as long as orders may be late and a lease may last. Crashes are counted over 12 s as before. Ended runs aren't suspected.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -36,10 +36,10 @@
 	correlatedShare = 0.8
 	minUnexplained  = 2
 
-	// lossMemory is how long lost workers are remembered. It exceeds the time to declare a worker lost.
-	lossMemory = 12 * time.Second
+	// crashWindow is the time within which crashes are counted to tell how rare they are.
+	crashWindow = 12 * time.Second
 
-	// rareCrashes is the number of crashes within lossMemory, per worker, below which a second crash right after the start of
+	// rareCrashes is the number of crashes within crashWindow, per worker, below which a second crash right after the start of
 	// a task is unlikely to be a coincidence. Each further crash under the task multiplies the limit by rarityFactor.
 	rareCrashes  = 0.25
 	rarityFactor = 2
@@ -224,7 +224,7 @@
 		suspects = d.unseenSuspects(w)
 	}
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.unproven && !w.lastAnswer.IsZero() && mayRestart(r.task) {
+		if r := d.runs[key]; r != nil && r.unproven && !r.ended && !w.lastAnswer.IsZero() && mayRestart(r.task) {
 			suspects = append(suspects, &controlpb.CrashSuspect{
 				Task: key.Task.Ref(), Started: r.seen || r.started,
 				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && d.areCrashesRare(r.task),
@@ -243,7 +243,7 @@
 func (d *Dispatcher) areCrashesRare(task *workload.Task) bool {
 	crashes, unexplained := 0, 0
 	for _, l := range d.losses {
-		if l.crashed && d.now.Sub(l.at) <= lossMemory {
+		if l.crashed && d.now.Sub(l.at) <= crashWindow {
 			crashes++
 			if !l.explained {
 				unexplained++
@@ -317,9 +317,10 @@
 
 func isNear(a, b time.Time) bool { return a.Sub(b).Abs() <= correlatedWindow }
 
-// rememberLoss records that a worker was declared lost, and forgets losses older than lossMemory.
+// rememberLoss records that a worker was declared lost, and forgets losses that are older than the longest time to declare a
+// worker lost that has failed together with them.
 func (d *Dispatcher) rememberLoss(w *worker) {
-	for len(d.losses) > 0 && d.now.Sub(d.losses[0].at) > lossMemory {
+	for len(d.losses) > 0 && d.now.Sub(d.losses[0].at) > maxCallDelay+d.longestLease() {
 		d.losses = d.losses[1:]
 	}
 	d.losses = append(d.losses, loss{zone: w.incarnation.GetZone(), rack: rackOf(w.incarnation), lastAnswer: w.lastAnswer, at: d.now, crashed: w.crashed, explained: len(w.unproven) > 0})
--- a/internal/decision/dispatch/crash_test.go
+++ b/internal/decision/dispatch/crash_test.go
@@ -151,3 +151,15 @@
 		sim.expectDeadlyGivenUp(seed, 8)
 	}
 }
+
+// A worker must be remembered as lost until all that failed together with it are declared lost, however long that takes, or their
+// tasks are suspected.
+func TestLossIsRememberedAsLongAsOthersMayTake(t *testing.T) {
+	d := newSimulationWithWorkers(t, 1, 4).dispatcher
+	d.rememberLoss(d.orderedWorkers[0])
+	d.now = d.now.Add(maxCallDelay + d.config.Limits.MaxLease)
+	d.rememberLoss(d.orderedWorkers[1])
+	if n := len(d.losses); n != 2 {
+		t.Errorf("%d losses are remembered, expected both", n)
+	}
+}
