dispatch: a refused repetition doesn't stop a run that its worker lists

What callers saw: nothing yet.

Cause: an answer to a repeated start that was refused, or came too late, was taken for the run's only one, although the worker had listed the run since.

Evidence: found in review, by reading; calls that would lead to it couldn't be constructed. TestRefusedRepetitionDoesntStopRun gives the answer by hand and failed: the run was stopped and started again.

Change: once a run is listed, a refusal of its start is only logged.

--- a/internal/decision/dispatch/repeated_start_test.go
+++ b/internal/decision/dispatch/repeated_start_test.go
@@ -80,3 +80,18 @@
 		}
 	}
 }
+
+// A run that its worker lists must not be stopped because the worker refuses an order to start it again.
+func TestRefusedRepetitionDoesntStopRun(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	sim.submit("urgent", "a", dedicated(1, 3*time.Second))
+	sim.run(time.Second)
+	r := sim.dispatcher.runs[workload.RunKey{Task: workload.TaskKey{Job: "a"}, Run: 1}]
+	r.startUnanswered = true
+	sim.dispatcher.handleStart(r, &order.Answer{Status: order.Unhealthy, Received: sim.now})
+	sim.run(3 * time.Second)
+	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+	if starts := sim.starts["a.0.0.0"]; starts != 1 {
+		t.Errorf("%d starts, expected one", starts)
+	}
+}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -237,7 +237,9 @@
 			d.stopGang(r)
 		}
 	case order.Expired:
-		r.nextStart = d.now
+		if !r.seen && !r.ended {
+			r.nextStart = d.now
+		}
 	case order.NoCapacity, order.Unhealthy, order.Invalid, order.NoTicket:
 		d.config.Count("StartsRefused")
 		d.config.Log.Info("start refused", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "Status", a.Status.String())
@@ -247,6 +249,9 @@
 		} else {
 			r.worker.quarantinedUntil = d.now.Add(unhealthyQuarantine)
 		}
+		if r.seen || r.ended {
+			return // an earlier order was carried out
+		}
 		d.stopGang(r)
 		switch {
 		case r.startUnanswered:
