dispatch: recognize a restarted worker by its clock

What callers saw: nothing yet.

Cause: the answer to a start doesn't tell which incarnation has answered. A worker that restarts under its ID, answers a start and is cut off then was taken for the earlier incarnation and declared lost when that one's leases had expired, up to the longest lease before its own.

Reduced to TestStartAnsweredByLaterIncarnation, which failed.

Change: a later incarnation's clock starts anew. An answer whose clock is behind that of the incarnation is a sign of a restart, like an announcement: the worker gets no orders until a poll has shown which incarnation is there, and isn't given up while its starts are open.

Result: the test passes.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -159,7 +159,7 @@
 	if r.worker.superseded {
 		return // the later incarnation would accept the order under the token that rejects those for the earlier one
 	}
-	if r.worker.restartAnnounced {
+	if r.worker.mayHaveRestarted {
 		r.nextStart = d.now.Add(callRetryDelay)
 		return
 	}
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -433,7 +433,7 @@
 	}
 	s.fence = call.Fence
 	if call.LeaseExpiry > clock {
-		expires := s.simulation.now.Add(min(call.LeaseExpiry-clock, 6*time.Second))
+		expires := s.simulation.now.Add(min(call.LeaseExpiry-clock, s.simulation.dispatcher.config.Limits.MaxLease))
 		if expires.After(s.leaseExpires) {
 			s.leaseExpires = expires
 		}
--- a/internal/decision/dispatch/successor_test.go
+++ b/internal/decision/dispatch/successor_test.go
@@ -17,7 +17,9 @@
 	delay       time.Duration // of the start order
 	answers     int           // polls that the later incarnation still answers
 	silentUntil time.Time
-	restarted   *simWorker
+	// answersStart is set if the later incarnation answers the start order and doesn't announce itself.
+	answersStart bool
+	restarted    *simWorker
 }
 
 func (c *silentRestart) Send(call *order.Call) {
@@ -25,8 +27,13 @@
 	switch {
 	case c.restarted == nil && call.Kind == order.Start:
 		c.restarted = worker
-		c.after(c.delay, func() { worker.handle(call) })
 		worker.startIncarnation(worker.incarnation)
+		if c.answersStart {
+			worker.answersLost = true
+			c.after(c.delay, func() { c.answer(call, worker.handle(call)) })
+			return
+		}
+		c.after(c.delay, func() { worker.handle(call) })
 	case worker == c.restarted && call.Kind == order.Poll && c.answers > 0:
 		c.answers--
 		c.simulation.Send(call)
@@ -83,3 +90,21 @@
 		t.Error("the run goes on after its worker's earlier incarnation has ended")
 	}
 }
+
+// A task must not start elsewhere while a later incarnation, which has answered the start and is silent since, runs it: the answer
+// to a start doesn't tell the incarnation, but its clock does.
+func TestStartAnsweredByLaterIncarnation(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.run(30 * time.Second)
+	sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+	calls := &silentRestart{simulation: sim, delay: time.Millisecond, silentUntil: sim.now.Add(40 * time.Second), answersStart: true}
+	sim.dispatcher.config.WorkerCalls = calls
+	sim.submit("batch", "a", dedicated(1, 20*time.Second))
+	for range 7000 {
+		sim.run(10 * time.Millisecond)
+		if running := sim.running(workload.TaskKey{Job: "a"}); running > 1 {
+			t.Fatalf("%d runs of the task at the same time", running)
+		}
+	}
+	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -15,27 +15,39 @@
 		return
 	}
 	if announced.GetId() == w.incarnation.GetId() && announced.GetAddress() == w.incarnation.GetAddress() {
-		w.restartAnnounced = true
+		d.checkRestart(w)
+		return
 	}
-	if !w.laterAnnouncedAt.IsZero() {
+	d.pollIncarnation(w)
+}
+
+// checkRestart does the same after a sign of a later incarnation under the worker's ID and at its address, which may carry out
+// orders for the earlier one.
+func (d *Dispatcher) checkRestart(w *worker) {
+	w.mayHaveRestarted = true
+	d.pollIncarnation(w)
+}
+
+func (d *Dispatcher) pollIncarnation(w *worker) {
+	if !w.checkedSince.IsZero() {
 		return
 	}
-	w.laterAnnouncedAt, w.nextPoll = d.now, d.now
-	d.config.Log.Info("later incarnation announced", "Worker", w.incarnation.GetId(), "Address", w.incarnation.GetAddress())
+	w.checkedSince, w.nextPoll = d.now, d.now
+	d.config.Log.Info("checking for a later incarnation", "Worker", w.incarnation.GetId(), "Address", w.incarnation.GetAddress())
 }
 
 // handleIncarnationCheck handles an answer to a poll, and concludes from one that was sent after a later incarnation was
 // announced whether there is one. It reports whether that has answered.
 func (d *Dispatcher) handleIncarnationCheck(w *worker, a *order.Answer) bool {
-	if w.laterAnnouncedAt.IsZero() || a.Call.Sent.Before(w.laterAnnouncedAt) {
+	if w.checkedSince.IsZero() || a.Call.Sent.Before(w.checkedSince) {
 		return false
 	}
-	w.laterAnnouncedAt, w.restartAnnounced = time.Time{}, false
+	w.checkedSince, w.mayHaveRestarted = time.Time{}, false
 	if a.IncarnationStartMs > w.incarnation.GetBornMs() {
 		d.supersede(w)
 		return true
 	}
-	d.config.Log.Info("announced incarnation doesn't exist", "Worker", w.incarnation.GetId())
+	d.config.Log.Info("no later incarnation exists", "Worker", w.incarnation.GetId())
 	return false
 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -113,8 +113,8 @@
 	terminating         bool      // it has sent notice that it terminates, and no announcement since
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
-	laterAnnouncedAt    time.Time // when a later incarnation here was announced; zero once an answer shows whether it exists
-	restartAnnounced    bool      // that one has the same ID and address, so that it accepts orders for this one
+	checkedSince        time.Time // since when a later incarnation here is checked for; zero once an answer shows whether it exists
+	mayHaveRestarted    bool      // that one has the same ID and address, so that it accepts orders for this one
 	crashed             bool      // a later incarnation of its host has shown that it ended without notice
 	superseded          bool      // a later incarnation under the same ID has answered
 	ending              bool      // the end of its incarnation is proposed
@@ -251,7 +251,7 @@
 
 // isLost reports whether an unresponsive worker runs nothing any more, nor does a later incarnation that is known of.
 func (d *Dispatcher) isLost(w *worker) bool {
-	return d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.restartAnnounced && d.hasOpenStarts(w))
+	return d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.mayHaveRestarted && d.hasOpenStarts(w))
 }
 
 // silenceOf returns how long a worker hasn't answered this leader, counted at most since the leader tracks it.
@@ -264,7 +264,7 @@
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
 	call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
-	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.laterAnnouncedAt.IsZero() && !w.pollAtOnce {
+	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
 		call.Wait = pollWait
 		if w.pollOften {
 			call.Wait = shortPollWait
@@ -333,7 +333,7 @@
 
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
-	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && w.laterAnnouncedAt.IsZero() && !w.hasOrphans && !w.terminating && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
+	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && w.checkedSince.IsZero() && !w.hasOrphans && !w.terminating && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
 		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.state.IsZoneOut(w.incarnation.GetZone()) && !d.now.Before(w.quarantinedUntil) &&
 		!d.isDraining(w)
 }
@@ -406,12 +406,25 @@
 	w.missedCalls = 0
 	if !w.superseded {
 		w.lastAnswer = d.now
+		if w.hasRestarted(a) {
+			d.checkRestart(w)
+		}
 	}
 	if a.Clock > 0 && !a.Received.Before(w.clockReadAt) {
 		w.workerClock, w.clockReadAt = a.Clock, a.Received
 	}
 }
 
+// hasRestarted reports whether an answer comes from a later incarnation of the worker, because its clock is behind that of this one.
+// Only answers to polls tell the incarnation.
+func (w *worker) hasRestarted(a *order.Answer) bool {
+	if a.Clock == 0 || w.clockReadAt.IsZero() || a.Call.Sent.Before(w.clockReadAt) {
+		return false
+	}
+	elapsed := a.Call.Sent.Sub(w.clockReadAt)
+	return a.Clock < w.workerClock+time.Duration(float64(elapsed)*(1-maxClockDrift))
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
