dispatch: count silent workers as room for serving jobs until they are lost

What callers saw: a serving job was rejected with NoHeadroom in a fleet without serving tasks, while no worker had answered the leader for 1.8 s.

Cause: the room that serving jobs leave for dedicated tasks was summed over the workers that are usable right now. Silence of all workers is more likely to be the leader's own, and says nothing of room a second later.

Change: a worker counts unless it leaves, its zone is out, its host is being drained or its end is being settled.

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -49,7 +49,8 @@
 }
 
 // headroomFor returns the milli-cores that would be available to dedicated tasks if a job's serving tasks ran, and those that
-// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks.
+// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks. A worker that doesn't answer counts until it is
+// declared lost: the cause may lie with this leader.
 func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
 	needed, ok := d.headroom.Processors(d.now)
 	wanted := int64(0)
@@ -62,7 +63,7 @@
 		return 0, 0
 	}
 	for _, w := range d.orderedWorkers {
-		if d.isUsable(w) {
+		if d.isStaying(w) {
 			available += w.incarnation.GetProcessors() - w.servingProcessors
 		}
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -333,9 +333,14 @@
 
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
-	return !w.clockReadAt.IsZero() && !w.ending && !w.superseded && w.checkedSince.IsZero() && !w.hasOrphans && !w.terminating && !w.incarnation.GetLeaving() && w.missedCalls == 0 &&
-		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.state.IsZoneOut(w.incarnation.GetZone()) && !d.now.Before(w.quarantinedUntil) &&
-		!d.isDraining(w)
+	return d.isStaying(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 &&
+		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.now.Before(w.quarantinedUntil)
+}
+
+// isStaying reports whether a worker is expected to get new runs again, though it may not be usable for the moment.
+func (d *Dispatcher) isStaying(w *worker) bool {
+	return !w.ending && !w.superseded && !w.terminating && !w.incarnation.GetLeaving() &&
+		!d.state.IsZoneOut(w.incarnation.GetZone()) && !d.isDraining(w)
 }
 
 // handleAnswer handles the answer to a call. Answers to calls of an earlier epoch are dropped.
