--- /dev/null
+++ b/internal/decision/dispatch/pause_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
+
+// A best-effort task that a leader has paused must go on under the next leader, which doesn't know its speed.
+func TestPausedTaskResumesUnderNextLeader(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 2)
+	sim.interference = func(string, string) float64 { return 0.04 }
+	sim.submit("urgent", "serving", serving(8, "image"))
+	sim.run(2 * time.Second)
+	for i := range 12 { // until the pair is known to be harmless
+		sim.submit("batch", fmt.Sprintf("warm-%d", i), bestEffort(8, "fill", time.Second))
+		sim.run(1500 * time.Millisecond)
+	}
+	load := 0.0
+	sim.ownLoad = func(time.Time) float64 { return load }
+	sim.submit("batch", "a", bestEffort(2, "fill", 8*time.Second))
+	sim.run(time.Second)
+	load = 0.5
+	sim.run(2800 * time.Millisecond)
+	load = 0
+	paused := sim.pausedRuns()
+	if paused == 0 {
+		t.Fatal("no task is paused")
+	}
+	sim.changeLeader()
+	sim.run(30 * time.Second)
+	if still := sim.pausedRuns(); still > 0 {
+		t.Errorf("%d of %d paused tasks are paused 30 s after the load", still, paused)
+	}
+	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
+}
+
+// pausedRuns returns the number of runs that their workers have paused.
+func (sim *simulation) pausedRuns() int {
+	paused := 0
+	for _, worker := range sim.workers {
+		for _, r := range worker.runs {
+			if r.speed == 0 {
+				paused++
+			}
+		}
+	}
+	return paused
+}
--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -67,6 +67,10 @@
 		s.toggleFailing, s.refuseStarts, s.crashWorker, s.crashWorker, s.crashMember, s.restartWorker, s.toggleAnswers, s.loseCalls, s.replaceLeader,
 		s.slowCommits, s.toggleProgress, s.maintainHosts, s.takeZoneOut, s.cancelJob, s.submitDeadly,
 	}
+	if seed%2 == 0 { // fewer kinds of faults, but more often
+		s.random.Shuffle(len(s.faults), func(i, j int) { s.faults[i], s.faults[j] = s.faults[j], s.faults[i] })
+		s.faults = s.faults[:2+s.random.IntN(4)]
+	}
 	return s
 }
 
