--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -65,7 +65,7 @@
 	}
 	s.faults = []func(){
 		s.toggleFailing, s.refuseStarts, s.crashWorker, s.crashWorker, s.crashMember, s.restartWorker, s.toggleAnswers, s.loseCalls, s.replaceLeader,
-		s.slowCommits, s.toggleProgress, s.maintainHosts, s.takeZoneOut, s.cancelJob, s.submitDeadly,
+		s.slowCommits, s.toggleProgress, s.maintainHosts, s.takeZoneOut, s.cancelJob, s.submitDeadly, s.toggleTail,
 	}
 	if seed%2 == 0 { // fewer kinds of faults, but more often
 		s.random.Shuffle(len(s.faults), func(i, j int) { s.faults[i], s.faults[j] = s.faults[j], s.faults[i] })
@@ -89,7 +89,7 @@
 		s.run(time.Duration(s.random.IntN(700)) * time.Millisecond)
 	}
 	for _, worker := range s.workers {
-		worker.failing = false
+		worker.failing, worker.slowTail = false, 0
 	}
 	s.run(15 * time.Second) // crashed and maintained workers are back, and late orders have arrived
 	s.clearFaults()
@@ -196,6 +196,12 @@
 	}
 }
 
+// toggleTail makes the serving tasks of a worker exceed their targets whatever runs beside them, or ends that.
+func (s *startScenario) toggleTail() {
+	worker := s.anyWorker()
+	worker.slowTail = 1.5 - worker.slowTail
+}
+
 // maintainHosts begins a wave on some hosts.
 func (s *startScenario) maintainHosts() {
 	var names []string
