dispatch: a new leader resumes what its predecessor has paused

What callers saw: nothing yet. In virtual time a best-effort task that was paused when the leader changed made no progress for the 30 s of the test, and its job never ended.

Cause: a leader assumes that the runs that it takes over have full speed, and sends a speed only where it differs.

Evidence: found by a simulation of starts under faults. TestPausedTaskResumesUnderNextLeader failed: 2 of 2 tasks stay paused.

Change: the speed of an inherited best-effort run is unknown until a poll lists it. If it uses more of its processors than a throttled run could, it has full speed; else the leader sends the speed that it may have, throttled unless its image is known to be harmless there. So no call is sent for most runs.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"galenamoor/internal/decision/imagepair"
 	"galenamoor/internal/decision/order"
 )
 
@@ -16,6 +17,12 @@
 	fullSpeed   = 100
 	pausedSpeed = 0
 
+	// unknownSpeed is the speed of a run that an earlier leader may have slowed down.
+	unknownSpeed = -1
+
+	// maxSlowedShare is the share of its processors that a run at throttledSpeed may seem to use, as measurements are inexact.
+	maxSlowedShare = 0.3
+
 	// safeLatencyRatio is the reported ratio of tail latency to target below which a serving task was certainly below its
 	// target. It is below 1 because reported tail latencies are inexact.
 	safeLatencyRatio = 0.9
@@ -67,8 +74,25 @@
 		"BelowTargetAgo", d.now.Sub(w.belowTargetAt).String())
 }
 
+// adoptSpeed decides about a best-effort run that an earlier leader may have slowed down, by the processors that it uses. Unless it
+// is known to be harmless here, it may have been throttled from its start.
+func (d *Dispatcher) adoptSpeed(r *run) {
+	if float64(r.measurement) > maxSlowedShare*float64(r.task.Step.GetProcessors()) {
+		r.speed = fullSpeed
+		return
+	}
+	r.wasSlowed = true
+	r.throttled = d.interferenceWith(r.task.Step, r.worker) != imagepair.Harmless
+}
+
 // tickSpeed sends a speed call for a best-effort run whose acknowledged speed isn't the wanted one.
 func (d *Dispatcher) tickSpeed(r *run) {
+	if r.speed == unknownSpeed {
+		if !r.seen {
+			return
+		}
+		d.adoptSpeed(r)
+	}
 	if r.speedCallPending || d.now.Before(r.nextSpeedCall) || r.speed == r.speedLimit() && !d.now.Before(r.staleSpeedUntil) {
 		return
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -146,7 +146,7 @@
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
-		r.inherited, r.lastOrderedAt = true, d.leadingSince
+		r.inherited, r.lastOrderedAt, r.speed = true, d.leadingSince, unknownSpeed
 	}
 }
 
