dispatch: no throttled start of a single member of a gang

What callers saw: nothing yet; GANG if clients send best-effort gangs.

Cause: where no host has room for a step, one of its tasks is started throttled. A member of a gang waits for the others in vain, ends, and is started again.

Evidence: TestNoThrottledStartOfOneGangMember failed: 3 members timed out.

Change: gangs get no throttled start. The test passes.

--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -55,7 +55,7 @@
 // placeThrottled assigns one task of a best-effort step to a worker, throttled and regardless of interference, if its job
 // has no live run. It returns the number of tasks placed.
 func (d *Dispatcher) placeThrottled(c candidate, hosts []host) int {
-	if kindOf(c.step) != colocation.BestEffort || c.step.Job.LiveRuns() > 0 {
+	if kindOf(c.step) != colocation.BestEffort || c.step.GetGang() || c.step.Job.LiveRuns() > 0 {
 		return 0
 	}
 	demand := d.demand(c)
