dispatch: no speculative copy of a single member of a gang

What callers saw: nothing yet; GANG if clients send speculative gangs.

Cause: a copy of a slow member is a run of its own number, for which the other members aren't there.

Evidence: TestNoCopyOfOneGangMember failed: run 2 of one member started beside run 1 of the gang and timed out.

Change: members of gangs get no copies. The test passes.

--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -93,11 +93,12 @@
 	return "it is slow"
 }
 
-// speculate starts copies of speculative tasks that are slow or whose worker doesn't answer.
+// speculate starts copies of speculative tasks that are slow or whose worker doesn't answer. A member of a gang gets none, as it
+// works only together with the others.
 func (d *Dispatcher) speculate(hosts []host) {
 	for _, r := range d.runs {
 		step := r.task.Step
-		if !step.GetSpeculative() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
+		if !step.GetSpeculative() || step.GetGang() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
 			continue
 		}
 		if !r.straggling && d.silenceOf(r.worker) < unresponsiveAfter {
