dispatch: readmit a host only by a list that is newer than its maintenance

What callers saw: nothing yet. In virtual time two hosts of a wave that allows one were unavailable (LIMIT).

Cause: a host that is drained is readmitted once its maintenance is recorded as begun and the platform lists it as up. The list may have been read before the maintenance began.

Change: only a list that was requested after the record counts.

--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -37,6 +37,7 @@
 	ordering  bool      // a maintenance order is in flight
 	orderAt   time.Time // earliest time of the next order
 	recording bool      // the record that its maintenance is ordered or has begun is proposed
+	begunAt   time.Time // when the record that its maintenance has begun was decided
 }
 
 // tickMaintenance advances the maintenance waves. A new leader waits until the orders of its predecessor can no longer
@@ -165,6 +166,9 @@
 	}
 	d.maintenance.hosts, d.maintenance.incomplete, d.maintenance.listedAt = a.Hosts, a.HostsIncomplete, a.Call.Sent
 	for name, draining := range d.maintenance.draining {
+		if a.Call.Sent.Before(draining.begunAt) {
+			continue // the list may be from before its maintenance
+		}
 		if state, ok := a.Hosts[name]; ok && state == order.HostUp && !draining.ordering && !draining.recording && d.isBegun(draining.wave, name) {
 			delete(d.maintenance.draining, name)
 		}
@@ -219,7 +223,7 @@
 		}
 		d.config.Log.Info("host maintained", "Wave", wave, "Host", host, "Reason", reason)
 		if draining := d.maintenance.draining[host]; draining != nil {
-			draining.recording = false
+			draining.recording, draining.begunAt = false, d.now
 		}
 	})
 }
