--- /dev/null
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
+)
+
+var (
+	protocolSeeds     = flag.Uint64("protocol-seeds", 24, "number of seeds of TestProtocolFaults")
+	protocolFirstSeed = flag.Uint64("protocol-first-seed", 0, "first seed of TestProtocolFaults")
+)
+
+// protocolFaults is a random schedule of faults. Each schedule has some kinds of faults only, so that rare ones aren't hidden
+// by frequent ones.
+type protocolFaults struct {
+	*cluster
+	lossRate   float64 // share of the calls that get no response
+	lateRate   float64 // share of those that are carried out late
+	jitter     time.Duration
+	slowCommit bool
+	actions    []func()
+}
+
+func newProtocolFaults(t *testing.T, seed uint64) *protocolFaults {
+	f := &protocolFaults{cluster: newCluster(t, seed, 6)}
+	f.deliver, f.commitTime = f.route, f.slowCommitTime
+	half := func() bool { return f.random.IntN(2) == 0 }
+	if half() {
+		f.jitter = 100 * time.Millisecond
+	}
+	f.slowCommit = half()
+	lateOrders, refusals, drift := half(), half(), half()
+	for _, w := range f.workers {
+		if drift {
+			w.clockRate = slowestClock + (1-slowestClock)*f.random.Float64()
+		}
+		if refusals {
+			w.refusalRate = 0.4 * f.random.Float64()
+		}
+		w.guardsCapacity = half()
+	}
+	f.lossRate = 0.3 * f.random.Float64()
+	if lateOrders {
+		f.lateRate = 0.7
+	}
+	kinds := []func(){f.restart, f.restartMute, f.crash, f.mute, f.changeLeaders, f.drain, f.lose}
+	for _, kind := range kinds {
+		if half() {
+			f.actions = append(f.actions, kind)
+		}
+	}
+	return f
+}
+
+func (f *protocolFaults) worker() *strictWorker { return f.workers[f.random.IntN(len(f.workers))] }
+
+// clockStep returns by how much the clock of the day has stepped before a restart.
+func (f *protocolFaults) clockStep() time.Duration {
+	if f.random.IntN(3) > 0 {
+		return 0
+	}
+	return time.Duration(f.random.Int64N(int64(40*time.Second))) - 30*time.Second
+}
+
+func (f *protocolFaults) restart() { f.worker().restart(f.clockStep()) }
+
+// restartMute restarts a worker that is cut off after a few responses.
+func (f *protocolFaults) restartMute() {
+	w := f.worker()
+	w.restart(f.clockStep())
+	w.muteAfter, w.muteTime = f.random.IntN(4), 15*time.Second
+	if w.muteAfter == 0 {
+		w.mute(w.muteTime)
+	}
+}
+
+// crash ends a worker, which starts again later.
+func (f *protocolFaults) crash() {
+	w := f.worker()
+	life, step := w.life, f.clockStep()
+	w.crash()
+	f.after(time.Duration(f.random.Int64N(int64(12*time.Second))), func() {
+		if w.life == life {
+			w.restart(step)
+		}
+	})
+}
+
+func (f *protocolFaults) mute() {
+	f.worker().mute(time.Duration(f.random.Int64N(int64(15 * time.Second))))
+}
+
+func (f *protocolFaults) changeLeaders() {
+	f.changeLeader(f.random.IntN(4), time.Duration(f.random.IntN(800))*time.Millisecond)
+	if f.random.IntN(2) == 0 {
+		f.after(time.Duration(f.random.IntN(1000))*time.Millisecond, func() {
+			f.changeLeader(f.random.IntN(4), time.Duration(f.random.IntN(400))*time.Millisecond)
+		})
+	}
+}
+
+func (f *protocolFaults) drain() {
+	if w := f.worker(); w.life.up && !w.life.draining {
+		w.drainAndLeave()
+	}
+}
+
+func (f *protocolFaults) lose() { f.lossRate = 0.4 * f.random.Float64() }
+
+func (f *protocolFaults) slowCommitTime() time.Duration {
+	if !f.slowCommit {
+		return 10 * time.Millisecond
+	}
+	return 10*time.Millisecond + time.Duration(f.random.Int64N(int64(390*time.Millisecond)))
+}
+
+// route decides the fate of a call.
+func (f *protocolFaults) route(_ *order.Call, w *strictWorker) delivery {
+	delay := time.Millisecond
+	if f.jitter > 0 {
+		delay += time.Duration(f.random.Int64N(int64(f.jitter)))
+	}
+	switch {
+	case !w.isMute() && f.random.Float64() >= f.lossRate:
+		return delivery{delay: delay}
+	case f.random.Float64() < f.lateRate:
+		return delivery{delay: time.Duration(f.random.Int64N(int64(protocolMaxDelay))), unanswered: true}
+	case !w.isMute() && f.random.IntN(2) == 0:
+		return delivery{delay: delay, unanswered: true}
+	}
+	return delivery{lost: true, unanswered: true}
+}
+
+// submitRandom submits a job of random steps.
+func (f *protocolFaults) submitRandom(n int) {
+	runtime := time.Duration(100+f.random.IntN(1500)) * time.Millisecond
+	if f.random.IntN(4) == 0 {
+		runtime = time.Duration(4+f.random.IntN(10)) * time.Second
+	}
+	step := dedicated(uint32(1+f.random.IntN(8)), runtime)
+	switch f.random.IntN(8) {
+	case 0:
+		step.Gang = true
+	case 1:
+		step.Speculative = true
+	case 2:
+		step.Fills, step.Image = true, "fill"
+	case 3:
+		step.Perpetual, step.Image = true, "serving"
+		step.Count = min(step.Count, 2)
+		if f.random.IntN(2) == 0 {
+			step.TargetMs = 100
+		}
+	}
+	steps := []*controlpb.WorkStep{step}
+	if f.random.IntN(3) == 0 && !step.GetPerpetual() {
+		after := dedicated(uint32(1+f.random.IntN(4)), 300*time.Millisecond)
+		after.After = []uint32{0}
+		steps = append(steps, after)
+	}
+	f.submit([]string{"urgent", "batch"}[f.random.IntN(2)], fmt.Sprintf("job-%d", n), steps...)
+}
+
+func (f *protocolFaults) play() {
+	for n := range 60 {
+		if len(f.actions) > 0 && f.random.IntN(2) == 0 {
+			f.actions[f.random.IntN(len(f.actions))]()
+		}
+		f.submitRandom(n)
+		f.run(time.Duration(f.random.IntN(900)) * time.Millisecond)
+	}
+	f.lossRate = 0
+	f.run(20 * time.Second)
+}
+
+// No task may run twice under faults that the protocol allows, unless an order that the leader can't fence is carried out.
+func TestProtocolFaults(t *testing.T) {
+	var mutex sync.Mutex
+	counts := map[string]int{}
+	t.Run("seeds", func(t *testing.T) {
+		for seed := *protocolFirstSeed; seed < *protocolFirstSeed+*protocolSeeds; seed++ {
+			t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+				t.Parallel()
+				f := newProtocolFaults(t, seed)
+				f.play()
+				mutex.Lock()
+				defer mutex.Unlock()
+				for class, n := range f.oracle.byClass {
+					counts[class] += n
+				}
+				counts["starts"] += len(f.oracle.starts)
+				for _, v := range f.oracle.violations {
+					if v.class != unfenced {
+						t.Errorf("%s: %s\n%s", v.class, v.detail, v.trace)
+					}
+				}
+			})
+		}
+	})
+	for _, class := range slices.Sorted(maps.Keys(counts)) {
+		t.Logf("%6d %s", counts[class], class)
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -0,0 +1,396 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
+	"galenamoor/pkg/resource"
+)
+
+const (
+	// protocolMaxEnds is the number of ends that a worker lists in one response.
+	protocolMaxEnds = 500
+
+	// slowestClock is the rate of the slowest clock of a worker.
+	slowestClock = 0.98
+)
+
+// strictWorker is a worker that follows the platform's protocol to the letter: it takes every liberty that helps to expose
+// an unsafe leader. Its ID and address stay the same when it restarts.
+type strictWorker struct {
+	cluster *cluster
+	id      string
+	address string
+	zone    string
+	rack    string
+	life    *strictLife
+
+	clockRate      float64
+	refusalRate    float64 // share of the starts that it refuses as unhealthy, which has no effect at all
+	guardsCapacity bool    // it refuses what doesn't fit
+	muteUntil      time.Time
+	muteAfter      int // responses after which it is mute for muteTime; 0 for never
+	muteTime       time.Duration
+}
+
+// strictLife is one incarnation of a worker.
+type strictLife struct {
+	bornMs     int64
+	began      time.Time
+	up         bool
+	draining   bool
+	sequence   uint64
+	fence      uint64
+	lease      time.Duration // on its own clock
+	runs       map[workload.RunKey]*strictRun
+	highest    map[workload.TaskKey]uint32
+	ended      []strictEnd
+	nextEnd    uint64
+	answeredAt time.Time // when the leader first got a response; zero before
+}
+
+type strictRun struct {
+	key     workload.RunKey
+	start   *order.Call
+	life    *strictLife
+	worker  *strictWorker
+	began   time.Time
+	worked  time.Duration
+	waited  time.Duration
+	stopsAt time.Time // zero unless it is being stopped
+}
+
+// strictEnd is an end that isn't acknowledged yet.
+type strictEnd struct {
+	order.Ended
+	run    *strictRun
+	at     time.Time
+	lapsed bool // the lease has expired since, after which an acknowledgement doesn't count
+}
+
+func (c *cluster) addWorker() *strictWorker {
+	n := len(c.workers) + 1
+	w := &strictWorker{
+		cluster: c, id: fmt.Sprintf("worker-%d", n), address: fmt.Sprintf("10.0.0.%d:80", n), zone: fmt.Sprintf("zone-%d", n%2),
+		rack: fmt.Sprintf("r-%d", n%4), clockRate: 1,
+	}
+	c.workers = append(c.workers, w)
+	w.restart(0)
+	w.heartbeat()
+	return w
+}
+
+// restart starts a new incarnation under the same ID. The clock of the day may have stepped.
+func (w *strictWorker) restart(clockStep time.Duration) {
+	now := w.cluster.now
+	if w.life != nil {
+		w.life.up = false
+	}
+	w.life = &strictLife{
+		bornMs: now.Add(clockStep).UnixMilli(), began: now, up: true,
+		runs: map[workload.RunKey]*strictRun{}, highest: map[workload.TaskKey]uint32{},
+	}
+	w.muteAfter = 0
+	w.cluster.oracle.note("%s starts, born %d", w.id, w.life.bornMs)
+}
+
+func (w *strictWorker) crash() {
+	w.life.up = false
+	w.cluster.oracle.note("%s crashes", w.id)
+}
+
+// isMute reports whether the worker is cut off from the leader.
+func (w *strictWorker) isMute() bool { return w.cluster.now.Before(w.muteUntil) }
+
+func (w *strictWorker) mute(d time.Duration) {
+	w.muteUntil = w.cluster.now.Add(d)
+	w.cluster.oracle.note("%s is cut off for %v", w.id, d)
+}
+
+// heartbeat announces the worker every second.
+func (w *strictWorker) heartbeat() {
+	w.announce(0)
+	w.cluster.after(time.Second, w.heartbeat)
+}
+
+// announce sends an announcement, which arrives after a delay.
+func (w *strictWorker) announce(delay time.Duration) {
+	if !w.life.up || w.isMute() {
+		return
+	}
+	w.life.sequence++
+	announcement := &controlpb.AnnounceLife{
+		Life: &controlpb.WorkerLife{
+			Id: w.id, BornMs: w.life.bornMs, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
+			Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack}, Leaving: w.life.draining,
+		},
+		Sequence: w.life.sequence,
+	}
+	if w.life.draining {
+		announcement.LeavesInMs = 1000
+	}
+	w.cluster.after(delay, func() {
+		w.cluster.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: announcement}}, nil)
+	})
+}
+
+// drainAndLeave makes the worker drain, leave and end, and restart under the same ID.
+func (w *strictWorker) drainAndLeave() {
+	c, life := w.cluster, w.life
+	life.draining = true
+	c.oracle.note("%s drains", w.id)
+	end := func() {
+		if life.up {
+			w.crash()
+			c.after(time.Duration(c.random.IntN(2000))*time.Millisecond, func() {
+				if w.life == life {
+					w.restart(0)
+				}
+			})
+		}
+	}
+	c.after(1500*time.Millisecond, func() {
+		if !life.up || w.isMute() {
+			return
+		}
+		c.oracle.note("%s leaves", w.id)
+		leave := &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Leave{Leave: &controlpb.LeaveLife{Id: w.id}}}
+		c.serve(leave, func(r *controlpb.LeaderReply) {
+			if r.GetWork().GetOutcome() == controlpb.WorkOutcome_WORK_OK && !w.isMute() {
+				end()
+			}
+		})
+	})
+	c.after(5*time.Second, end)
+}
+
+// clock returns the time on the worker's steady clock.
+func (w *strictWorker) clock() time.Duration {
+	return time.Millisecond + time.Duration(float64(w.cluster.now.Sub(w.life.began))*w.clockRate)
+}
+
+// receive carries out a call, and responds unless the response is lost.
+func (w *strictWorker) receive(e *exchange) {
+	life := w.life
+	if !life.up {
+		w.respond(e, life, &order.Answer{}) // the connection is refused
+		return
+	}
+	if e.call.Kind != order.Poll || e.call.ID != w.id || e.call.Fence < life.fence {
+		w.respond(e, life, w.carryOut(e.call))
+		return
+	}
+	w.takeFence(e.call)
+	w.forgetEnds(e)
+	w.hold(e, life, w.cluster.now.Add(e.call.Wait))
+}
+
+// hold answers a poll once an end is to be listed or its wait has elapsed.
+func (w *strictWorker) hold(e *exchange, life *strictLife, due time.Time) {
+	switch {
+	case w.life != life || !life.up:
+		w.respond(e, life, &order.Answer{})
+	case w.cluster.now.Before(due) && len(life.ended) == 0:
+		w.cluster.after(5*time.Millisecond, func() { w.hold(e, life, due) })
+	default:
+		w.respond(e, life, w.lists(e.call))
+	}
+}
+
+// respond sends a response, which is lost if the worker is cut off.
+func (w *strictWorker) respond(e *exchange, life *strictLife, a *order.Answer) {
+	if e.delivery.unanswered || w.isMute() {
+		return
+	}
+	w.cluster.after(time.Millisecond, func() {
+		if !e.responded && a.Status != order.NoAnswer && life.answeredAt.IsZero() {
+			life.answeredAt = w.cluster.now
+		}
+		e.respond(a)
+	})
+	if a.Status != order.NoAnswer && w.muteAfter > 0 {
+		if w.muteAfter--; w.muteAfter == 0 {
+			w.cluster.after(2*time.Millisecond, func() { w.mute(w.muteTime) })
+		}
+	}
+}
+
+// carryOut carries out a call other than a poll, and polls that are rejected.
+func (w *strictWorker) carryOut(call *order.Call) *order.Answer {
+	switch {
+	case call.ID != w.id:
+		return &order.Answer{Status: order.OtherIncarnation}
+	case call.Kind == order.Start && w.cluster.random.Float64() < w.refusalRate:
+		return &order.Answer{Status: order.Unhealthy}
+	case call.Fence < w.life.fence:
+		return &order.Answer{Status: order.Fenced, Clock: w.clock()}
+	}
+	w.takeFence(call)
+	answer := &order.Answer{Status: order.OK, Clock: w.clock()}
+	switch call.Kind {
+	case order.Start:
+		answer.Status = w.start(call)
+	case order.Stop:
+		w.stop(call.Run)
+	}
+	return answer
+}
+
+// takeFence keeps the fencing token of a call, and extends the lease.
+func (w *strictWorker) takeFence(call *order.Call) {
+	w.life.fence = call.Fence
+	w.life.lease = max(w.life.lease, min(call.LeaseExpiry, w.clock()+protocolMaxLease))
+}
+
+func (w *strictWorker) start(call *order.Call) order.Status {
+	key := call.Run
+	switch {
+	case w.life.runs[key] != nil:
+		return order.OK
+	case key.Run <= w.life.highest[key.Task]:
+		return order.StaleRun
+	case call.LeaseExpiry <= w.clock():
+		return order.Expired
+	case w.guardsCapacity && !w.hasRoom(key.Task):
+		return order.NoCapacity
+	}
+	r := &strictRun{key: key, start: call, life: w.life, worker: w, began: w.cluster.now}
+	w.life.runs[key] = r
+	w.cluster.oracle.started(r)
+	return order.OK
+}
+
+func (w *strictWorker) hasRoom(task workload.TaskKey) bool {
+	used := resource.Vector{}
+	for _, key := range append(slices.Collect(keysOf(w.life.runs)), workload.RunKey{Task: task}) {
+		step := w.cluster.step(key.Task)
+		if !step.GetFills() {
+			used.Processors += step.GetProcessors()
+		}
+		used.Memory += step.GetMemory()
+	}
+	return used.Fits(resource.Vector{Processors: 32_000, Memory: 128 << 10})
+}
+
+func keysOf[V any](runs map[workload.RunKey]V) func(yield func(workload.RunKey) bool) {
+	return func(yield func(workload.RunKey) bool) {
+		for key := range runs {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+// stop stops a run, which takes up to the grace period, and rejects it from now on.
+func (w *strictWorker) stop(key workload.RunKey) {
+	w.life.highest[key.Task] = max(w.life.highest[key.Task], key.Run)
+	if r := w.life.runs[key]; r != nil && r.stopsAt.IsZero() {
+		r.stopsAt = w.cluster.now.Add(time.Duration(w.cluster.random.Int64N(int64(protocolStopGrace))))
+	}
+}
+
+// forgetEnds discards the ends that a poll acknowledges, also if it was meant for an earlier incarnation.
+func (w *strictWorker) forgetEnds(e *exchange) {
+	w.life.ended = slices.DeleteFunc(w.life.ended, func(end strictEnd) bool {
+		seen := end.Number <= e.call.RecordedEnds
+		if seen && end.Result == controlpb.RunEnd_RUN_DONE && !end.lapsed {
+			w.cluster.oracle.acknowledged(end, e)
+		}
+		return seen
+	})
+}
+
+// lists answers a poll as the platform's client reads the response.
+func (w *strictWorker) lists(call *order.Call) *order.Answer {
+	answer := &order.Answer{Status: order.OK, Clock: w.clock()}
+	if call.IncarnationStartMs != w.life.bornMs {
+		answer.IncarnationStartMs = w.life.bornMs
+		if call.IncarnationStartMs != 0 {
+			answer.Status = order.OtherIncarnation
+			return answer
+		}
+	}
+	for key, r := range w.life.runs {
+		percent := 100
+		if step := w.cluster.step(key.Task); !step.GetPerpetual() {
+			percent = int(100 * r.worked / (time.Duration(step.GetEstimateMs()) * time.Millisecond))
+		}
+		answer.Running = append(answer.Running, order.Running{Run: key, Percent: percent, Measurement: -1})
+	}
+	for _, e := range w.life.ended[:min(len(w.life.ended), protocolMaxEnds)] {
+		answer.Ended = append(answer.Ended, e.Ended)
+	}
+	return answer
+}
+
+// advance lets the worker's runs work for a step of time.
+func (w *strictWorker) advance(step time.Duration) {
+	if !w.life.up {
+		return
+	}
+	lapsed := w.clock() > w.life.lease
+	for i := range w.life.ended {
+		w.life.ended[i].lapsed = w.life.ended[i].lapsed || lapsed
+	}
+	for key, r := range w.life.runs {
+		switch spec := w.cluster.step(key.Task); {
+		case w.life.runs[key] != r: // it has ended with its gang
+		case lapsed:
+			w.end(r, controlpb.RunEnd_RUN_LAPSED)
+		case !r.stopsAt.IsZero() && !w.cluster.now.Before(r.stopsAt):
+			w.end(r, controlpb.RunEnd_RUN_STOPPED)
+		case spec.GetGang() && r.worked == 0 && len(w.cluster.gang(key)) < int(spec.GetCount()):
+			if r.waited += step; r.waited > 3*time.Second {
+				w.end(r, controlpb.RunEnd_RUN_ALONE)
+			}
+		default:
+			r.worked += step
+			if !spec.GetPerpetual() && r.worked >= time.Duration(spec.GetEstimateMs())*time.Millisecond {
+				w.end(r, controlpb.RunEnd_RUN_DONE)
+			}
+		}
+	}
+}
+
+// gang returns the members of a gang that run.
+func (c *cluster) gang(key workload.RunKey) []*strictRun {
+	var members []*strictRun
+	for _, w := range c.workers {
+		if !w.life.up {
+			continue
+		}
+		for other, r := range w.life.runs {
+			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+				members = append(members, r)
+			}
+		}
+	}
+	return members
+}
+
+// end ends a run, and the other members of its gang if it had begun to work.
+func (w *strictWorker) end(r *strictRun, how controlpb.RunEnd) {
+	if r.life.runs[r.key] != r {
+		return
+	}
+	delete(r.life.runs, r.key)
+	r.life.highest[r.key.Task] = max(r.life.highest[r.key.Task], r.key.Run)
+	r.life.nextEnd++
+	ended := order.Ended{Number: r.life.nextEnd, Run: r.key, Result: how}
+	r.life.ended = append(r.life.ended, strictEnd{Ended: ended, run: r, at: w.cluster.now, lapsed: how == controlpb.RunEnd_RUN_LAPSED})
+	w.cluster.oracle.ended(r, how)
+	if !w.cluster.step(r.key.Task).GetGang() || r.worked == 0 {
+		return
+	}
+	if how != controlpb.RunEnd_RUN_DONE {
+		how = controlpb.RunEnd_RUN_BROKEN
+	}
+	for _, member := range w.cluster.gang(r.key) {
+		member.worker.end(member, how)
+	}
+}
