--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -24,15 +26,17 @@
 
 // delivery is what the network does with one call to a worker.
 type delivery struct {
-	delay      time.Duration // until the worker carries out the call
-	lost       bool          // the worker never gets the call
-	unanswered bool          // the leader never gets the response
+	delay         time.Duration // until the worker carries out the call
+	responseDelay time.Duration
+	lost          bool // the worker never gets the call
+	unanswered    bool // the leader never gets the response
 }
 
 // cluster runs a dispatcher in virtual time against workers that do everything the platform's protocol allows. Its oracle
 // sees only what the workers see.
 type cluster struct {
 	t        *testing.T
+	seed     uint64
 	random   *rand.Rand
 	now      time.Time
 	state    *workload.State
@@ -44,11 +48,12 @@
 	jobs     map[string]*controlpb.WorkJob
 	oracle   *protocolOracle
 
-	deliver    func(call *order.Call, w *strictWorker) delivery
-	commitTime func() time.Duration
-	pending    []*pendingCommit // proposals that aren't committed yet, in order
-	lastCommit time.Time
-	replies    map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply)
+	deliver        func(e *exchange, w *strictWorker) delivery
+	commitTime     func() time.Duration
+	heartbeatDelay func() time.Duration
+	pending        []*pendingCommit // proposals that aren't committed yet, in order
+	lastCommit     time.Time
+	replies        map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply)
 }
 
 type clusterEvent struct {
@@ -67,10 +72,10 @@
 
 func newCluster(t *testing.T, seed uint64, workers int) *cluster {
 	c := &cluster{
-		t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
 		jobs: map[string]*controlpb.WorkJob{}, replies: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){},
-		deliver:    func(*order.Call, *strictWorker) delivery { return delivery{delay: time.Millisecond} },
-		commitTime: func() time.Duration { return 15 * time.Millisecond },
+		deliver:    func(*exchange, *strictWorker) delivery { return delivery{delay: time.Millisecond} },
+		commitTime: func() time.Duration { return 15 * time.Millisecond }, heartbeatDelay: func() time.Duration { return 0 },
 	}
 	c.oracle = newProtocolOracle(c)
 	c.lead()
@@ -257,14 +262,14 @@
 
 // Send implements WorkerCalls.
 func (c *cluster) Send(call *order.Call) {
-	e := &exchange{cluster: c, call: call}
+	e := newExchange(c, call)
 	if call.Kind == order.Advise || call.Kind == order.ListHosts || call.Kind == order.Maintain {
 		e.respond(&order.Answer{})
 		return
 	}
 	w := c.workerAt(call.Address)
 	c.after(protocolTimeout+call.Wait, func() { e.respond(&order.Answer{}) })
-	e.delivery = c.deliver(call, w)
+	e.delivery = c.deliver(e, w)
 	c.oracle.sent(call, e.delivery)
 	if !e.delivery.lost {
 		c.after(e.delivery.delay, func() { w.receive(e) })
@@ -275,10 +280,17 @@
 type exchange struct {
 	cluster   *cluster
 	call      *order.Call
+	random    *rand.Rand // the fate of a call doesn't depend on the order of the calls, which isn't deterministic
 	delivery  delivery
 	responded bool
 }
 
+func newExchange(c *cluster, call *order.Call) *exchange {
+	hash := fnv.New64a()
+	fmt.Fprint(hash, call.Kind, call.Address, call.Run, call.Sent.UnixNano())
+	return &exchange{cluster: c, call: call, random: rand.New(rand.NewPCG(c.seed, hash.Sum64()))}
+}
+
 // respond hands the leader the response to a call, unless it has timed out.
 func (e *exchange) respond(a *order.Answer) {
 	if e.responded {
--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
-	"galenamoor/internal/decision/order"
 )
 
 var (
@@ -22,19 +21,22 @@
 // by frequent ones.
 type protocolFaults struct {
 	*cluster
-	lossRate   float64 // share of the calls that get no response
-	lateRate   float64 // share of those that are carried out late
-	jitter     time.Duration
-	slowCommit bool
-	actions    []func()
+	lossRate       float64       // share of the calls that get no response
+	lateRate       float64       // share of those that are carried out late
+	jitter         time.Duration // of calls
+	responseJitter time.Duration
+	slowCommit     bool
+	actions        []func()
 }
 
 func newProtocolFaults(t *testing.T, seed uint64) *protocolFaults {
 	f := &protocolFaults{cluster: newCluster(t, seed, 6)}
 	f.deliver, f.commitTime = f.route, f.slowCommitTime
 	half := func() bool { return f.random.IntN(2) == 0 }
+	f.jitter = []time.Duration{time.Millisecond, 100 * time.Millisecond, 700 * time.Millisecond}[f.random.IntN(3)]
+	f.responseJitter = []time.Duration{time.Millisecond, 100 * time.Millisecond, 700 * time.Millisecond}[f.random.IntN(3)]
 	if half() {
-		f.jitter = 100 * time.Millisecond
+		f.heartbeatDelay = f.lateHeartbeat
 	}
 	f.slowCommit = half()
 	lateOrders, refusals, drift := half(), half(), half()
@@ -115,6 +117,14 @@
 
 func (f *protocolFaults) lose() { f.lossRate = 0.4 * f.random.Float64() }
 
+// lateHeartbeat returns the delay of an announcement.
+func (f *protocolFaults) lateHeartbeat() time.Duration {
+	if f.random.IntN(4) > 0 {
+		return 0
+	}
+	return time.Duration(f.random.Int64N(int64(protocolMaxDelay)))
+}
+
 func (f *protocolFaults) slowCommitTime() time.Duration {
 	if !f.slowCommit {
 		return 10 * time.Millisecond
@@ -123,17 +133,14 @@
 }
 
 // route decides the fate of a call.
-func (f *protocolFaults) route(_ *order.Call, w *strictWorker) delivery {
-	delay := time.Millisecond
-	if f.jitter > 0 {
-		delay += time.Duration(f.random.Int64N(int64(f.jitter)))
-	}
+func (f *protocolFaults) route(e *exchange, w *strictWorker) delivery {
+	delay, responseDelay := time.Duration(e.random.Int64N(int64(f.jitter))), time.Duration(e.random.Int64N(int64(f.responseJitter)))
 	switch {
-	case !w.isMute() && f.random.Float64() >= f.lossRate:
-		return delivery{delay: delay}
-	case f.random.Float64() < f.lateRate:
-		return delivery{delay: time.Duration(f.random.Int64N(int64(protocolMaxDelay))), unanswered: true}
-	case !w.isMute() && f.random.IntN(2) == 0:
+	case !w.isMute() && e.random.Float64() >= f.lossRate:
+		return delivery{delay: delay, responseDelay: responseDelay}
+	case e.random.Float64() < f.lateRate:
+		return delivery{delay: time.Duration(e.random.Int64N(int64(protocolMaxDelay))), unanswered: true}
+	case !w.isMute() && e.random.IntN(2) == 0:
 		return delivery{delay: delay, unanswered: true}
 	}
 	return delivery{lost: true, unanswered: true}
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -21,6 +21,8 @@
 	earlyRemoval violationClass = "early removal"
 	// earlyAcknowledgement: a poll for an earlier incarnation, carried out without delay, has discarded an end of a later one.
 	earlyAcknowledgement violationClass = "early acknowledgement"
+	// staleOrder: a start was ordered from an incarnation although a later one had answered or announced itself.
+	staleOrder violationClass = "stale order"
 	// unfenced: an order for an earlier incarnation was carried out by a later one that hadn't answered the leader.
 	unfenced violationClass = "unfenced"
 )
@@ -282,6 +284,9 @@
 		if r.start.IncarnationStartMs == r.life.bornMs {
 			continue
 		}
+		if r.life.isKnown(r.start.Sent, r.start.IncarnationStartMs) {
+			return staleOrder
+		}
 		if r.life.answeredAt.IsZero() || !h.removalProposedAt.IsZero() && !r.life.answeredAt.Before(h.removalProposedAt) {
 			class = unfenced
 		}
@@ -306,6 +311,11 @@
 	o.violations = append(o.violations, violation{class: class, detail: fmt.Sprintf("%s %s", task, how), trace: o.trace(task)})
 }
 
+// isKnown reports whether the leader could know of an incarnation when it ordered a start from another one.
+func (l *strictLife) isKnown(at time.Time, addressedMs int64) bool {
+	return !l.answeredAt.IsZero() && l.answeredAt.Before(at) || !l.announcedAt.IsZero() && l.announcedAt.Before(at) && l.bornMs > addressedMs
+}
+
 // describe tells by which incarnation a run was started, and how it was removed from the replicated state.
 func (o *protocolOracle) describe(r *strictRun) string {
 	by, delay, h := "addressed", "on time", o.runs[r.key]
--- /dev/null
+++ b/internal/decision/dispatch/protocol_test.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"galenamoor/internal/decision/order"
+)
+
+// expectNoViolation fails the test for each task that ran twice.
+func (c *cluster) expectNoViolation() {
+	c.t.Helper()
+	for _, v := range c.oracle.violations {
+		c.t.Errorf("%s: %s\n%s", v.class, v.detail, v.trace)
+	}
+}
+
+// tracked returns the leader's state of a worker's incarnation, or nil.
+func (c *cluster) tracked(w *strictWorker) *worker {
+	if incarnation := c.state.WorkerByID(w.id); incarnation != nil {
+		return c.leader.workers[incarnation.GetNumber()]
+	}
+	return nil
+}
+
+// assigned waits until a run is about to be assigned, and returns its worker.
+func (c *cluster) assigned() *strictWorker {
+	c.t.Helper()
+	var found *strictWorker
+	c.runUntil(func() bool {
+		for _, w := range c.workers {
+			if tracked := c.tracked(w); tracked != nil && len(tracked.proposedRuns) > 0 {
+				found = w
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// deliverFirstStart decides the fate of the first start. Other calls get lost only while their worker is cut off.
+func (c *cluster) deliverFirstStart(d delivery) {
+	deliver, first := c.deliver, true
+	c.deliver = func(e *exchange, w *strictWorker) delivery {
+		if e.call.Kind == order.Start && first {
+			first = false
+			return d
+		}
+		if w.isMute() {
+			return delivery{lost: true, unanswered: true}
+		}
+		return deliver(e, w)
+	}
+}
+
+// A later incarnation of a worker carries out a start without delay and is then cut off. It measures the lease with a clock that
+// has started anew, so the lease may be as long as a worker accepts.
+func TestStartCarriedOutByLaterIncarnation(t *testing.T) {
+	for name, reach := range map[string]func(c *cluster, w *strictWorker){
+		"confirmed": func(_ *cluster, w *strictWorker) { w.muteAfter, w.muteTime = 1, 15*time.Second },
+		"announced": func(c *cluster, w *strictWorker) {
+			w.announce(0)
+			c.after(8*time.Millisecond, func() { w.mute(15 * time.Second) })
+		},
+		"unconfirmed": func(c *cluster, w *strictWorker) {
+			c.after(8*time.Millisecond, func() { w.mute(15 * time.Second) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			c.deliver = func(e *exchange, w *strictWorker) delivery {
+				return delivery{lost: w.isMute() && e.call.Kind != order.Start, unanswered: w.isMute()}
+			}
+			c.run(10 * time.Second)
+			c.submit("batch", "a", dedicated(4, 20*time.Second))
+			w := c.assigned()
+			w.clockRate = slowestClock
+			w.restart(0)
+			reach(c, w)
+			c.run(12 * time.Second)
+			c.expectNoViolation()
+		})
+	}
+}
+
+// A poll that was sent after a worker has restarted must not acknowledge an end of the later incarnation, which hasn't listed it.
+func TestAcknowledgementAfterRestart(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	w := c.workers[0]
+	c.submit("batch", "before", dedicated(1, time.Second))
+	c.runUntil(func() bool { return len(w.life.runs) > 0 })
+	c.run(700 * time.Millisecond)
+	c.commitTime = func() time.Duration {
+		if c.state.Job("a") == nil {
+			return 15 * time.Millisecond
+		}
+		return 400 * time.Millisecond
+	}
+	c.submit("batch", "a", dedicated(1, 100*time.Millisecond))
+	c.runUntil(func() bool { return c.tracked(w).recordingEnds })
+	w.restart(0)
+	c.run(10 * time.Second)
+	c.expectNoViolation()
+}
+
+// A start without an answer must not be repeated once its run has been listed: a later incarnation would carry it out.
+func TestListedRunIsNotOrderedAgain(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	w, starts := c.workers[0], 0
+	c.deliver = func(e *exchange, w *strictWorker) delivery {
+		switch {
+		case w.isMute():
+			return delivery{lost: true, unanswered: true}
+		case e.call.Kind == order.Start && starts == 0:
+			starts++
+			return delivery{unanswered: true}
+		case e.call.Kind == order.Start:
+			starts++
+			return delivery{delay: 5 * time.Second, unanswered: true}
+		}
+		return delivery{}
+	}
+	c.submit("batch", "a", dedicated(1, 1500*time.Millisecond))
+	c.run(4 * time.Second)
+	w.restart(0)
+	w.mute(15 * time.Second)
+	c.run(10 * time.Second)
+	if starts > 1 {
+		t.Errorf("the run was ordered %d times", starts)
+	}
+	c.expectNoViolation()
+}
+
+// A later incarnation that has answered once and is then cut off must not be given up while a start for the earlier one may
+// still be carried out and run there.
+func TestSilentLaterIncarnation(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.deliverFirstStart(delivery{delay: protocolMaxDelay - 100*time.Millisecond, unanswered: true})
+	c.submit("batch", "a", dedicated(1, 20*time.Second))
+	w := c.assigned()
+	c.run(100 * time.Millisecond)
+	w.restart(0)
+	w.muteAfter, w.muteTime = 1, 40*time.Second
+	c.run(30 * time.Second)
+	c.expectNoViolation()
+}
+
+// A start that a new leader orders again and that is refused doesn't rule out that the start of its predecessor is carried out: a
+// worker that has restarted doesn't keep the fencing token of a call that it refuses.
+func TestRefusedStartAfterLeaderChange(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	var first *exchange
+	var w *strictWorker
+	c.deliver = func(e *exchange, to *strictWorker) delivery {
+		if e.call.Kind == order.Start && first == nil {
+			first = e
+			return delivery{lost: true, unanswered: true}
+		}
+		return delivery{lost: to == w && w.refusalRate > 0 && e.call.Kind == order.Poll}
+	}
+	c.submit("batch", "a", dedicated(1, 5*time.Second))
+	w = c.assigned()
+	c.runUntil(func() bool { return first != nil })
+	c.changeLeader(0, 0)
+	c.run(protocolTick)
+	key := first.call.Run
+	c.runUntil(func() bool { return c.leader.runs[key] != nil && !c.leader.runs[key].nextStart.IsZero() })
+	w.restart(0)
+	w.refusalRate = 1
+	c.runUntil(func() bool {
+		return c.leader.runs[key] == nil || c.leader.runs[key].withdrawn || c.leader.runs[key].stopRequested
+	})
+	w.refusalRate = 0
+	first.delivery = delivery{unanswered: true}
+	w.receive(first)
+	c.run(10 * time.Second)
+	c.expectNoViolation()
+}
+
+// A run whose end isn't listed yet, because its worker lists only some ends at a time, must not be taken for missing.
+func TestEndsBeyondOneList(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	w := c.workers[0]
+	c.workers[1].mute(10 * time.Second)
+	c.run(2 * time.Second)
+	step := dedicated(1400, 4*time.Second)
+	step.Processors, step.Memory = 20, 20
+	c.submit("batch", "a", step)
+	c.runUntil(func() bool { return len(w.life.runs) == 1400 })
+	c.workers[1].muteUntil = c.now
+	w.mute(3500 * time.Millisecond)
+	c.run(20 * time.Second)
+	c.expectNoViolation()
+}
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +17,10 @@
 	// protocolMaxEnds is the number of ends that a worker lists in one response.
 	protocolMaxEnds = 500
 
+	// firstUptime is how long the workers have been up before the cluster starts. The leases of a worker that has just started
+	// are shorter on the clock of a later incarnation.
+	firstUptime = 10 * time.Minute
+
 	// slowestClock is the rate of the slowest clock of a worker.
 	slowestClock = 0.98
 )
@@ -39,18 +45,19 @@
 
 // strictLife is one incarnation of a worker.
 type strictLife struct {
-	bornMs     int64
-	began      time.Time
-	up         bool
-	draining   bool
-	sequence   uint64
-	fence      uint64
-	lease      time.Duration // on its own clock
-	runs       map[workload.RunKey]*strictRun
-	highest    map[workload.TaskKey]uint32
-	ended      []strictEnd
-	nextEnd    uint64
-	answeredAt time.Time // when the leader first got a response; zero before
+	bornMs      int64
+	began       time.Time
+	up          bool
+	draining    bool
+	sequence    uint64
+	fence       uint64
+	lease       time.Duration // on its own clock
+	runs        map[workload.RunKey]*strictRun
+	highest     map[workload.TaskKey]uint32
+	ended       []strictEnd
+	nextEnd     uint64
+	answeredAt  time.Time // when the leader first got a response that shows the clock; zero before
+	announcedAt time.Time // when an announcement first arrived; zero before
 }
 
 type strictRun struct {
@@ -80,6 +87,7 @@
 	}
 	c.workers = append(c.workers, w)
 	w.restart(0)
+	w.life.began = c.now.Add(-firstUptime)
 	w.heartbeat()
 	return w
 }
@@ -113,7 +121,7 @@
 
 // heartbeat announces the worker every second.
 func (w *strictWorker) heartbeat() {
-	w.announce(0)
+	w.announce(w.cluster.heartbeatDelay())
 	w.cluster.after(time.Second, w.heartbeat)
 }
 
@@ -133,7 +141,12 @@
 	if w.life.draining {
 		announcement.LeavesInMs = 1000
 	}
+	life := w.life
 	w.cluster.after(delay, func() {
+		if w.cluster.leader != nil && life.announcedAt.IsZero() {
+			life.announcedAt = w.cluster.now
+			w.cluster.oracle.note("%s born %d announces itself", w.id, life.bornMs)
+		}
 		w.cluster.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: announcement}}, nil)
 	})
 }
@@ -181,7 +194,7 @@
 		return
 	}
 	if e.call.Kind != order.Poll || e.call.ID != w.id || e.call.Fence < life.fence {
-		w.respond(e, life, w.carryOut(e.call))
+		w.respond(e, life, w.carryOut(e))
 		return
 	}
 	w.takeFence(e.call)
@@ -206,25 +219,26 @@
 	if e.delivery.unanswered || w.isMute() {
 		return
 	}
-	w.cluster.after(time.Millisecond, func() {
-		if !e.responded && a.Status != order.NoAnswer && life.answeredAt.IsZero() {
+	w.cluster.after(time.Millisecond+e.delivery.responseDelay, func() {
+		if !e.responded && a.Clock != 0 && life.answeredAt.IsZero() {
 			life.answeredAt = w.cluster.now
 		}
 		e.respond(a)
 	})
 	if a.Status != order.NoAnswer && w.muteAfter > 0 {
 		if w.muteAfter--; w.muteAfter == 0 {
-			w.cluster.after(2*time.Millisecond, func() { w.mute(w.muteTime) })
+			w.mute(w.muteTime)
 		}
 	}
 }
 
 // carryOut carries out a call other than a poll, and polls that are rejected.
-func (w *strictWorker) carryOut(call *order.Call) *order.Answer {
+func (w *strictWorker) carryOut(e *exchange) *order.Answer {
+	call := e.call
 	switch {
 	case call.ID != w.id:
 		return &order.Answer{Status: order.OtherIncarnation}
-	case call.Kind == order.Start && w.cluster.random.Float64() < w.refusalRate:
+	case call.Kind == order.Start && e.random.Float64() < w.refusalRate:
 		return &order.Answer{Status: order.Unhealthy}
 	case call.Fence < w.life.fence:
 		return &order.Answer{Status: order.Fenced, Clock: w.clock()}
@@ -235,7 +249,7 @@
 	case order.Start:
 		answer.Status = w.start(call)
 	case order.Stop:
-		w.stop(call.Run)
+		w.stop(e)
 	}
 	return answer
 }
@@ -266,7 +280,7 @@
 
 func (w *strictWorker) hasRoom(task workload.TaskKey) bool {
 	used := resource.Vector{}
-	for _, key := range append(slices.Collect(keysOf(w.life.runs)), workload.RunKey{Task: task}) {
+	for _, key := range append(w.sortedKeys(), workload.RunKey{Task: task}) {
 		step := w.cluster.step(key.Task)
 		if !step.GetFills() {
 			used.Processors += step.GetProcessors()
@@ -276,21 +290,19 @@
 	return used.Fits(resource.Vector{Processors: 32_000, Memory: 128 << 10})
 }
 
-func keysOf[V any](runs map[workload.RunKey]V) func(yield func(workload.RunKey) bool) {
-	return func(yield func(workload.RunKey) bool) {
-		for key := range runs {
-			if !yield(key) {
-				return
-			}
-		}
-	}
+// sortedKeys returns the keys of the worker's runs in a deterministic order.
+func (w *strictWorker) sortedKeys() []workload.RunKey {
+	return slices.SortedFunc(maps.Keys(w.life.runs), func(a, b workload.RunKey) int {
+		return cmp.Or(cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Run, b.Run))
+	})
 }
 
 // stop stops a run, which takes up to the grace period, and rejects it from now on.
-func (w *strictWorker) stop(key workload.RunKey) {
+func (w *strictWorker) stop(e *exchange) {
+	key := e.call.Run
 	w.life.highest[key.Task] = max(w.life.highest[key.Task], key.Run)
 	if r := w.life.runs[key]; r != nil && r.stopsAt.IsZero() {
-		r.stopsAt = w.cluster.now.Add(time.Duration(w.cluster.random.Int64N(int64(protocolStopGrace))))
+		r.stopsAt = w.cluster.now.Add(time.Duration(e.random.Int64N(int64(protocolStopGrace))))
 	}
 }
 
@@ -315,8 +327,8 @@
 			return answer
 		}
 	}
-	for key, r := range w.life.runs {
-		percent := 100
+	for _, key := range w.sortedKeys() {
+		r, percent := w.life.runs[key], 100
 		if step := w.cluster.step(key.Task); !step.GetPerpetual() {
 			percent = int(100 * r.worked / (time.Duration(step.GetEstimateMs()) * time.Millisecond))
 		}
@@ -337,9 +349,10 @@
 	for i := range w.life.ended {
 		w.life.ended[i].lapsed = w.life.ended[i].lapsed || lapsed
 	}
-	for key, r := range w.life.runs {
+	for _, key := range w.sortedKeys() {
+		r := w.life.runs[key]
 		switch spec := w.cluster.step(key.Task); {
-		case w.life.runs[key] != r: // it has ended with its gang
+		case r == nil: // it has ended with its gang
 		case lapsed:
 			w.end(r, controlpb.RunEnd_RUN_LAPSED)
 		case !r.stopsAt.IsZero() && !w.cluster.now.Before(r.stopsAt):
@@ -364,8 +377,8 @@
 		if !w.life.up {
 			continue
 		}
-		for other, r := range w.life.runs {
-			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+		for _, other := range w.sortedKeys() {
+			if r := w.life.runs[other]; other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
 				members = append(members, r)
 			}
 		}
