--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -42,7 +42,7 @@
 	lateOrders, refusals, drift := half(), half(), half()
 	for _, w := range f.workers {
 		if drift {
-			w.clockRate = slowestClock + (1-slowestClock)*f.random.Float64()
+			w.setClockRate(slowestClock + (1-slowestClock)*f.random.Float64())
 		}
 		if refusals {
 			w.refusalRate = 0.4 * f.random.Float64()
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -38,7 +38,7 @@
 type runHistory struct {
 	epoch                              uint64
 	listed, refused, removalProposed   int
-	removalProposedAt, removedAt       time.Time
+	removalProposedAt                  time.Time
 	removal                            string
 	orders                             int
 	firstSent                          time.Time
@@ -51,7 +51,8 @@
 	cluster    *cluster
 	step       int
 	runs       map[workload.RunKey]*runHistory
-	live       map[workload.RunKey]bool // runs in the replicated state
+	removals   map[workload.RunKey]runHistory // when the run was removed from the replicated state
+	live       map[workload.RunKey]bool       // runs in the replicated state
 	sentAt     map[*order.Call]int
 	starts     map[workload.TaskKey][]*strictRun
 	done       map[workload.TaskKey]doneRecord
@@ -77,7 +78,7 @@
 
 func newProtocolOracle(c *cluster) *protocolOracle {
 	return &protocolOracle{
-		cluster: c, runs: map[workload.RunKey]*runHistory{}, live: map[workload.RunKey]bool{}, sentAt: map[*order.Call]int{},
+		cluster: c, runs: map[workload.RunKey]*runHistory{}, removals: map[workload.RunKey]runHistory{}, live: map[workload.RunKey]bool{}, sentAt: map[*order.Call]int{},
 		starts: map[workload.TaskKey][]*strictRun{}, done: map[workload.TaskKey]doneRecord{}, byClass: map[string]int{},
 		reported: map[workload.TaskKey]bool{},
 	}
@@ -205,7 +206,7 @@
 		if !now[key] {
 			o.noteRun(key, "removed")
 			if h := o.runs[key]; h != nil {
-				h.removedAt = o.cluster.now
+				o.removals[key] = *h
 			}
 		}
 	}
@@ -220,7 +221,7 @@
 	o.starts[task] = append(earlier, r)
 	if o.cluster.step(task).GetSpeculative() {
 		if d, ok := o.done[task]; ok && r.start.Sent.Sub(d.acknowledgedAt) > time.Second {
-			o.violated(task, o.classify(d.end.run, r), "starts long after its end was acknowledged")
+			o.violated(task, o.classifyDone(d, r), "starts long after its end was acknowledged")
 		}
 		return
 	}
@@ -284,10 +285,11 @@
 		if r.start.IncarnationStartMs == r.life.bornMs {
 			continue
 		}
-		if r.life.isKnown(r.start.Sent, r.start.IncarnationStartMs) {
+		if r.life.isKnown(r.start) {
 			return staleOrder
 		}
-		if r.life.answeredAt.IsZero() || !h.removalProposedAt.IsZero() && !r.life.answeredAt.Before(h.removalProposedAt) {
+		removal, isRemoved := o.removals[r.key]
+		if answeredAt := r.life.answeredAt[removal.epoch]; answeredAt.IsZero() || isRemoved && !answeredAt.Before(removal.removalProposedAt) {
 			class = unfenced
 		}
 	}
@@ -312,23 +314,24 @@
 }
 
 // isKnown reports whether the leader could know of an incarnation when it ordered a start from another one.
-func (l *strictLife) isKnown(at time.Time, addressedMs int64) bool {
-	return !l.answeredAt.IsZero() && l.answeredAt.Before(at) || !l.announcedAt.IsZero() && l.announcedAt.Before(at) && l.bornMs > addressedMs
+func (l *strictLife) isKnown(start *order.Call) bool {
+	answeredAt, announcedAt := l.answeredAt[start.Epoch], l.announcedAt[start.Epoch]
+	return !answeredAt.IsZero() && answeredAt.Before(start.Sent) || !announcedAt.IsZero() && announcedAt.Before(start.Sent) && l.bornMs > start.IncarnationStartMs
 }
 
 // describe tells by which incarnation a run was started, and how it was removed from the replicated state.
 func (o *protocolOracle) describe(r *strictRun) string {
-	by, delay, h := "addressed", "on time", o.runs[r.key]
+	by, delay, removal := "addressed", "on time", o.removals[r.key]
 	if r.start.IncarnationStartMs != r.life.bornMs {
 		by = "later"
-		if !r.life.answeredAt.IsZero() {
+		if !r.life.answeredAt[removal.epoch].IsZero() {
 			by = "later, heard"
 		}
 	}
 	if r.began.Sub(r.start.Sent) >= protocolTimeout {
 		delay = "late"
 	}
-	return fmt.Sprintf("run by %s incarnation, %s, removed by %s", by, delay, h.removal)
+	return fmt.Sprintf("run by %s incarnation, %s, removed by %s", by, delay, removal.removal)
 }
 
 // countUnfenced counts what an order that couldn't be fenced has in common with others.
@@ -347,7 +350,7 @@
 	if h.announcedBeforeOrder {
 		traits = append(traits, "after an announcement")
 	}
-	traits = append(traits, "removed by "+h.removal)
+	traits = append(traits, "removed by "+o.removals[r.key].removal)
 	o.byClass["unfenced: "+strings.Join(traits, ", ")]++
 }
 
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -74,7 +74,7 @@
 			c.run(10 * time.Second)
 			c.submit("batch", "a", dedicated(4, 20*time.Second))
 			w := c.assigned()
-			w.clockRate = slowestClock
+			w.setClockRate(slowestClock)
 			w.restart(0)
 			reach(c, w)
 			c.run(12 * time.Second)
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -56,8 +56,8 @@
 	highest     map[workload.TaskKey]uint32
 	ended       []strictEnd
 	nextEnd     uint64
-	answeredAt  time.Time // when the leader first got a response that shows the clock; zero before
-	announcedAt time.Time // when an announcement first arrived; zero before
+	answeredAt  map[uint64]time.Time // by epoch: when the leader first got a response that shows the clock
+	announcedAt map[uint64]time.Time // by epoch: when an announcement first arrived
 }
 
 type strictRun struct {
@@ -101,6 +101,7 @@
 	w.life = &strictLife{
 		bornMs: now.Add(clockStep).UnixMilli(), began: now, up: true,
 		runs: map[workload.RunKey]*strictRun{}, highest: map[workload.TaskKey]uint32{},
+		answeredAt: map[uint64]time.Time{}, announcedAt: map[uint64]time.Time{},
 	}
 	w.muteAfter = 0
 	w.cluster.oracle.note("%s starts, born %d", w.id, w.life.bornMs)
@@ -143,8 +144,8 @@
 	}
 	life := w.life
 	w.cluster.after(delay, func() {
-		if w.cluster.leader != nil && life.announcedAt.IsZero() {
-			life.announcedAt = w.cluster.now
+		if leader := w.cluster.leader; leader != nil && life.announcedAt[leader.epoch].IsZero() {
+			life.announcedAt[leader.epoch] = w.cluster.now
 			w.cluster.oracle.note("%s born %d announces itself", w.id, life.bornMs)
 		}
 		w.cluster.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: announcement}}, nil)
@@ -181,6 +182,13 @@
 	c.after(5*time.Second, end)
 }
 
+// setClockRate changes the rate of the worker's clock from now on.
+func (w *strictWorker) setClockRate(rate float64) {
+	clock := w.clock() - time.Millisecond
+	w.clockRate = rate
+	w.life.began = w.cluster.now.Add(-time.Duration(float64(clock) / rate))
+}
+
 // clock returns the time on the worker's steady clock.
 func (w *strictWorker) clock() time.Duration {
 	return time.Millisecond + time.Duration(float64(w.cluster.now.Sub(w.life.began))*w.clockRate)
@@ -220,8 +228,9 @@
 		return
 	}
 	w.cluster.after(time.Millisecond+e.delivery.responseDelay, func() {
-		if !e.responded && a.Clock != 0 && life.answeredAt.IsZero() {
-			life.answeredAt = w.cluster.now
+		if epoch := e.call.Epoch; !e.responded && a.Clock != 0 && life.answeredAt[epoch].IsZero() {
+			life.answeredAt[epoch] = w.cluster.now
+			w.cluster.oracle.note("%s born %d first answers epoch %d: %v %v, clock %v", w.id, life.bornMs, epoch, e.call.Kind, a.Status, a.Clock)
 		}
 		e.respond(a)
 	})
