--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -53,7 +53,7 @@
 	if lateOrders {
 		f.lateRate = 0.7
 	}
-	kinds := []func(){f.restart, f.restartMute, f.crash, f.mute, f.changeLeaders, f.drain, f.lose, f.replace, f.cancel, f.evacuate}
+	kinds := []func(){f.restart, f.restartPartitioned, f.crash, f.partition, f.changeLeaders, f.drain, f.lose, f.replace, f.cancel, f.evacuate}
 	for _, kind := range kinds {
 		if half() {
 			f.actions = append(f.actions, kind)
@@ -74,30 +74,30 @@
 
 func (f *protocolFaults) restart() { f.worker().restart(f.clockStep()) }
 
-// restartMute restarts a worker that is cut off after a few responses.
-func (f *protocolFaults) restartMute() {
+// restartPartitioned restarts a worker that is cut off after a few responses.
+func (f *protocolFaults) restartPartitioned() {
 	w := f.worker()
 	w.restart(f.clockStep())
-	w.muteAfter, w.muteTime = f.random.IntN(4), 15*time.Second
-	if w.muteAfter == 0 {
-		w.mute(w.muteTime)
+	w.responsesLeft, w.partitionTime = f.random.IntN(4), 15*time.Second
+	if w.responsesLeft == 0 {
+		w.partition(w.partitionTime)
 	}
 }
 
 // crash ends a worker, which starts again later.
 func (f *protocolFaults) crash() {
 	w := f.worker()
-	life, step := w.life, f.clockStep()
+	incarnation, step := w.incarnation, f.clockStep()
 	w.crash()
 	f.after(time.Duration(f.random.Int64N(int64(12*time.Second))), func() {
-		if w.life == life {
+		if w.incarnation == incarnation {
 			w.restart(step)
 		}
 	})
 }
 
-func (f *protocolFaults) mute() {
-	f.worker().mute(time.Duration(f.random.Int64N(int64(15 * time.Second))))
+func (f *protocolFaults) partition() {
+	f.worker().partition(time.Duration(f.random.Int64N(int64(15 * time.Second))))
 }
 
 func (f *protocolFaults) changeLeaders() {
@@ -110,7 +110,7 @@
 }
 
 func (f *protocolFaults) drain() {
-	if w := f.worker(); w.life.up && !w.life.draining {
+	if w := f.worker(); w.incarnation.up && !w.incarnation.draining {
 		w.drainAndLeave()
 	}
 }
@@ -159,11 +159,11 @@
 func (f *protocolFaults) route(e *exchange, w *strictWorker) delivery {
 	delay, responseDelay := time.Duration(e.random.Int64N(int64(f.jitter))), time.Duration(e.random.Int64N(int64(f.responseJitter)))
 	switch {
-	case !w.isMute() && e.random.Float64() >= f.lossRate:
+	case !w.isPartitioned() && e.random.Float64() >= f.lossRate:
 		return delivery{delay: delay, responseDelay: responseDelay}
 	case e.random.Float64() < f.lateRate:
 		return delivery{delay: time.Duration(e.random.Int64N(int64(protocolMaxDelay))), unanswered: true}
-	case !w.isMute() && e.random.IntN(2) == 0:
+	case !w.isPartitioned() && e.random.IntN(2) == 0:
 		return delivery{delay: delay, unanswered: true}
 	}
 	return delivery{lost: true, unanswered: true}
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -19,7 +19,8 @@
 	needlessOrder violationClass = "needless order"
 	// earlyRemoval: a run was removed from the replicated state while an order for it could still take effect.
 	earlyRemoval violationClass = "early removal"
-	// earlyAcknowledgement: a poll for an earlier incarnation, carried out without delay, has discarded an end of a later one.
+	// earlyAcknowledgement: a poll for an earlier incarnation, sent after the start and not delayed, has discarded an end of a
+	// later one.
 	earlyAcknowledgement violationClass = "early acknowledgement"
 	// staleOrder: a start was ordered from an incarnation although a later one had answered or announced itself.
 	staleOrder violationClass = "stale order"
@@ -110,7 +111,7 @@
 		return
 	}
 	w := o.cluster.workerAt(call.Address)
-	o.noteRun(call.Run, "%v ordered from %s born %d (now %d), fence %x, lease until %v, delivery %+v", call.Kind, w.id, call.IncarnationStartMs, w.life.bornMs, call.Fence, call.LeaseExpiry, d)
+	o.noteRun(call.Run, "%v ordered from %s started at %d (now %d), fence %x, lease until %v, delivery %+v", call.Kind, w.id, call.IncarnationStartMs, w.incarnation.startMs, call.Fence, call.LeaseExpiry, d)
 	if call.Kind == order.Start {
 		h := o.history(call.Run, call.Epoch)
 		if h.orders++; h.orders == 1 {
@@ -136,7 +137,7 @@
 		}
 	case order.Poll:
 		if a.Status == order.OtherIncarnation {
-			o.note("leader learns that %s was born %d", a.Call.ID, a.IncarnationStartMs)
+			o.note("leader learns that %s was started at %d", a.Call.ID, a.IncarnationStartMs)
 		}
 		for _, r := range a.Running {
 			o.listed(r.Run, a, "running")
@@ -167,13 +168,13 @@
 			}
 		case *controlpb.WorkChange_EndLife:
 			if w := o.cluster.state.Worker(kind.EndLife.GetNumber()); w != nil {
-				o.note("loss of %s born %d proposed", w.GetId(), w.GetBornMs())
+				o.note("loss of %s started at %d proposed", w.GetId(), w.GetBornMs())
 				for key := range w.Runs {
 					o.removalProposed(key, "loss of its worker")
 				}
 			}
 		case *controlpb.WorkChange_PutWorker:
-			o.note("%s born %d proposed", kind.PutWorker.GetId(), kind.PutWorker.GetBornMs())
+			o.note("%s started at %d proposed", kind.PutWorker.GetId(), kind.PutWorker.GetBornMs())
 			if w := o.cluster.state.WorkerByID(kind.PutWorker.GetId()); w != nil && w.GetBornMs() < kind.PutWorker.GetBornMs() {
 				for key := range w.Runs {
 					o.removalProposed(key, "replacement of its worker")
@@ -198,7 +199,7 @@
 		for key := range w.Runs {
 			now[key] = true
 			if !o.live[key] {
-				o.noteRun(key, "assigned to %s born %d", w.GetId(), w.GetBornMs())
+				o.noteRun(key, "assigned to %s started at %d", w.GetId(), w.GetBornMs())
 			}
 		}
 	}
@@ -216,7 +217,7 @@
 // started checks a run that a worker has just started.
 func (o *protocolOracle) started(r *strictRun) {
 	task := r.key.Task
-	o.noteRun(r.key, "starts on %s born %d, ordered %v ago from the incarnation born %d", r.worker.id, r.life.bornMs, o.cluster.now.Sub(r.start.Sent), r.start.IncarnationStartMs)
+	o.noteRun(r.key, "starts on %s started at %d, ordered %v ago from the incarnation started at %d", r.worker.id, r.incarnation.startMs, o.cluster.now.Sub(r.start.Sent), r.start.IncarnationStartMs)
 	earlier := o.starts[task]
 	o.starts[task] = append(earlier, r)
 	if o.cluster.step(task).GetSpeculative() {
@@ -230,7 +231,7 @@
 		return
 	}
 	for _, other := range earlier {
-		if other.life.up && other.life.runs[other.key] == other {
+		if other.incarnation.up && other.incarnation.runs[other.key] == other {
 			o.violated(task, o.classify(other, r), "runs twice at the same time")
 			return
 		}
@@ -244,7 +245,7 @@
 // acknowledged checks that no run of a task has started after an end as done that is being acknowledged.
 func (o *protocolOracle) acknowledged(e strictEnd, by *exchange) {
 	task := e.Run.Task
-	o.noteRun(e.Run, "end as done on %s acknowledged by a poll for the incarnation born %d, sent %v ago, up to %d", e.run.worker.id, by.call.IncarnationStartMs, o.cluster.now.Sub(by.call.Sent), by.call.RecordedEnds)
+	o.noteRun(e.Run, "end as done on %s acknowledged by a poll for the incarnation started at %d, sent %v ago, up to %d", e.run.worker.id, by.call.IncarnationStartMs, o.cluster.now.Sub(by.call.Sent), by.call.RecordedEnds)
 	if _, ok := o.done[task]; ok {
 		return
 	}
@@ -263,10 +264,10 @@
 
 // classifyDone classifies a start after an end as done. The end may have been acknowledged without being recorded.
 func (o *protocolOracle) classifyDone(d doneRecord, r *strictRun) violationClass {
-	if born := d.by.call.IncarnationStartMs; born == 0 || born == d.end.run.life.bornMs {
+	if addressed := d.by.call.IncarnationStartMs; addressed == 0 || addressed == d.end.run.incarnation.startMs {
 		return o.classify(d.end.run, r)
 	}
-	if d.by.delivery.delay < protocolTimeout {
+	if d.by.delivery.delay < protocolTimeout && d.by.call.Sent.After(d.end.run.start.Sent) {
 		return earlyAcknowledgement
 	}
 	return unfenced
@@ -282,14 +283,14 @@
 				return needlessOrder
 			}
 		}
-		if r.start.IncarnationStartMs == r.life.bornMs {
+		if r.start.IncarnationStartMs == r.incarnation.startMs {
 			continue
 		}
-		if r.life.isKnown(r.start) {
+		if r.incarnation.isKnown(r.start) {
 			return staleOrder
 		}
 		removal, isRemoved := o.removals[r.key]
-		if answeredAt := r.life.answeredAt[removal.epoch]; answeredAt.IsZero() || isRemoved && !answeredAt.Before(removal.removalProposedAt) {
+		if answeredAt := r.incarnation.answeredAt[removal.epoch]; answeredAt.IsZero() || isRemoved && !answeredAt.Before(removal.removalProposedAt) {
 			class = unfenced
 		}
 	}
@@ -303,7 +304,7 @@
 	o.reported[task] = true
 	o.byClass[string(class)]++
 	for _, r := range o.starts[task] {
-		if class == unfenced && r.start.IncarnationStartMs != r.life.bornMs {
+		if class == unfenced && r.start.IncarnationStartMs != r.incarnation.startMs {
 			o.countUnfenced(r)
 		}
 	}
@@ -314,17 +315,17 @@
 }
 
 // isKnown reports whether the leader could know of an incarnation when it ordered a start from another one.
-func (l *strictLife) isKnown(start *order.Call) bool {
+func (l *strictIncarnation) isKnown(start *order.Call) bool {
 	answeredAt, announcedAt := l.answeredAt[start.Epoch], l.announcedAt[start.Epoch]
-	return !answeredAt.IsZero() && answeredAt.Before(start.Sent) || !announcedAt.IsZero() && announcedAt.Before(start.Sent) && l.bornMs > start.IncarnationStartMs
+	return !answeredAt.IsZero() && answeredAt.Before(start.Sent) || !announcedAt.IsZero() && announcedAt.Before(start.Sent) && l.startMs > start.IncarnationStartMs
 }
 
 // describe tells by which incarnation a run was started, and how it was removed from the replicated state.
 func (o *protocolOracle) describe(r *strictRun) string {
 	by, delay, removal := "addressed", "on time", o.removals[r.key]
-	if r.start.IncarnationStartMs != r.life.bornMs {
+	if r.start.IncarnationStartMs != r.incarnation.startMs {
 		by = "later"
-		if !r.life.answeredAt[removal.epoch].IsZero() {
+		if !r.incarnation.answeredAt[removal.epoch].IsZero() {
 			by = "later, heard"
 		}
 	}
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -46,7 +46,7 @@
 			first = false
 			return d
 		}
-		if w.isMute() {
+		if w.isPartitioned() {
 			return delivery{lost: true, unanswered: true}
 		}
 		return deliver(e, w)
@@ -57,19 +57,19 @@
 // has started anew, so the lease may be as long as a worker accepts.
 func TestStartCarriedOutByLaterIncarnation(t *testing.T) {
 	for name, reach := range map[string]func(c *cluster, w *strictWorker){
-		"confirmed": func(_ *cluster, w *strictWorker) { w.muteAfter, w.muteTime = 1, 15*time.Second },
+		"confirmed": func(_ *cluster, w *strictWorker) { w.responsesLeft, w.partitionTime = 1, 15*time.Second },
 		"announced": func(c *cluster, w *strictWorker) {
 			w.announce(0)
-			c.after(8*time.Millisecond, func() { w.mute(15 * time.Second) })
+			c.after(8*time.Millisecond, func() { w.partition(15 * time.Second) })
 		},
 		"unconfirmed": func(c *cluster, w *strictWorker) {
-			c.after(8*time.Millisecond, func() { w.mute(15 * time.Second) })
+			c.after(8*time.Millisecond, func() { w.partition(15 * time.Second) })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 1, 2)
 			c.deliver = func(e *exchange, w *strictWorker) delivery {
-				return delivery{lost: w.isMute() && e.call.Kind != order.Start, unanswered: w.isMute()}
+				return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
 			}
 			c.run(10 * time.Second)
 			c.submit("batch", "a", dedicated(4, 20*time.Second))
@@ -90,7 +90,7 @@
 			c := newCluster(t, 1, 1)
 			w := c.workers[0]
 			c.submit("batch", "before", dedicated(1, time.Second))
-			c.runUntil(func() bool { return len(w.life.runs) > 0 })
+			c.runUntil(func() bool { return len(w.incarnation.runs) > 0 })
 			c.run(700 * time.Millisecond)
 			c.commitTime = func() time.Duration {
 				if c.state.Job("a") == nil {
@@ -116,7 +116,7 @@
 	w, starts := c.workers[0], 0
 	c.deliver = func(e *exchange, w *strictWorker) delivery {
 		switch {
-		case w.isMute():
+		case w.isPartitioned():
 			return delivery{lost: true, unanswered: true}
 		case e.call.Kind == order.Start && starts == 0:
 			starts++
@@ -130,7 +130,7 @@
 	c.submit("batch", "a", dedicated(1, 1500*time.Millisecond))
 	c.run(4 * time.Second)
 	w.restart(0)
-	w.mute(15 * time.Second)
+	w.partition(15 * time.Second)
 	c.run(10 * time.Second)
 	if starts > 1 {
 		t.Errorf("the run was ordered %d times", starts)
@@ -147,7 +147,7 @@
 	w := c.assigned()
 	c.run(100 * time.Millisecond)
 	w.restart(0)
-	w.muteAfter, w.muteTime = 1, 40*time.Second
+	w.responsesLeft, w.partitionTime = 1, 40*time.Second
 	c.run(30 * time.Second)
 	c.expectNoViolation()
 }
@@ -186,16 +186,17 @@
 
 // A run whose end isn't listed yet, because its worker lists only some ends at a time, must not be taken for missing.
 func TestEndsBeyondOneList(t *testing.T) {
+	const tasks = 2*protocolMaxEnds + 100
 	c := newCluster(t, 1, 2)
 	w := c.workers[0]
-	c.workers[1].mute(10 * time.Second)
+	c.workers[1].partition(10 * time.Second)
 	c.run(2 * time.Second)
-	step := dedicated(1400, 4*time.Second)
+	step := dedicated(tasks, 1500*time.Millisecond)
 	step.Processors, step.Memory = 20, 20
 	c.submit("batch", "a", step)
-	c.runUntil(func() bool { return len(w.life.runs) == 1400 })
-	c.workers[1].muteUntil = c.now
-	w.mute(3500 * time.Millisecond)
-	c.run(20 * time.Second)
+	c.runUntil(func() bool { return len(w.incarnation.runs) == tasks })
+	c.workers[1].partitionedUntil = c.now
+	w.partition(1500 * time.Millisecond)
+	c.run(5 * time.Second)
 	c.expectNoViolation()
 }
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -28,24 +28,24 @@
 // strictWorker is a worker that follows the platform's protocol to the letter: it takes every liberty that helps to expose
 // an unsafe leader. Its ID and address stay the same when it restarts.
 type strictWorker struct {
-	cluster *cluster
-	id      string
-	address string
-	zone    string
-	rack    string
-	life    *strictLife
-
-	clockRate      float64
-	refusalRate    float64 // share of the starts that it refuses as unhealthy, which has no effect at all
-	guardsCapacity bool    // it refuses what doesn't fit
-	muteUntil      time.Time
-	muteAfter      int // responses after which it is mute for muteTime; 0 for never
-	muteTime       time.Duration
+	cluster     *cluster
+	id          string
+	address     string
+	zone        string
+	rack        string
+	incarnation *strictIncarnation
+
+	clockRate        float64
+	refusalRate      float64 // share of the starts that it refuses as unhealthy, which has no effect at all
+	guardsCapacity   bool    // it refuses what doesn't fit
+	partitionedUntil time.Time
+	responsesLeft    int // responses after which it is partitioned for partitionTime; 0 for never
+	partitionTime    time.Duration
 }
 
-// strictLife is one incarnation of a worker.
-type strictLife struct {
-	bornMs      int64
+// strictIncarnation is one incarnation of a worker.
+type strictIncarnation struct {
+	startMs     int64
 	began       time.Time
 	up          bool
 	draining    bool
@@ -61,14 +61,14 @@
 }
 
 type strictRun struct {
-	key     workload.RunKey
-	start   *order.Call
-	life    *strictLife
-	worker  *strictWorker
-	began   time.Time
-	worked  time.Duration
-	waited  time.Duration
-	stopsAt time.Time // zero unless it is being stopped
+	key         workload.RunKey
+	start       *order.Call
+	incarnation *strictIncarnation
+	worker      *strictWorker
+	began       time.Time
+	worked      time.Duration
+	waited      time.Duration
+	stopsAt     time.Time // zero unless it is being stopped
 }
 
 // strictEnd is an end that isn't acknowledged yet.
@@ -87,7 +87,7 @@
 	}
 	c.workers = append(c.workers, w)
 	w.restart(0)
-	w.life.began = c.now.Add(-firstUptime)
+	w.incarnation.began = c.now.Add(-firstUptime)
 	w.heartbeat()
 	return w
 }
@@ -95,28 +95,28 @@
 // restart starts a new incarnation under the same ID. The clock of the day may have stepped.
 func (w *strictWorker) restart(clockStep time.Duration) {
 	now := w.cluster.now
-	if w.life != nil {
-		w.life.up = false
+	if w.incarnation != nil {
+		w.incarnation.up = false
 	}
-	w.life = &strictLife{
-		bornMs: now.Add(clockStep).UnixMilli(), began: now, up: true,
+	w.incarnation = &strictIncarnation{
+		startMs: now.Add(clockStep).UnixMilli(), began: now, up: true,
 		runs: map[workload.RunKey]*strictRun{}, highest: map[workload.TaskKey]uint32{},
 		answeredAt: map[uint64]time.Time{}, announcedAt: map[uint64]time.Time{},
 	}
-	w.muteAfter = 0
-	w.cluster.oracle.note("%s starts, born %d", w.id, w.life.bornMs)
+	w.responsesLeft = 0
+	w.cluster.oracle.note("%s starts at %d", w.id, w.incarnation.startMs)
 }
 
 func (w *strictWorker) crash() {
-	w.life.up = false
+	w.incarnation.up = false
 	w.cluster.oracle.note("%s crashes", w.id)
 }
 
-// isMute reports whether the worker is cut off from the leader.
-func (w *strictWorker) isMute() bool { return w.cluster.now.Before(w.muteUntil) }
+// isPartitioned reports whether the worker is cut off from the leader.
+func (w *strictWorker) isPartitioned() bool { return w.cluster.now.Before(w.partitionedUntil) }
 
-func (w *strictWorker) mute(d time.Duration) {
-	w.muteUntil = w.cluster.now.Add(d)
+func (w *strictWorker) partition(d time.Duration) {
+	w.partitionedUntil = w.cluster.now.Add(d)
 	w.cluster.oracle.note("%s is cut off for %v", w.id, d)
 }
 
@@ -128,25 +128,25 @@
 
 // announce sends an announcement, which arrives after a delay.
 func (w *strictWorker) announce(delay time.Duration) {
-	if !w.life.up || w.isMute() {
+	if !w.incarnation.up || w.isPartitioned() {
 		return
 	}
-	w.life.sequence++
+	w.incarnation.sequence++
 	announcement := &controlpb.AnnounceLife{
 		Life: &controlpb.WorkerLife{
-			Id: w.id, BornMs: w.life.bornMs, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
-			Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack}, Leaving: w.life.draining,
+			Id: w.id, BornMs: w.incarnation.startMs, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
+			Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack}, Leaving: w.incarnation.draining,
 		},
-		Sequence: w.life.sequence,
+		Sequence: w.incarnation.sequence,
 	}
-	if w.life.draining {
+	if w.incarnation.draining {
 		announcement.LeavesInMs = 1000
 	}
-	life := w.life
+	incarnation := w.incarnation
 	w.cluster.after(delay, func() {
-		if leader := w.cluster.leader; leader != nil && life.announcedAt[leader.epoch].IsZero() {
-			life.announcedAt[leader.epoch] = w.cluster.now
-			w.cluster.oracle.note("%s born %d announces itself", w.id, life.bornMs)
+		if leader := w.cluster.leader; leader != nil && incarnation.announcedAt[leader.epoch].IsZero() {
+			incarnation.announcedAt[leader.epoch] = w.cluster.now
+			w.cluster.oracle.note("%s started at %d announces itself", w.id, incarnation.startMs)
 		}
 		w.cluster.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: announcement}}, nil)
 	})
@@ -154,27 +154,27 @@
 
 // drainAndLeave makes the worker drain, leave and end, and restart under the same ID.
 func (w *strictWorker) drainAndLeave() {
-	c, life := w.cluster, w.life
-	life.draining = true
+	c, incarnation := w.cluster, w.incarnation
+	incarnation.draining = true
 	c.oracle.note("%s drains", w.id)
 	end := func() {
-		if life.up {
+		if incarnation.up {
 			w.crash()
 			c.after(time.Duration(c.random.IntN(2000))*time.Millisecond, func() {
-				if w.life == life {
+				if w.incarnation == incarnation {
 					w.restart(0)
 				}
 			})
 		}
 	}
 	c.after(1500*time.Millisecond, func() {
-		if !life.up || w.isMute() {
+		if !incarnation.up || w.isPartitioned() {
 			return
 		}
 		c.oracle.note("%s leaves", w.id)
 		leave := &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Leave{Leave: &controlpb.LeaveLife{Id: w.id}}}
 		c.serve(leave, func(r *controlpb.LeaderReply) {
-			if r.GetWork().GetOutcome() == controlpb.WorkOutcome_WORK_OK && !w.isMute() {
+			if r.GetWork().GetOutcome() == controlpb.WorkOutcome_WORK_OK && !w.isPartitioned() {
 				end()
 			}
 		})
@@ -186,57 +186,57 @@
 func (w *strictWorker) setClockRate(rate float64) {
 	clock := w.clock() - time.Millisecond
 	w.clockRate = rate
-	w.life.began = w.cluster.now.Add(-time.Duration(float64(clock) / rate))
+	w.incarnation.began = w.cluster.now.Add(-time.Duration(float64(clock) / rate))
 }
 
 // clock returns the time on the worker's steady clock.
 func (w *strictWorker) clock() time.Duration {
-	return time.Millisecond + time.Duration(float64(w.cluster.now.Sub(w.life.began))*w.clockRate)
+	return time.Millisecond + time.Duration(float64(w.cluster.now.Sub(w.incarnation.began))*w.clockRate)
 }
 
 // receive carries out a call, and responds unless the response is lost.
 func (w *strictWorker) receive(e *exchange) {
-	life := w.life
-	if !life.up {
-		w.respond(e, life, &order.Answer{}) // the connection is refused
+	incarnation := w.incarnation
+	if !incarnation.up {
+		w.respond(e, incarnation, &order.Answer{}) // the connection is refused
 		return
 	}
-	if e.call.Kind != order.Poll || e.call.ID != w.id || e.call.Fence < life.fence {
-		w.respond(e, life, w.carryOut(e))
+	if e.call.Kind != order.Poll || e.call.ID != w.id || e.call.Fence < incarnation.fence {
+		w.respond(e, incarnation, w.carryOut(e))
 		return
 	}
-	w.takeFence(e.call)
+	w.acceptToken(e.call)
 	w.forgetEnds(e)
-	w.hold(e, life, w.cluster.now.Add(e.call.Wait))
+	w.answerWhenDue(e, incarnation, w.cluster.now.Add(e.call.Wait))
 }
 
-// hold answers a poll once an end is to be listed or its wait has elapsed.
-func (w *strictWorker) hold(e *exchange, life *strictLife, due time.Time) {
+// answerWhenDue answers a poll once an end is to be listed or its wait has elapsed.
+func (w *strictWorker) answerWhenDue(e *exchange, incarnation *strictIncarnation, due time.Time) {
 	switch {
-	case w.life != life || !life.up:
-		w.respond(e, life, &order.Answer{})
-	case w.cluster.now.Before(due) && len(life.ended) == 0:
-		w.cluster.after(5*time.Millisecond, func() { w.hold(e, life, due) })
+	case w.incarnation != incarnation || !incarnation.up:
+		w.respond(e, incarnation, &order.Answer{})
+	case w.cluster.now.Before(due) && len(incarnation.ended) == 0:
+		w.cluster.after(5*time.Millisecond, func() { w.answerWhenDue(e, incarnation, due) })
 	default:
-		w.respond(e, life, w.lists(e.call))
+		w.respond(e, incarnation, w.report(e.call))
 	}
 }
 
 // respond sends a response, which is lost if the worker is cut off.
-func (w *strictWorker) respond(e *exchange, life *strictLife, a *order.Answer) {
-	if e.delivery.unanswered || w.isMute() {
+func (w *strictWorker) respond(e *exchange, incarnation *strictIncarnation, a *order.Answer) {
+	if e.delivery.unanswered || w.isPartitioned() {
 		return
 	}
 	w.cluster.after(time.Millisecond+e.delivery.responseDelay, func() {
-		if epoch := e.call.Epoch; !e.responded && a.Clock != 0 && life.answeredAt[epoch].IsZero() {
-			life.answeredAt[epoch] = w.cluster.now
-			w.cluster.oracle.note("%s born %d first answers epoch %d: %v %v, clock %v", w.id, life.bornMs, epoch, e.call.Kind, a.Status, a.Clock)
+		if epoch := e.call.Epoch; !e.responded && a.Clock != 0 && incarnation.answeredAt[epoch].IsZero() {
+			incarnation.answeredAt[epoch] = w.cluster.now
+			w.cluster.oracle.note("%s started at %d first answers epoch %d: %v %v, clock %v", w.id, incarnation.startMs, epoch, e.call.Kind, a.Status, a.Clock)
 		}
 		e.respond(a)
 	})
-	if a.Status != order.NoAnswer && w.muteAfter > 0 {
-		if w.muteAfter--; w.muteAfter == 0 {
-			w.mute(w.muteTime)
+	if a.Status != order.NoAnswer && w.responsesLeft > 0 {
+		if w.responsesLeft--; w.responsesLeft == 0 {
+			w.partition(w.partitionTime)
 		}
 	}
 }
@@ -249,10 +249,10 @@
 		return &order.Answer{Status: order.OtherIncarnation}
 	case call.Kind == order.Start && e.random.Float64() < w.refusalRate:
 		return &order.Answer{Status: order.Unhealthy}
-	case call.Fence < w.life.fence:
+	case call.Fence < w.incarnation.fence:
 		return &order.Answer{Status: order.Fenced, Clock: w.clock()}
 	}
-	w.takeFence(call)
+	w.acceptToken(call)
 	answer := &order.Answer{Status: order.OK, Clock: w.clock()}
 	switch call.Kind {
 	case order.Start:
@@ -263,26 +263,26 @@
 	return answer
 }
 
-// takeFence keeps the fencing token of a call, and extends the lease.
-func (w *strictWorker) takeFence(call *order.Call) {
-	w.life.fence = call.Fence
-	w.life.lease = max(w.life.lease, min(call.LeaseExpiry, w.clock()+protocolMaxLease))
+// acceptToken keeps the fencing token of a call, and extends the lease.
+func (w *strictWorker) acceptToken(call *order.Call) {
+	w.incarnation.fence = call.Fence
+	w.incarnation.lease = max(w.incarnation.lease, min(call.LeaseExpiry, w.clock()+protocolMaxLease))
 }
 
 func (w *strictWorker) start(call *order.Call) order.Status {
 	key := call.Run
 	switch {
-	case w.life.runs[key] != nil:
+	case w.incarnation.runs[key] != nil:
 		return order.OK
-	case key.Run <= w.life.highest[key.Task]:
+	case key.Run <= w.incarnation.highest[key.Task]:
 		return order.StaleRun
 	case call.LeaseExpiry <= w.clock():
 		return order.Expired
 	case w.guardsCapacity && !w.hasRoom(key.Task):
 		return order.NoCapacity
 	}
-	r := &strictRun{key: key, start: call, life: w.life, worker: w, began: w.cluster.now}
-	w.life.runs[key] = r
+	r := &strictRun{key: key, start: call, incarnation: w.incarnation, worker: w, began: w.cluster.now}
+	w.incarnation.runs[key] = r
 	w.cluster.oracle.started(r)
 	return order.OK
 }
@@ -301,7 +301,7 @@
 
 // sortedKeys returns the keys of the worker's runs in a deterministic order.
 func (w *strictWorker) sortedKeys() []workload.RunKey {
-	return slices.SortedFunc(maps.Keys(w.life.runs), func(a, b workload.RunKey) int {
+	return slices.SortedFunc(maps.Keys(w.incarnation.runs), func(a, b workload.RunKey) int {
 		return cmp.Or(cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Run, b.Run))
 	})
 }
@@ -309,15 +309,15 @@
 // stop stops a run, which takes up to the grace period, and rejects it from now on.
 func (w *strictWorker) stop(e *exchange) {
 	key := e.call.Run
-	w.life.highest[key.Task] = max(w.life.highest[key.Task], key.Run)
-	if r := w.life.runs[key]; r != nil && r.stopsAt.IsZero() {
+	w.incarnation.highest[key.Task] = max(w.incarnation.highest[key.Task], key.Run)
+	if r := w.incarnation.runs[key]; r != nil && r.stopsAt.IsZero() {
 		r.stopsAt = w.cluster.now.Add(time.Duration(e.random.Int64N(int64(protocolStopGrace))))
 	}
 }
 
 // forgetEnds discards the ends that a poll acknowledges, also if it was meant for an earlier incarnation.
 func (w *strictWorker) forgetEnds(e *exchange) {
-	w.life.ended = slices.DeleteFunc(w.life.ended, func(end strictEnd) bool {
+	w.incarnation.ended = slices.DeleteFunc(w.incarnation.ended, func(end strictEnd) bool {
 		seen := end.Number <= e.call.RecordedEnds
 		if seen && end.Result == controlpb.RunEnd_RUN_DONE && !end.lapsed {
 			w.cluster.oracle.acknowledged(end, e)
@@ -326,24 +326,24 @@
 	})
 }
 
-// lists answers a poll as the platform's client reads the response.
-func (w *strictWorker) lists(call *order.Call) *order.Answer {
+// report answers a poll as the platform's client reads the response.
+func (w *strictWorker) report(call *order.Call) *order.Answer {
 	answer := &order.Answer{Status: order.OK, Clock: w.clock()}
-	if call.IncarnationStartMs != w.life.bornMs {
-		answer.IncarnationStartMs = w.life.bornMs
+	if call.IncarnationStartMs != w.incarnation.startMs {
+		answer.IncarnationStartMs = w.incarnation.startMs
 		if call.IncarnationStartMs != 0 {
 			answer.Status = order.OtherIncarnation
 			return answer
 		}
 	}
 	for _, key := range w.sortedKeys() {
-		r, percent := w.life.runs[key], 100
+		r, percent := w.incarnation.runs[key], 100
 		if step := w.cluster.step(key.Task); !step.GetPerpetual() {
 			percent = int(100 * r.worked / (time.Duration(step.GetEstimateMs()) * time.Millisecond))
 		}
 		answer.Running = append(answer.Running, order.Running{Run: key, Percent: percent, Measurement: -1})
 	}
-	for _, e := range w.life.ended[:min(len(w.life.ended), protocolMaxEnds)] {
+	for _, e := range w.incarnation.ended[:min(len(w.incarnation.ended), protocolMaxEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
 	return answer
@@ -351,15 +351,15 @@
 
 // advance lets the worker's runs work for a step of time.
 func (w *strictWorker) advance(step time.Duration) {
-	if !w.life.up {
+	if !w.incarnation.up {
 		return
 	}
-	lapsed := w.clock() > w.life.lease
-	for i := range w.life.ended {
-		w.life.ended[i].lapsed = w.life.ended[i].lapsed || lapsed
+	lapsed := w.clock() > w.incarnation.lease
+	for i := range w.incarnation.ended {
+		w.incarnation.ended[i].lapsed = w.incarnation.ended[i].lapsed || lapsed
 	}
 	for _, key := range w.sortedKeys() {
-		r := w.life.runs[key]
+		r := w.incarnation.runs[key]
 		switch spec := w.cluster.step(key.Task); {
 		case r == nil: // it has ended with its gang
 		case lapsed:
@@ -383,11 +383,11 @@
 func (c *cluster) gang(key workload.RunKey) []*strictRun {
 	var members []*strictRun
 	for _, w := range c.workers {
-		if !w.life.up {
+		if !w.incarnation.up {
 			continue
 		}
 		for _, other := range w.sortedKeys() {
-			if r := w.life.runs[other]; other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+			if r := w.incarnation.runs[other]; other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
 				members = append(members, r)
 			}
 		}
@@ -397,14 +397,14 @@
 
 // end ends a run, and the other members of its gang if it had begun to work.
 func (w *strictWorker) end(r *strictRun, how controlpb.RunEnd) {
-	if r.life.runs[r.key] != r {
+	if r.incarnation.runs[r.key] != r {
 		return
 	}
-	delete(r.life.runs, r.key)
-	r.life.highest[r.key.Task] = max(r.life.highest[r.key.Task], r.key.Run)
-	r.life.nextEnd++
-	ended := order.Ended{Number: r.life.nextEnd, Run: r.key, Result: how}
-	r.life.ended = append(r.life.ended, strictEnd{Ended: ended, run: r, at: w.cluster.now, lapsed: how == controlpb.RunEnd_RUN_LAPSED})
+	delete(r.incarnation.runs, r.key)
+	r.incarnation.highest[r.key.Task] = max(r.incarnation.highest[r.key.Task], r.key.Run)
+	r.incarnation.nextEnd++
+	ended := order.Ended{Number: r.incarnation.nextEnd, Run: r.key, Result: how}
+	r.incarnation.ended = append(r.incarnation.ended, strictEnd{Ended: ended, run: r, at: w.cluster.now, lapsed: how == controlpb.RunEnd_RUN_LAPSED})
 	w.cluster.oracle.ended(r, how)
 	if !w.cluster.step(r.key.Task).GetGang() || r.worked == 0 {
 		return
