--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -14,6 +14,7 @@
 
 var (
 	protocolSeeds     = flag.Uint64("protocol-seeds", 24, "number of seeds of TestProtocolFaults")
+	protocolUnfenced  = flag.Bool("protocol-unfenced", false, "whether TestProtocolFaults shows the tasks that ran twice because of an order that can't be fenced")
 	protocolFirstSeed = flag.Uint64("protocol-first-seed", 0, "first seed of TestProtocolFaults")
 )
 
@@ -47,7 +48,7 @@
 		if refusals {
 			w.refusalRate = 0.4 * f.random.Float64()
 		}
-		w.guardsCapacity = half()
+		w.guardsCapacity, w.refusesAllCalls = half(), half()
 	}
 	f.lossRate = 0.3 * f.random.Float64()
 	if lateOrders {
@@ -74,7 +75,7 @@
 
 func (f *protocolFaults) restart() { f.worker().restart(f.clockStep()) }
 
-// restartPartitioned restarts a worker that is cut off after a few responses.
+// restartPartitioned restarts a worker that is partitioned after a few responses.
 func (f *protocolFaults) restartPartitioned() {
 	w := f.worker()
 	w.restart(f.clockStep())
@@ -228,8 +229,11 @@
 				}
 				counts["starts"] += len(f.oracle.starts)
 				for _, v := range f.oracle.violations {
-					if v.class != unfenced {
+					switch {
+					case v.class != unfenced:
 						t.Errorf("%s: %s\n%s", v.class, v.detail, v.trace)
+					case *protocolUnfenced:
+						t.Logf("%s: %s\n%s", v.class, v.detail, v.trace)
 					}
 				}
 			})
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -349,7 +349,12 @@
 		traits = append(traits, "after a missed call")
 	}
 	if h.announcedBeforeOrder {
-		traits = append(traits, "after an announcement")
+		traits = append(traits, "while a later incarnation was being checked")
+	}
+	if leader := o.cluster.leader; leader != nil {
+		if at := r.incarnation.announcedAt[leader.epoch]; !at.IsZero() && at.Before(r.began) {
+			traits = append(traits, "carried out after an announcement")
+		}
 	}
 	traits = append(traits, "removed by "+o.removals[r.key].removal)
 	o.byClass["unfenced: "+strings.Join(traits, ", ")]++
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -38,7 +38,7 @@
 	return found
 }
 
-// deliverFirstStart decides the fate of the first start. Other calls get lost only while their worker is cut off.
+// deliverFirstStart decides the fate of the first start. Other calls get lost only while their worker is partitioned.
 func (c *cluster) deliverFirstStart(d delivery) {
 	deliver, first := c.deliver, true
 	c.deliver = func(e *exchange, w *strictWorker) delivery {
@@ -53,7 +53,7 @@
 	}
 }
 
-// A later incarnation of a worker carries out a start without delay and is then cut off. It measures the lease with a clock that
+// A later incarnation of a worker carries out a start without delay and is then partitioned. It measures the lease with a clock that
 // has started anew, so the lease may be as long as a worker accepts.
 func TestStartCarriedOutByLaterIncarnation(t *testing.T) {
 	for name, reach := range map[string]func(c *cluster, w *strictWorker){
@@ -138,7 +138,7 @@
 	c.expectNoViolation()
 }
 
-// A later incarnation that has answered once and is then cut off must not be given up while a start for the earlier one may
+// A later incarnation that has answered once and is then partitioned must not be given up while a start for the earlier one may
 // still be carried out and run there.
 func TestSilentLaterIncarnation(t *testing.T) {
 	c := newCluster(t, 1, 2)
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -37,6 +37,7 @@
 
 	clockRate        float64
 	refusalRate      float64 // share of the starts that it refuses as unhealthy, which has no effect at all
+	refusesAllCalls  bool    // refusalRate holds for all calls
 	guardsCapacity   bool    // it refuses what doesn't fit
 	partitionedUntil time.Time
 	responsesLeft    int // responses after which it is partitioned for partitionTime; 0 for never
@@ -112,12 +113,12 @@
 	w.cluster.oracle.note("%s crashes", w.id)
 }
 
-// isPartitioned reports whether the worker is cut off from the leader.
+// isPartitioned reports whether calls and responses get lost between the worker and the leader.
 func (w *strictWorker) isPartitioned() bool { return w.cluster.now.Before(w.partitionedUntil) }
 
 func (w *strictWorker) partition(d time.Duration) {
 	w.partitionedUntil = w.cluster.now.Add(d)
-	w.cluster.oracle.note("%s is cut off for %v", w.id, d)
+	w.cluster.oracle.note("%s is partitioned for %v", w.id, d)
 }
 
 // heartbeat announces the worker every second.
@@ -201,6 +202,10 @@
 		w.respond(e, incarnation, &order.Answer{}) // the connection is refused
 		return
 	}
+	if (e.call.Kind == order.Start || w.refusesAllCalls) && e.random.Float64() < w.refusalRate {
+		w.respond(e, incarnation, &order.Answer{Status: order.Unhealthy})
+		return
+	}
 	if e.call.Kind != order.Poll || e.call.ID != w.id || e.call.Fence < incarnation.fence {
 		w.respond(e, incarnation, w.carryOut(e))
 		return
@@ -222,7 +227,7 @@
 	}
 }
 
-// respond sends a response, which is lost if the worker is cut off.
+// respond sends a response, which is lost if the worker is partitioned.
 func (w *strictWorker) respond(e *exchange, incarnation *strictIncarnation, a *order.Answer) {
 	if e.delivery.unanswered || w.isPartitioned() {
 		return
@@ -247,8 +252,6 @@
 	switch {
 	case call.ID != w.id:
 		return &order.Answer{Status: order.OtherIncarnation}
-	case call.Kind == order.Start && e.random.Float64() < w.refusalRate:
-		return &order.Answer{Status: order.Unhealthy}
 	case call.Fence < w.incarnation.fence:
 		return &order.Answer{Status: order.Fenced, Clock: w.clock()}
 	}
