--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -200,3 +200,30 @@
 	c.run(5 * time.Second)
 	c.expectNoViolation()
 }
+
+// An incarnation that has announced itself must be polled, which fences late orders for earlier ones, before its announcement is
+// committed.
+func TestLateStartAfterAnnouncement(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	w := c.workers[0]
+	var late *exchange
+	c.deliver = func(e *exchange, _ *strictWorker) delivery {
+		if e.call.Kind == order.Start && late == nil {
+			late = e
+			return delivery{lost: true, unanswered: true}
+		}
+		return delivery{}
+	}
+	c.submit("batch", "a", dedicated(1, time.Second))
+	c.run(4 * time.Second)
+	w.crash()
+	c.run(6 * time.Second)
+	c.commitTime = func() time.Duration { return 400 * time.Millisecond }
+	w.restart(0)
+	w.announce(0)
+	c.run(100 * time.Millisecond)
+	late.delivery = delivery{unanswered: true}
+	w.receive(late)
+	c.run(5 * time.Second)
+	c.expectNoViolation()
+}
