--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -14,7 +14,7 @@
 
 var (
 	protocolSeeds     = flag.Uint64("protocol-seeds", 24, "number of seeds of TestProtocolFaults")
-	protocolUnfenced  = flag.Bool("protocol-unfenced", false, "whether TestProtocolFaults shows the tasks that ran twice because of an order that can't be fenced")
+	protocolUnfenced  = flag.Bool("protocol-unfenced", false, "whether TestProtocolFaults shows unfenced orders")
 	protocolFirstSeed = flag.Uint64("protocol-first-seed", 0, "first seed of TestProtocolFaults")
 )
 
@@ -227,7 +227,7 @@
 				for class, n := range f.oracle.byClass {
 					counts[class] += n
 				}
-				counts["starts"] += len(f.oracle.starts)
+				counts["tasks started"] += len(f.oracle.starts)
 				for _, v := range f.oracle.violations {
 					switch {
 					case v.class != unfenced:
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -111,7 +111,8 @@
 		return
 	}
 	w := o.cluster.workerAt(call.Address)
-	o.noteRun(call.Run, "%v ordered from %s started at %d (now %d), fence %x, lease until %v, delivery %+v", call.Kind, w.id, call.IncarnationStartMs, w.incarnation.startMs, call.Fence, call.LeaseExpiry, d)
+	o.noteRun(call.Run, "%v ordered from %s started at %d (now %d), fence %x, lease until %v, delivery %+v",
+		call.Kind, w.id, call.IncarnationStartMs, w.incarnation.startMs, call.Fence, call.LeaseExpiry, d)
 	if call.Kind == order.Start {
 		h := o.history(call.Run, call.Epoch)
 		if h.orders++; h.orders == 1 {
@@ -217,7 +218,8 @@
 // started checks a run that a worker has just started.
 func (o *protocolOracle) started(r *strictRun) {
 	task := r.key.Task
-	o.noteRun(r.key, "starts on %s started at %d, ordered %v ago from the incarnation started at %d", r.worker.id, r.incarnation.startMs, o.cluster.now.Sub(r.start.Sent), r.start.IncarnationStartMs)
+	o.noteRun(r.key, "starts on %s started at %d, ordered %v ago from the incarnation started at %d",
+		r.worker.id, r.incarnation.startMs, o.cluster.now.Sub(r.start.Sent), r.start.IncarnationStartMs)
 	earlier := o.starts[task]
 	o.starts[task] = append(earlier, r)
 	if o.cluster.step(task).GetSpeculative() {
@@ -245,7 +247,8 @@
 // acknowledged checks that no run of a task has started after an end as done that is being acknowledged.
 func (o *protocolOracle) acknowledged(e strictEnd, by *exchange) {
 	task := e.Run.Task
-	o.noteRun(e.Run, "end as done on %s acknowledged by a poll for the incarnation started at %d, sent %v ago, up to %d", e.run.worker.id, by.call.IncarnationStartMs, o.cluster.now.Sub(by.call.Sent), by.call.RecordedEnds)
+	o.noteRun(e.Run, "end as done on %s acknowledged by a poll for the incarnation started at %d, sent %v ago, up to %d",
+		e.run.worker.id, by.call.IncarnationStartMs, o.cluster.now.Sub(by.call.Sent), by.call.RecordedEnds)
 	if _, ok := o.done[task]; ok {
 		return
 	}
