dispatch: don't acknowledge ends that a restarted worker may not have listed

What callers saw: nothing yet. In virtual time a task was started again after its end had been acknowledged (TWICE).

Cause: a poll acknowledges the ends that the newest answer has listed, once they are recorded. A worker that restarts under its ID during a slow commit numbers its ends anew. If it has carried out a start by then, and the run has ended, the acknowledgement makes it forget an end that was never listed.

Change: if a start was ordered since the newest answered poll was sent, and that answer is older than the shortest run, the next poll acknowledges nothing. It returns at once, as there are ends to list, and shows which incarnation is there. Commits are usually faster than that, so that hardly any poll is added.

A poll that is already on its way when the worker restarts can't be taken back; that stays open.

--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -120,7 +120,7 @@
 		}
 		tracked := o.cluster.leader.workers[call.Incarnation]
 		h.missedBefore = tracked.missedCalls > 0
-		h.announcedBeforeOrder = !tracked.laterAnnouncedAt.IsZero()
+		h.announcedBeforeOrder = !tracked.checkedSince.IsZero()
 	}
 }
 
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -179,7 +179,7 @@
 		d.config.Log.Info("repeating start", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "SinceLastOrder", d.now.Sub(r.lastOrderedAt).String())
 	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
-	r.startPending, r.lastOrderedAt = true, d.now
+	r.startPending, r.lastOrderedAt, r.worker.orderedAt = true, d.now, d.now
 	d.config.WorkerCalls.Send(call)
 }
 
@@ -344,7 +344,7 @@
 	if d.handleIncarnationCheck(w, a) {
 		return
 	}
-	w.hasOrphans, w.lastPoll = false, a.Received
+	w.hasOrphans, w.lastPoll, w.listedAt = false, a.Received, a.Call.Sent
 	listed := map[workload.RunKey]bool{}
 	for _, running := range a.Running {
 		listed[running.Run] = true
--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -49,7 +49,7 @@
 	s := &startScenario{simulation: newSimulationWithWorkers(t, seed, 8), lateOrders: lateOrders, maxAttempts: int(1 + seed%3), submitted: map[string][]*controlpb.WorkStep{}, counts: map[string]int{}}
 	s.replaceRouting(2, uint32(s.maxAttempts))
 	s.latencyExempt, s.maxDelay, s.deadly = true, 12*time.Second, map[string]bool{}
-	s.interference = func(victim, aggressor string) float64 {
+	s.interference = func(_, aggressor string) float64 {
 		if aggressor == "fill-0" {
 			return 1.2
 		}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -55,6 +55,9 @@
 	// single call may be lost.
 	maxMissedCalls = 1
 
+	// shortestRun is the time from an order to start to the end of a run, of the shortest tasks.
+	shortestRun = 100 * time.Millisecond
+
 	// leaveTimeout bounds the time for which the acknowledgement of a worker's leave waits until its runs have stopped. The
 	// worker repeats the request if it isn't acknowledged within a second.
 	leaveTimeout = 700 * time.Millisecond
@@ -74,6 +77,8 @@
 	grantedAt    time.Time     // of the newest call that extends the lease; when this leader took over, if there is none
 	lastAnswer   time.Time     // when the newest answer was received
 	lastPoll     time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
+	listedAt     time.Time     // when that poll was sent
+	orderedAt    time.Time     // of the newest start call
 	addedAt      time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
@@ -263,7 +268,9 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
+	if !w.mayHaveUnlistedEnds(d.now) {
+		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
+	}
 	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
 		call.Wait = pollWait
 		if w.pollOften {
@@ -281,6 +288,12 @@
 	d.config.WorkerCalls.Send(call)
 }
 
+// mayHaveUnlistedEnds reports whether a later incarnation may have ended a run that was ordered since the newest list of this one. An
+// acknowledgement would make it forget that end.
+func (w *worker) mayHaveUnlistedEnds(now time.Time) bool {
+	return w.orderedAt.After(w.listedAt) && now.Sub(w.lastPoll) >= shortestRun
+}
+
 // pollDelayAfter returns the delay from a worker's answer to the next poll.
 func (d *Dispatcher) pollDelayAfter(w *worker) time.Duration {
 	if w.dedicatedTasks > 0 {
