dispatch: fence off late orders before a new incarnation is committed

What callers saw: nothing yet. In virtual time two runs of one task were at work at the same time (TWICE).

Cause: a worker that has announced itself was first polled once its announcement was committed. Until then it accepts orders for earlier incarnations under its ID that are carried out late; a commit takes up to 0.4 s with slow disks.

Change: the leader polls an announced incarnation at once, with a fencing token above those of all earlier ones and below its own.

--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -349,6 +349,7 @@
 	for _, e := range w.incarnation.ended[:min(len(w.incarnation.ended), protocolMaxEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
+	answer.EndsIncomplete = len(answer.Ended) == protocolMaxEnds
 	return answer
 }
 
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"net/netip"
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
 
@@ -229,6 +231,9 @@
 	if unchanged {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
+	if current == nil || current.GetBornMs() != incarnation.GetBornMs() {
+		d.fenceOff(incarnation)
+	}
 	suspects := d.state.LossSuspects(incarnation)
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
@@ -240,6 +245,19 @@
 	return nil, true
 }
 
+// fenceOff polls an incarnation that isn't known yet, with a fencing token above those of all earlier ones, so that it rejects late
+// orders for them while its announcement is being committed. The answer doesn't matter.
+func (d *Dispatcher) fenceOff(incarnation *controlpb.WorkerLife) {
+	address, err := netip.ParseAddrPort(incarnation.GetAddress())
+	if err != nil {
+		return // addWorker reports it
+	}
+	d.config.WorkerCalls.Send(&order.Call{
+		Kind: order.Poll, ID: incarnation.GetId(), IncarnationStartMs: incarnation.GetBornMs(), Address: address, Epoch: d.epoch,
+		Fence: d.epoch<<fenceBits | uint64(d.state.LastWorkerNumber())<<1 | 1, Sent: d.now,
+	})
+}
+
 // otherAt returns a worker with another ID at the address of an announced one, or nil.
 func (d *Dispatcher) otherAt(incarnation *controlpb.WorkerLife) *worker {
 	for _, w := range d.orderedWorkers {
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -140,6 +140,9 @@
 // Job returns a job that is unfinished or still has live runs, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
+// LastWorkerNumber returns the number of the newest worker incarnation, 0 before the first.
+func (s *State) LastWorkerNumber() uint32 { return s.lastWorkerNumber }
+
 // Worker returns the live worker incarnation of the given number, or nil.
 func (s *State) Worker(number uint32) *Worker { return s.workers[number] }
 
