dispatch: count leases that calls for earlier incarnations have granted

What callers saw: nothing yet.

Cause: a worker that restarts under its ID accepts polls for its earlier incarnation until it has seen a higher fencing token. Their lease ends by the clock of that incarnation, so the worker takes the longest lease that it accepts. The leader counted only the leases that it had granted to the new incarnation, and declared the worker lost too early.

Change: for an incarnation whose ID was known before, the longest lease counts from its first answer, after which it rejects calls for earlier ones.

--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -120,6 +120,7 @@
 	leaveRequests       []*controlpb.LeaderRequest
 	checkedSince        time.Time // since when a later incarnation here is checked for; zero once an answer shows whether it exists
 	mayHaveRestarted    bool      // that one has the same ID and address, so that it accepts orders for this one
+	reusesID            bool      // an earlier incarnation under its ID is known
 	crashed             bool      // a later incarnation of its host has shown that it ended without notice
 	superseded          bool      // a later incarnation under the same ID has answered
 	ending              bool      // the end of its incarnation is proposed
@@ -162,17 +163,22 @@
 }
 
 // incarnationChanged updates the soft state after a committed change of an incarnation. leavesAt is the earliest time at
-// which a leaving worker terminates.
-func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time) {
+// which a leaving worker terminates; reusesID is set if an earlier incarnation under its ID is known.
+func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time, reusesID bool) {
 	d.dropEnded()
 	incarnation := d.state.Worker(number)
 	if incarnation == nil {
 		return
 	}
 	d.addWorker(incarnation)
-	if w := d.workers[number]; w != nil && incarnation.GetLeaving() {
+	w := d.workers[number]
+	if w != nil && incarnation.GetLeaving() {
 		w.leavesAt = leavesAt
 	}
+	if w != nil && reusesID {
+		w.reusesID = true
+		d.countForeignLeases(w)
+	}
 	d.config.Log.Info("worker changed", "Worker", incarnation.GetId(), "Number", number, "Zone", incarnation.GetZone(), "Address", incarnation.GetAddress(),
 		"Leaving", incarnation.GetLeaving(), "Processors", incarnation.GetProcessors())
 }
@@ -259,6 +265,14 @@
 	return d.now.After(w.leaseExpires) && d.silenceOf(w) > unresponsiveAfter && !w.superseded && !(w.mayHaveRestarted && d.hasOpenStarts(w))
 }
 
+// countForeignLeases counts the leases that calls for earlier incarnations under its ID may have granted a worker. They end by a
+// clock that isn't its own, so they may be as long as it accepts.
+func (d *Dispatcher) countForeignLeases(w *worker) {
+	if until := d.now.Add(d.longestLease()); w.reusesID && until.After(w.leaseExpires) {
+		w.leaseExpires = until
+	}
+}
+
 // silenceOf returns how long a worker hasn't answered this leader, counted at most since the leader tracks it.
 func (d *Dispatcher) silenceOf(w *worker) time.Duration {
 	return min(d.now.Sub(w.lastAnswer), d.now.Sub(w.addedAt))
@@ -407,7 +421,7 @@
 	case order.OtherIncarnation:
 		if a.IncarnationStartMs != 0 {
 			if a.IncarnationStartMs < w.incarnation.GetBornMs() {
-				delete(d.lastAnnouncements, w.incarnation.GetId()) // the announcement of this incarnation was false
+				d.lastAnnouncements[w.incarnation.GetId()] = announcementVersion{} // the announcement of this incarnation was false
 			}
 			d.supersede(w)
 		} else {
@@ -428,6 +442,9 @@
 			d.checkRestart(w)
 		}
 	}
+	if w.clockReadAt.IsZero() {
+		d.countForeignLeases(w) // from now on it rejects calls for earlier incarnations
+	}
 	if a.Clock > 0 && !a.Received.Before(w.clockReadAt) {
 		w.workerClock, w.clockReadAt = a.Clock, a.Received
 	}
