--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -38,6 +38,10 @@
 	newScheduler func() coordinator.Scheduler // nil: nothing is scheduled
 	newAllocator func() coordinator.Allocator // nil: slots are not allocated
 
+	// newCoordinator creates the coordinator of a daemon that starts; nil for a coordinator.Coordinator.
+	newCoordinator func(d *simDaemon, state *controlstate.State, leaseValid func(time.Time) bool) Coordinator
+	usesFolders    bool // daemons persist to a simFolder instead of simDaemon.disk
+
 	compactAfter       uint64
 	compactions        int // durable snapshots taken locally
 	installedSnapshots int // durable snapshots received from a leader
@@ -45,6 +49,7 @@
 	// Injected faults.
 	losesSyncs   bool          // disks report syncs as done but lose the entries of half of them
 	sameIdentity bool          // a wiped disk keeps its identity
+	acksEarly    bool          // Outputs are advanced before they are persisted
 	staleAfter   time.Duration // instead of StaleAfter
 
 	replacing map[string]bool // daemons whose member is being replaced
@@ -57,7 +62,8 @@
 	core      *Core // nil while it is down
 	boots     int   // number of starts
 	disk      Restored
-	outputs   []Output // returned by Ready, with their sync not started yet
+	folder    *simFolder // used instead of disk if it isn't nil
+	outputs   []Output   // returned by Ready, with their sync not started yet
 	syncing   bool
 	callbacks map[RequestID]func(DeferredReply)
 	lastTick  time.Time
@@ -113,12 +119,20 @@
 }
 
 func (c *simCluster) boot(d *simDaemon, bootstrap *controlpb.Membership) {
+	if c.usesFolders {
+		if !c.openFolder(d) {
+			return
+		}
+	}
 	state := controlstate.New()
 	core, err := NewCore(CoreConfig{
 		Consensus:    consensus.Config{ID: d.id, Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(c.random.Uint64(), 1)), Now: c.now},
 		StateMachine: state,
 		CompactAfter: c.compactAfter,
 		NewCoordinator: func(valid func(time.Time) bool) Coordinator {
+			if c.newCoordinator != nil {
+				return c.newCoordinator(d, state, valid)
+			}
 			return coordinator.New(coordinator.Config{
 				State: state, LeaseValid: valid, NewScheduler: c.newScheduler, NewAllocator: c.newAllocator,
 			})
@@ -133,8 +147,13 @@
 	c.processOutputs(d)
 }
 
-// crash stops a daemon. What it hasn't synced is lost.
-func (c *simCluster) crash(d *simDaemon) { d.core = nil }
+// crash stops a daemon. What it hasn't synced is lost, unless it has a folder, which outlives the process.
+func (c *simCluster) crash(d *simDaemon) {
+	if d.core != nil && d.folder != nil {
+		d.folder.crash(c.random, false)
+	}
+	d.core = nil
+}
 
 // restart starts a daemon that is down. A learner starts as a new replica.
 func (c *simCluster) restart(d *simDaemon) {
@@ -146,7 +165,7 @@
 
 func (c *simCluster) wipeDisk(d *simDaemon) {
 	c.crash(d)
-	d.disk = Restored{}
+	d.disk, d.folder = Restored{}, nil
 	c.newIdentity(d)
 }
 
@@ -217,22 +236,42 @@
 	boots, batch := d.boots, d.outputs
 	d.outputs = nil
 	delay := time.Millisecond + time.Duration(c.random.Int64N(int64(3*time.Millisecond+c.extraSyncDelay)))
+	if d.folder != nil {
+		delay += d.folder.extraDelay(c.now, c.random)
+		d.folder.save(batch)
+	}
+	if c.acksEarly {
+		c.advance(d, batch)
+	}
 	c.schedule(delay, func() {
 		if d.core == nil || d.boots != boots {
 			return
 		}
-		for _, output := range batch {
-			c.persist(d, output)
+		if d.folder != nil && !d.folder.finishSave() {
+			c.crash(d) // as the process does when its store fails
+			return
+		}
+		if d.folder == nil {
+			for _, output := range batch {
+				c.persist(d, output)
+			}
 		}
 		d.syncing = false
-		for _, output := range batch {
-			c.send(d, output.Messages)
-			d.core.Advance(c.now, output)
+		if !c.acksEarly {
+			c.advance(d, batch)
 		}
 		c.processOutputs(d)
 	})
 }
 
+// advance reports Outputs as persisted.
+func (c *simCluster) advance(d *simDaemon, batch []Output) {
+	for _, output := range batch {
+		c.send(d, output.Messages)
+		d.core.Advance(c.now, output)
+	}
+}
+
 func (c *simCluster) persist(d *simDaemon, output Output) {
 	if c.losesSyncs && len(output.Entries) > 0 && c.random.IntN(2) == 0 {
 		output.Entries, output.HardState = nil, nil
--- /dev/null
+++ b/internal/shell/replica/work_disk_loss_test.go
@@ -0,0 +1,363 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
+
+var (
+	workSeeds     = flag.Uint64("work-seeds", 12, "number of seeds of TestWorkSurvivesLostDisks")
+	workFirstSeed = flag.Uint64("work-first-seed", 0, "first seed of TestWorkSurvivesLostDisks")
+	workLog       = flag.Bool("work-log", false, "log the steps of failed sessions of TestWorkSurvivesLostDisks")
+)
+
+const (
+	workRounds = 4
+	// workCatchUp is the time without faults after which another disk may be lost.
+	workCatchUp = 4 * time.Second
+	// workFinishTime is the time after the end of the faults within which all jobs end.
+	workFinishTime = 60 * time.Second
+)
+
+// workSession runs jobs on a system that loses power, disks and controllers, with one disk lost at a time.
+func workSession(seed uint64, options ...func(*workSystem)) *workSystem {
+	s := newWorkSystem(seed, 3+int(seed%3), options...)
+	for range workRounds {
+		s.round()
+		if len(s.oracle.violations) > 0 {
+			return s
+		}
+	}
+	s.finish()
+	return s
+}
+
+// round disturbs the system, carries out a strike at a random event, and ends all faults.
+func (s *workSystem) round() {
+	r := s.random
+	s.refusalRate = []float64{0, 0.2, 0.5}[r.IntN(3)]
+	s.lossRate = []float64{0, 0.05, 0.2}[r.IntN(3)]
+	s.lateRate = []float64{0, 0.5, 1}[r.IntN(3)]
+	s.extraMessageDelay = time.Duration(r.IntN(3)) * 50 * time.Millisecond
+	for range r.IntN(4) {
+		s.disturb()
+		s.run(time.Duration(r.Int64N(int64(time.Second))))
+	}
+	if _, others := s.votersByRole(); len(others) > 0 && r.IntN(2) == 0 {
+		s.cut(others[0], 10*time.Second)
+	}
+	struck := false
+	events := []string{eventStartOrdered, eventRestartOrdered, eventStartRefused, eventEndAcknowledged, eventEndAcknowledged, eventJobAccepted}
+	s.strikeEvent = events[r.IntN(len(events))]
+	s.strike = func() {
+		struck = true
+		s.carryOutStrike()
+	}
+	for range 60 {
+		if s.run(50 * time.Millisecond); struck {
+			break
+		}
+	}
+	if s.strike = nil; !struck {
+		s.run(20 * time.Millisecond)
+	}
+	if !struck {
+		s.strikeEvent = "timeout"
+		s.carryOutStrike()
+	}
+	s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
+	if r.IntN(3) == 0 {
+		s.logStep("all lose power again")
+		s.loseAllPower()
+	}
+	s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
+	s.settle()
+}
+
+// disturb starts a fault that loses no disk.
+func (s *workSystem) disturb() {
+	r := s.random
+	all := s.sorted()
+	d := all[r.IntN(len(all))]
+	host := s.hosts[r.IntN(len(s.hosts))]
+	length := time.Duration(100+r.IntN(4000)) * time.Millisecond
+	switch r.IntN(11) {
+	case 0:
+		s.logStep("%s is killed", d.name)
+		s.crash(d)
+	case 1:
+		s.logStep("disk of %s hangs for %v", d.name, length)
+		d.folderOrNew().stalledUntil = s.now.Add(length)
+	case 2:
+		s.logStep("disks are slow")
+		for _, each := range all[:1+r.IntN(len(all))] {
+			each.folderOrNew().slow = 200 * time.Millisecond
+		}
+	case 3:
+		s.logStep("disk of %s is full for %v", d.name, length)
+		folder := d.folderOrNew()
+		folder.full = true
+		s.schedule(length, func() { folder.full = false })
+	case 4:
+		s.logStep("leadership is transferred")
+		if leader := s.leader(); leader != nil && leader.core.TransferLeadership(s.now) {
+			s.processOutputs(leader)
+		}
+	case 5:
+		s.logStep("worker %s crashes", host.name)
+		if host.up {
+			host.crash()
+			s.schedule(length, host.boot)
+		}
+	case 6:
+		s.logStep("worker %s is cut off for %v", host.name, 2*length)
+		s.cutLinks(host.name, 2*length, true)
+	case 7:
+		s.logStep("worker %s is cut off from %s for %v", host.name, d.name, length)
+		s.cutLink(host.name, d.name, length)
+		s.cutLink(d.name, host.name, length)
+	case 8:
+		s.logStep("%s hears nobody for %v", d.name, length)
+		s.cutLinks(d.name, length, false)
+	case 9, 10:
+		s.cut(d, length)
+	}
+}
+
+// folderOrNew returns the folder of a daemon, which has none before its first start with an empty disk.
+func (d *simDaemon) folderOrNew() *simFolder {
+	if d.folder == nil {
+		d.folder = newSimFolder()
+	}
+	return d.folder
+}
+
+// cut partitions a controller from the others.
+func (s *workSystem) cut(d *simDaemon, length time.Duration) {
+	s.logStep("%s is cut off for %v", d.name, length)
+	for _, other := range s.sorted() {
+		if other != d {
+			s.cutLink(d.name, other.name, length)
+			s.cutLink(other.name, d.name, length)
+		}
+	}
+}
+
+// cutLinks cuts the links from all controllers to a host and, if both is set, those from the host too.
+func (s *workSystem) cutLinks(name string, length time.Duration, both bool) {
+	for _, d := range s.sorted() {
+		s.cutLink(d.name, name, length)
+		if both {
+			s.cutLink(name, d.name, length)
+		}
+	}
+}
+
+func (s *workSystem) cutLink(from, to string, length time.Duration) {
+	if from == to {
+		return
+	}
+	link := [2]string{from, to}
+	s.partitionedLinks[link] = true
+	s.schedule(length, func() { delete(s.partitionedLinks, link) })
+}
+
+// carryOutStrike takes power, and the disk of at most one controller.
+func (s *workSystem) carryOutStrike() {
+	r := s.random
+	leader, others := s.votersByRole()
+	victims := others
+	if leader != nil && r.IntN(2) == 0 {
+		victims = []*simDaemon{leader}
+	}
+	if len(victims) == 0 {
+		victims = s.sorted()
+	}
+	victim := victims[0]
+	if len(victims) > 1 {
+		victim = victims[1] // the first one may be cut off
+	}
+	kind := r.IntN(10)
+	s.ledger.events[fmt.Sprintf("strike at %s", s.strikeEvent)]++
+	s.logStep("strike %d at %s, victim %s, leader %v, cut off %d links", kind, s.strikeEvent, victim.name, leader == victim, len(s.partitionedLinks))
+	switch kind {
+	case 0, 1, 2, 3:
+		s.loseAllPower()
+		s.loseDiskOf(victim)
+	case 4:
+		for _, d := range s.sorted() {
+			if r.IntN(2) == 0 {
+				s.cutPower(d, s.powerLossLength())
+			}
+		}
+		s.loseDiskOf(victim)
+	case 5:
+		s.loseDiskOf(victim)
+	case 6:
+		s.loseAllPower()
+	case 7:
+		s.replaceForGood(victim)
+	case 8:
+		s.loseAllPower()
+		s.replaceForGood(victim)
+	case 9:
+		for _, d := range s.sorted() {
+			s.crash(d)
+		}
+	}
+}
+
+func (s *workSystem) powerLossLength() time.Duration {
+	if s.random.IntN(4) == 0 {
+		return time.Duration(2+s.random.IntN(4)) * time.Second
+	}
+	return time.Duration(300+s.random.IntN(1500)) * time.Millisecond
+}
+
+func (s *workSystem) loseAllPower() {
+	for _, d := range s.sorted() {
+		s.cutPower(d, s.powerLossLength())
+	}
+}
+
+// loseDiskOf makes a controller return with an empty disk.
+func (s *workSystem) loseDiskOf(d *simDaemon) {
+	s.ledger.events["disks lost"]++
+	s.cutPower(d, s.powerLossLength())
+	s.wipeDisk(d)
+}
+
+// replaceForGood stops a controller for good. Its successor starts at another address.
+func (s *workSystem) replaceForGood(d *simDaemon) {
+	s.ledger.events["controllers replaced"]++
+	s.cutPower(d, 0)
+	delete(s.daemons, d.name)
+	delete(s.downUntil, d.name)
+	s.schedule(successorDelay, func() { s.addEmptyController() })
+}
+
+// settle ends the faults of controllers and waits until another disk may be lost.
+func (s *workSystem) settle() {
+	clear(s.partitionedLinks)
+	s.extraMessageDelay = 0
+	for _, d := range s.sorted() {
+		if d.folder != nil {
+			d.folder.slow, d.folder.stalledUntil, d.folder.full = 0, time.Time{}, false
+		}
+	}
+	s.run(6 * time.Second) // until all are back
+	for waited := time.Duration(0); !s.isServing(); waited += 100 * time.Millisecond {
+		if waited > recoveryTime {
+			s.oracle.violation("%s: no leader %v after the faults%s", s.elapsed(), recoveryTime, s.describe())
+			return
+		}
+		s.run(100 * time.Millisecond)
+	}
+	s.run(workCatchUp)
+}
+
+func (s *workSystem) isServing() bool {
+	leader := s.leader()
+	return leader != nil && leader.core.leading
+}
+
+// finish ends all faults, and checks that all jobs end and that all voters hold what was acted upon.
+func (s *workSystem) finish() {
+	s.submitting = false
+	s.refusalRate, s.lossRate, s.lateRate = 0, 0, 0
+	s.settle()
+	for end := s.now.Add(workFinishTime); len(s.unfinished()) > 0 && s.now.Before(end); {
+		s.run(time.Second)
+	}
+	if unfinished := s.unfinished(); len(unfinished) > 0 {
+		s.oracle.violation("%s: %d of %d jobs are unfinished %v after the faults: %v%s", s.elapsed(), len(unfinished), len(s.ledger.accepted),
+			workFinishTime, unfinished, s.describe())
+	}
+	s.run(2 * time.Second)
+	for _, d := range s.sorted() {
+		if d.core != nil && d.core.Status().Voter {
+			s.ledger.checkState(d.name, workloadOf(d))
+		}
+	}
+}
+
+// unfinished returns the accepted jobs that haven't ended in the leader's state.
+func (s *workSystem) unfinished() []string {
+	leader := s.leader()
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(s.ledger.accepted)), func(id string) bool {
+		return leader != nil && isTerminal(workloadOf(leader), id)
+	})
+}
+
+// summary returns the counts of all events.
+func (s *workSystem) summary() string {
+	var words []string
+	for _, name := range slices.Sorted(maps.Keys(s.ledger.events)) {
+		words = append(words, fmt.Sprintf("%s: %d", name, s.ledger.events[name]))
+	}
+	return strings.Join(words, ", ")
+}
+
+// TestWorkSurvivesLostDisks guards against an assignment, a removal or an end of a run that was acted upon and is missing
+// from the state after a disk is lost while others lose power: the task would run twice. Sessions in which runs are in doubt
+// have late, lost and refused calls to workers. More sessions: -work-seeds N.
+func TestWorkSurvivesLostDisks(t *testing.T) {
+	skipInShort(t)
+	total := map[string]int{}
+	for seed := *workFirstSeed; seed < *workFirstSeed+*workSeeds; seed++ {
+		s := workSession(seed)
+		for name, count := range s.ledger.events {
+			total[name] += count
+		}
+		for _, violation := range s.oracle.violations[:min(3, len(s.oracle.violations))] {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		if len(s.oracle.violations) > 0 && *workLog {
+			t.Logf("seed %d:\n%s", seed, strings.Join(s.log, "\n"))
+		}
+	}
+	t.Log((&workSystem{ledger: &workLedger{events: total}}).summary())
+	seeds := int(*workSeeds)
+	for name, least := range map[string]int{
+		"disks lost": seeds, "ended " + controlpb.RunEnd_RUN_DONE.String(): 100 * seeds, eventRestartOrdered: 5 * seeds, "leaders": workRounds * seeds,
+	} {
+		if total[name] < least {
+			t.Errorf("%s: %d in %d sessions, too few to show anything", name, total[name], seeds)
+		}
+	}
+}
+
+// TestWorkOracleDetectsInjectedFaults guards against an oracle that can't fail.
+func TestWorkOracleDetectsInjectedFaults(t *testing.T) {
+	skipInShort(t)
+	for name, inject := range map[string]func(*workSystem){
+		"messages are sent before the sync":       func(s *workSystem) { s.acksEarly = true },
+		"syncs have no effect":                    func(s *workSystem) { s.ignoresSync = true },
+		"an empty disk keeps its identity":        func(s *workSystem) { s.sameIdentity = true },
+		"ends are acknowledged before the commit": func(s *workSystem) { s.endsEarly = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			found := 0
+			const seeds = 40
+			for seed := range uint64(seeds) {
+				if s := workSession(seed, inject); len(s.oracle.violations) > 0 {
+					if found++; found <= 3 {
+						t.Logf("seed %d: %.300s", seed, s.oracle.violations[0])
+					}
+				}
+			}
+			t.Logf("found in %d of %d seeds", found, seeds)
+			if found == 0 {
+				t.Errorf("not found in %d seeds", seeds)
+			}
+		})
+	}
+}
