--- a/internal/shell/replica/disk_loss_test.go
+++ b/internal/shell/replica/disk_loss_test.go
@@ -110,7 +110,7 @@
 			wait = membershipRecheckDelay
 		}
 	}
-	g.schedule(wait, func() { g.reconcileLoop(d, running, started, reconciler) })
+	g.scheduleOn(d, wait, func() { g.reconcileLoop(d, running, started, reconciler) })
 }
 
 // voting returns the running voters, the leader first.
@@ -277,3 +277,48 @@
 		}
 	}
 }
+
+// TestDiskLostWhileVoterIsReplaced guards against a group that never elects a leader again, because a disk is lost between the
+// two membership changes by which a learner takes the place of a voter that was only cut off.
+func TestDiskLostWhileVoterIsReplaced(t *testing.T) {
+	for name, lost := range map[string]int{"the leader's": 0, "a follower's": 2} {
+		for changes := range 3 {
+			t.Run(fmt.Sprintf("%s after %d changes", name, changes), func(t *testing.T) {
+				const seeds = 5
+				failed := 0
+				for seed := range uint64(seeds) {
+					g := newSimGroup(seed, diskLossGroup{controllers: 4, tolerated: 1})
+					g.run(8 * time.Second)
+					list := g.voting()
+					g.isolate(list[1], true)
+					g.configureOnce("k")
+					g.runThroughChanges(list[0], changes)
+					g.isolate(list[1], false)
+					g.loseAllPower([]*simDaemon{list[lost]})
+					g.run(startSpread)
+					g.checkServes("the loss")
+					if len(g.oracle.violations) > 0 {
+						if failed++; failed == 1 {
+							t.Errorf("seed %d: %s", seed, g.oracle.violations[0])
+						}
+					}
+				}
+				if failed > 0 {
+					t.Errorf("%d of %d seeds failed", failed, seeds)
+				}
+			})
+		}
+	}
+}
+
+// runThroughChanges runs until a leader has committed so many membership changes, and nothing else is pending.
+func (g *simGroup) runThroughChanges(leader *simDaemon, changes int) {
+	last := leader.core.Membership()
+	for end := g.now.Add(10 * time.Second); changes > 0 && g.now.Before(end); g.run(100 * time.Microsecond) {
+		status := leader.core.Status()
+		if membership := leader.core.Membership(); membership != last && status.Commit == status.LastIndex {
+			last = membership
+			changes--
+		}
+	}
+}
--- a/internal/shell/replica/folder_simulation_test.go
+++ b/internal/shell/replica/folder_simulation_test.go
@@ -29,7 +29,8 @@
 	slow         time.Duration
 	stalledUntil time.Time
 
-	compactions int
+	compactions int // snapshots written after compaction
+	installs    int // snapshots written that came from a leader
 
 	// Injected faults.
 	ignoresSync bool // syncs have no effect
@@ -111,6 +112,9 @@
 
 func (f *simFolder) saveAll(outputs []Output) error {
 	for len(outputs) > 0 {
+		if outputs[0].Snapshot.GetIndex() > 0 {
+			f.installs++
+		}
 		batch := logstore.Batch{Snapshot: outputs[0].Snapshot, HardState: outputs[0].HardState, Entries: outputs[0].Entries}
 		count := 1
 		for count < len(outputs) && outputs[count-1].Compact == nil && merge(&batch, &outputs[count]) {
--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -31,6 +31,7 @@
 	lossRate          float64               // fraction of messages that are lost
 	extraSyncDelay    time.Duration         // maximum additional duration of a sync
 	extraMessageDelay time.Duration         // maximum additional delay, which a tenth of the messages get
+	frozenUntil       map[string]time.Time  // when the process on a host continues
 	oracle            oracle
 	operations        map[string]*operation
 
@@ -82,7 +83,7 @@
 	start := time.Unix(1_700_000_000, 0)
 	c := &simCluster{
 		random: rand.New(rand.NewPCG(seed, 3)), start: start, now: start,
-		daemons: map[string]*simDaemon{}, daemonsByID: map[uint64]*simDaemon{}, partitionedLinks: map[[2]string]bool{}, operations: map[string]*operation{}, oracle: newOracle(),
+		daemons: map[string]*simDaemon{}, daemonsByID: map[uint64]*simDaemon{}, partitionedLinks: map[[2]string]bool{}, frozenUntil: map[string]time.Time{}, operations: map[string]*operation{}, oracle: newOracle(),
 		replacing: map[string]bool{}, staleAfter: StaleAfter, compactAfter: 20,
 	}
 	for _, option := range options {
@@ -173,6 +174,11 @@
 	c.events.Push(c.now.Add(delay), run)
 }
 
+// scheduleOn schedules run on a daemon, later if the daemon is frozen then.
+func (c *simCluster) scheduleOn(d *simDaemon, delay time.Duration, run func()) {
+	c.schedule(delay, func() { c.whenRunning(d.name, run) })
+}
+
 // transmit simulates a message between hosts: it calls arrive after a delay, unless the message is lost.
 func (c *simCluster) transmit(from, to string, arrive func()) {
 	if c.partitionedLinks[[2]string{from, to}] || c.random.Float64() < c.lossRate {
@@ -184,11 +190,22 @@
 	}
 	c.schedule(delay, func() {
 		if !c.partitionedLinks[[2]string{from, to}] {
-			arrive()
+			c.whenRunning(to, arrive)
 		}
 	})
 }
 
+func (c *simCluster) isFrozen(d *simDaemon) bool { return c.now.Before(c.frozenUntil[d.name]) }
+
+// whenRunning calls run once the process on a host isn't frozen.
+func (c *simCluster) whenRunning(host string, run func()) {
+	if wait := c.frozenUntil[host].Sub(c.now); wait > 0 {
+		c.schedule(wait, func() { c.whenRunning(host, run) })
+		return
+	}
+	run()
+}
+
 func (c *simCluster) send(d *simDaemon, messages []*controlpb.ConsensusMessage) {
 	for _, m := range messages {
 		m := proto.CloneOf(m)
@@ -243,7 +260,7 @@
 	if c.acksEarly {
 		c.advance(d, batch)
 	}
-	c.schedule(delay, func() {
+	c.scheduleOn(d, delay, func() {
 		if d.core == nil || d.boots != boots {
 			return
 		}
@@ -319,6 +336,9 @@
 			if earliest := d.lastTick.Add(time.Millisecond); deadline.Before(earliest) {
 				deadline = earliest // a real timer wouldn't fire more often
 			}
+			if until := c.frozenUntil[d.name]; deadline.Before(until) {
+				deadline = until
+			}
 			if deadline.Before(next) {
 				next, due = deadline, d
 			}
--- a/internal/shell/replica/work_disk_loss_test.go
+++ b/internal/shell/replica/work_disk_loss_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"galenamoor/internal/controlpb"
 )
 
@@ -43,22 +45,30 @@
 func (s *workSystem) round() {
 	r := s.random
 	s.refusalRate = []float64{0, 0.2, 0.5}[r.IntN(3)]
-	s.lossRate = []float64{0, 0.05, 0.2}[r.IntN(3)]
+	s.lossRate = []float64{0, 0.05, 0.2, 0.4}[r.IntN(4)]
 	s.lateRate = []float64{0, 0.5, 1}[r.IntN(3)]
 	s.extraMessageDelay = time.Duration(r.IntN(3)) * 50 * time.Millisecond
+	slow := []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond}[r.IntN(3)]
+	for _, d := range s.sorted() {
+		if r.IntN(3) > 0 {
+			d.folderOrNew().slow = slow
+		}
+	}
 	for range r.IntN(4) {
 		s.disturb()
 		s.run(time.Duration(r.Int64N(int64(time.Second))))
 	}
+	var behind *simDaemon
 	if _, others := s.votersByRole(); len(others) > 0 && r.IntN(2) == 0 {
-		s.cut(others[0], 10*time.Second)
+		behind = others[0]
+		s.cut(behind, 10*time.Second)
 	}
 	struck := false
 	events := []string{eventStartOrdered, eventRestartOrdered, eventStartRefused, eventEndAcknowledged, eventEndAcknowledged, eventJobAccepted}
 	s.strikeEvent = events[r.IntN(len(events))]
 	s.strike = func() {
 		struck = true
-		s.carryOutStrike()
+		s.carryOutStrike(behind)
 	}
 	for range 60 {
 		if s.run(50 * time.Millisecond); struck {
@@ -70,13 +80,16 @@
 	}
 	if !struck {
 		s.strikeEvent = "timeout"
-		s.carryOutStrike()
+		s.carryOutStrike(behind)
 	}
 	s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
 	if r.IntN(3) == 0 {
 		s.logStep("all lose power again")
 		s.loseAllPower()
 	}
+	if r.IntN(3) == 0 {
+		s.disturb()
+	}
 	s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
 	s.settle()
 }
@@ -88,7 +101,7 @@
 	d := all[r.IntN(len(all))]
 	host := s.hosts[r.IntN(len(s.hosts))]
 	length := time.Duration(100+r.IntN(4000)) * time.Millisecond
-	switch r.IntN(11) {
+	switch r.IntN(12) {
 	case 0:
 		s.logStep("%s is killed", d.name)
 		s.crash(d)
@@ -107,7 +120,7 @@
 		s.schedule(length, func() { folder.full = false })
 	case 4:
 		s.logStep("leadership is transferred")
-		if leader := s.leader(); leader != nil && leader.core.TransferLeadership(s.now) {
+		if leader := s.leader(); leader != nil && !s.isFrozen(leader) && leader.core.TransferLeadership(s.now) {
 			s.processOutputs(leader)
 		}
 	case 5:
@@ -128,6 +141,12 @@
 		s.cutLinks(d.name, length, false)
 	case 9, 10:
 		s.cut(d, length)
+	case 11:
+		if leader := s.leader(); leader != nil {
+			d = leader
+		}
+		s.logStep("%s is frozen for %v", d.name, length)
+		s.frozenUntil[d.name] = s.now.Add(length)
 	}
 }
 
@@ -169,51 +188,82 @@
 	s.schedule(length, func() { delete(s.partitionedLinks, link) })
 }
 
-// carryOutStrike takes power, and the disk of at most one controller.
-func (s *workSystem) carryOutStrike() {
-	r := s.random
-	leader, others := s.votersByRole()
-	victims := others
-	if leader != nil && r.IntN(2) == 0 {
-		victims = []*simDaemon{leader}
-	}
-	if len(victims) == 0 {
-		victims = s.sorted()
-	}
-	victim := victims[0]
-	if len(victims) > 1 {
-		victim = victims[1] // the first one may be cut off
-	}
-	kind := r.IntN(10)
-	s.ledger.events[fmt.Sprintf("strike at %s", s.strikeEvent)]++
-	s.logStep("strike %d at %s, victim %s, leader %v, cut off %d links", kind, s.strikeEvent, victim.name, leader == victim, len(s.partitionedLinks))
+// strikeKind is what a strike takes.
+type strikeKind int
+
+const (
+	diskAndAllPower  strikeKind = iota // a disk, and the power of all others
+	diskAndSomePower                   // a disk, and the power of some others
+	diskAmidBehind                     // a disk, and the power of all others but one that was cut off and is joined again
+	diskAlone                          // a disk
+	allPower                           // the power of all
+	hostForGood                        // a host with its disk, which another one replaces
+	hostAndAllPower                    // the same, and the power of all others
+	allProcesses                       // the processes of all
+)
+
+// strikeKinds are drawn from at random.
+var strikeKinds = []strikeKind{
+	diskAndAllPower, diskAndAllPower, diskAndAllPower, diskAndSomePower, diskAmidBehind, diskAmidBehind, diskAmidBehind, diskAlone,
+	allPower, hostForGood, hostAndAllPower, allProcesses,
+}
+
+// carryOutStrike takes power, and the disk of at most one controller. A voter may have missed the newest entries.
+func (s *workSystem) carryOutStrike(behind *simDaemon) {
+	kind := strikeKinds[s.random.IntN(len(strikeKinds))]
+	victim := s.victim(behind)
+	s.ledger.events["strike at "+s.strikeEvent]++
+	s.logStep("strike %d at %s, victim %s %d", kind, s.strikeEvent, victim.name, victim.id)
 	switch kind {
-	case 0, 1, 2, 3:
+	case diskAndAllPower:
 		s.loseAllPower()
 		s.loseDiskOf(victim)
-	case 4:
+	case diskAndSomePower:
 		for _, d := range s.sorted() {
-			if r.IntN(2) == 0 {
+			if s.random.IntN(2) == 0 {
 				s.cutPower(d, s.powerLossLength())
 			}
 		}
 		s.loseDiskOf(victim)
-	case 5:
+	case diskAmidBehind:
+		for _, d := range s.sorted() {
+			if d != behind {
+				s.cutPower(d, time.Duration(2+s.random.IntN(4))*time.Second)
+			}
+		}
 		s.loseDiskOf(victim)
-	case 6:
+		s.downUntil[victim.name] = s.now.Add(startSpread)
+		clear(s.partitionedLinks)
+	case diskAlone:
+		s.loseDiskOf(victim)
+	case allPower:
 		s.loseAllPower()
-	case 7:
+	case hostForGood:
 		s.replaceForGood(victim)
-	case 8:
+	case hostAndAllPower:
 		s.loseAllPower()
 		s.replaceForGood(victim)
-	case 9:
+	case allProcesses:
 		for _, d := range s.sorted() {
 			s.crash(d)
 		}
 	}
 }
 
+// victim returns a voter whose disk may be lost: the leader, or another one that isn't behind if there is any.
+func (s *workSystem) victim(behind *simDaemon) *simDaemon {
+	leader, others := s.votersByRole()
+	if leader != nil && s.random.IntN(2) == 0 {
+		return leader
+	}
+	for _, d := range others {
+		if d != behind {
+			return d
+		}
+	}
+	return s.sorted()[0]
+}
+
 func (s *workSystem) powerLossLength() time.Duration {
 	if s.random.IntN(4) == 0 {
 		return time.Duration(2+s.random.IntN(4)) * time.Second
@@ -246,6 +296,7 @@
 // settle ends the faults of controllers and waits until another disk may be lost.
 func (s *workSystem) settle() {
 	clear(s.partitionedLinks)
+	clear(s.frozenUntil)
 	s.extraMessageDelay = 0
 	for _, d := range s.sorted() {
 		if d.folder != nil {
@@ -261,6 +312,23 @@
 		s.run(100 * time.Millisecond)
 	}
 	s.run(workCatchUp)
+	s.checkAgreement()
+}
+
+// checkAgreement checks that controllers that have applied the same entries have the same state.
+func (s *workSystem) checkAgreement() {
+	snapshots := map[uint64]*controlpb.WorkSnapshot{}
+	for _, d := range s.sorted() {
+		if d.core == nil {
+			continue
+		}
+		snapshot := workloadOf(d).Snapshot()
+		if other := snapshots[d.core.applied]; other != nil && !proto.Equal(snapshot, other) {
+			s.oracle.violation("%s: the state of %s at %d differs from that of another controller", s.elapsed(), d.name, d.core.applied)
+		}
+		snapshots[d.core.applied] = snapshot
+	}
+	s.ledger.events["states compared"]++
 }
 
 func (s *workSystem) isServing() bool {
@@ -292,7 +360,7 @@
 func (s *workSystem) unfinished() []string {
 	leader := s.leader()
 	return slices.DeleteFunc(slices.Sorted(maps.Keys(s.ledger.accepted)), func(id string) bool {
-		return leader != nil && isTerminal(workloadOf(leader), id)
+		return id == perpetualJob || leader != nil && isTerminal(workloadOf(leader), id)
 	})
 }
 
--- a/internal/shell/replica/work_ledger_test.go
+++ b/internal/shell/replica/work_ledger_test.go
@@ -23,6 +23,7 @@
 	startedAfter map[workload.TaskKey]uint32    // highest run that has started after a successful end
 	recordedEnds map[uint32]uint64              // last acknowledged end by number of the incarnation
 	accepted     map[string]bool                // acknowledged jobs
+	completed    map[string]bool                // jobs that were reported as completed
 	epoch        uint64                         // highest epoch of a call
 }
 
@@ -36,7 +37,7 @@
 	return &workLedger{
 		system: system, events: map[string]int{}, running: map[workload.TaskKey]placedRun{}, ordered: map[workload.TaskKey]uint32{},
 		recordedDone: map[workload.TaskKey]bool{}, doneBy: map[workload.TaskKey][]uint32{}, startedAfter: map[workload.TaskKey]uint32{},
-		recordedEnds: map[uint32]uint64{}, accepted: map[string]bool{},
+		recordedEnds: map[uint32]uint64{}, accepted: map[string]bool{}, completed: map[string]bool{},
 	}
 }
 
@@ -80,6 +81,9 @@
 	if other, ok := l.running[key.Task]; ok {
 		l.violation("TWICE %s run %d starts on %s while run %d is on %s", key.Task, key.Run, h.id, other.run, other.host.id)
 	}
+	if l.completed[key.Task.Job] {
+		l.violation("TWICE %s run %d starts on %s although its job was reported as completed", key.Task, key.Run, h.id)
+	}
 	if l.recordedDone[key.Task] {
 		l.violation("TWICE %s run %d starts on %s after an acknowledged end", key.Task, key.Run, h.id)
 	}
@@ -121,6 +125,11 @@
 	l.record(eventJobAccepted)
 }
 
+func (l *workLedger) jobCompleted(id string) {
+	l.events["job reported as completed"]++
+	l.completed[id] = true
+}
+
 // checkState checks that a state holds everything that was acted upon.
 func (l *workLedger) checkState(name string, state *workload.State) {
 	lost := func(format string, arguments ...any) {
@@ -134,6 +143,11 @@
 			lost("accepted job %s", id)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(l.completed)) {
+		if outcome, _ := state.Lookup(id); outcome != controlpb.WorkState_WORK_COMPLETED {
+			lost("outcome of job %s, which was reported as completed and is %v", id, outcome)
+		}
+	}
 	for _, number := range slices.Sorted(maps.Keys(l.recordedEnds)) {
 		if w := state.Worker(number); w != nil && w.GetEndsSeen() < l.recordedEnds[number] {
 			lost("ends of worker %s up to %d; they are recorded up to %d", w.GetId(), l.recordedEnds[number], w.GetEndsSeen())
--- a/internal/shell/replica/work_simulation_test.go
+++ b/internal/shell/replica/work_simulation_test.go
@@ -31,6 +31,7 @@
 const (
 	workCallTimeout = time.Second // as in workercall
 	processRestart  = 500 * time.Millisecond
+	perpetualJob    = "perpetual" // its tasks run until their worker ends
 )
 
 // workSystem simulates controllers whose coordinator is a dispatcher, their data folders, and the workers that it calls.
@@ -84,6 +85,7 @@
 		h.boot()
 	}
 	s.run(2 * time.Second)
+	s.submit(perpetualJob, time.Hour, &controlpb.WorkStep{Count: 6, Processors: 4000, Memory: 4 << 10, Perpetual: true})
 	s.submitLoop()
 	return s
 }
@@ -280,10 +282,28 @@
 	if s.random.IntN(2) == 0 {
 		steps = append(steps, step(0))
 	}
+	s.submit(id, length, steps...)
+	s.readJob()
+	s.schedule(time.Duration(50+s.random.IntN(300))*time.Millisecond, s.submitLoop)
+}
+
+// submit submits a job until it is accepted. Its tasks run for about the given time.
+func (s *workSystem) submit(id string, length time.Duration, steps ...*controlpb.WorkStep) {
 	s.requestUntilDone(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
 		Verb: controlpb.CallerVerb_VERB_SUBMIT, Host: "h", Path: "/batch/" + id, Job: &controlpb.WorkJob{Spec: length.String(), Steps: steps},
 	}}}, func() { s.ledger.jobAccepted(id) })
-	s.schedule(time.Duration(50+s.random.IntN(300))*time.Millisecond, s.submitLoop)
+}
+
+// readJob reads the state of a recent job.
+func (s *workSystem) readJob() {
+	id := fmt.Sprintf("job-%d", max(1, s.jobs-s.random.IntN(20)))
+	s.requestAnywhere("client", &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+		Verb: controlpb.CallerVerb_VERB_READ, Host: "h", Path: "/batch/" + id,
+	}}}, func(reply *controlpb.LeaderReply) {
+		if reply.GetWork().GetState() == controlpb.WorkState_WORK_COMPLETED {
+			s.ledger.jobCompleted(id)
+		}
+	})
 }
 
 // superviseLoop starts the controllers that are down once their time has come.
@@ -303,6 +323,7 @@
 }
 
 func (s *workSystem) startController(d *simDaemon) {
+	delete(s.frozenUntil, d.name)
 	s.boot(d, nil)
 	if d.core != nil {
 		s.startLoops(d)
@@ -333,9 +354,9 @@
 	if !running() {
 		return
 	}
-	s.schedule(joinInterval, func() { s.admitLoop(d, running) })
+	s.scheduleOn(d, joinInterval, func() { s.admitLoop(d, running) })
 	leader := s.leader()
-	if leader == nil || leader == d || s.partitionedLinks[[2]string{d.name, leader.name}] || s.partitionedLinks[[2]string{leader.name, d.name}] {
+	if leader == nil || leader == d || s.isFrozen(leader) || s.partitionedLinks[[2]string{d.name, leader.name}] || s.partitionedLinks[[2]string{leader.name, d.name}] {
 		return
 	}
 	members := leader.core.Membership()
@@ -377,6 +398,7 @@
 		d.core = nil
 		d.folder.crash(s.random, true)
 	}
+	delete(s.frozenUntil, d.name)
 	s.downUntil[d.name] = s.now.Add(length)
 }
 
@@ -387,7 +409,8 @@
 	}
 	strike := s.strike
 	s.strike = nil
-	s.schedule(time.Duration(s.random.Int64N(int64(20*time.Millisecond))), strike)
+	delay := []time.Duration{time.Millisecond, 20 * time.Millisecond}[s.random.IntN(2)]
+	s.schedule(time.Duration(s.random.Int64N(int64(delay))), strike)
 }
 
 func (s *workSystem) describe() string {
