replica: strike at membership changes in the simulation of lost disks

TestDiskLostWhileVoterIsReplaced fails: a group of four controllers never elects a leader again if a disk is lost between the removal of a voter that was cut off and the promotion of the learner that takes its place.

--- a/internal/shell/replica/work_disk_loss_test.go
+++ b/internal/shell/replica/work_disk_loss_test.go
@@ -62,30 +62,24 @@
 	if _, others := s.votersByRole(); len(others) > 0 && r.IntN(2) == 0 {
 		behind = others[0]
 		s.cut(behind, 10*time.Second)
+		s.run(time.Duration(r.Int64N(int64(4 * time.Second)))) // at times, it is about to be replaced
 	}
-	struck := false
-	events := []string{eventStartOrdered, eventRestartOrdered, eventStartRefused, eventEndAcknowledged, eventEndAcknowledged, eventJobAccepted}
-	s.strikeEvent = events[r.IntN(len(events))]
-	s.strike = func() {
-		struck = true
-		s.carryOutStrike(behind)
-	}
-	for range 60 {
-		if s.run(50 * time.Millisecond); struck {
-			break
-		}
-	}
-	if s.strike = nil; !struck {
-		s.run(20 * time.Millisecond)
+	events := []string{
+		eventStartOrdered, eventRestartOrdered, eventStartRefused, eventEndAcknowledged, eventEndAcknowledged, eventJobAccepted, eventMembership,
 	}
-	if !struck {
-		s.strikeEvent = "timeout"
-		s.carryOutStrike(behind)
-	}
-	s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
-	if r.IntN(3) == 0 {
+	s.strikeAt(events[r.IntN(len(events))], func() { s.carryOutStrike(behind) })
+	switch r.IntN(4) {
+	case 0:
+		s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
 		s.logStep("all lose power again")
 		s.loseAllPower()
+	case 1:
+		s.strikeAt(eventMembership, func() {
+			s.logStep("all lose power after a membership change")
+			s.loseAllPower()
+		})
+	default:
+		s.run(time.Duration(r.Int64N(int64(3 * time.Second))))
 	}
 	if r.IntN(3) == 0 {
 		s.disturb()
@@ -94,6 +88,26 @@
 	s.settle()
 }
 
+// strikeAt carries out a strike shortly after the next event of a kind, or after 3 s without one.
+func (s *workSystem) strikeAt(event string, strike func()) {
+	struck := false
+	s.strikeEvent = event
+	s.strike = func() {
+		if !struck {
+			struck = true
+			strike()
+		}
+	}
+	once := s.strike
+	for end := s.now.Add(3 * time.Second); !struck && s.now.Before(end); {
+		s.run(20 * time.Millisecond)
+	}
+	if !struck {
+		s.strike, s.strikeEvent = nil, "timeout"
+		once()
+	}
+}
+
 // disturb starts a fault that loses no disk.
 func (s *workSystem) disturb() {
 	r := s.random
@@ -405,7 +419,7 @@
 		inject func(*workSystem)
 		first  uint64 // seed
 	}{
-		"messages are sent before the sync":       {func(s *workSystem) { s.acksEarly = true }, 16},
+		"messages are sent before the sync":       {func(s *workSystem) { s.acksEarly = true }, 24},
 		"syncs have no effect":                    {func(s *workSystem) { s.ignoresSync = true }, 0},
 		"an empty disk keeps its identity":        {func(s *workSystem) { s.sameIdentity = true }, 0},
 		"ends are acknowledged before the commit": {func(s *workSystem) { s.endsEarly = true }, 0},
--- a/internal/shell/replica/work_simulation_test.go
+++ b/internal/shell/replica/work_simulation_test.go
@@ -26,6 +26,7 @@
 	eventStartRefused    = "start refused"
 	eventEndAcknowledged = "end acknowledged"
 	eventJobAccepted     = "job accepted"
+	eventMembership      = "membership changed"
 )
 
 const (
@@ -42,7 +43,8 @@
 	incarnations int // of workers
 	jobs         int
 	submitting   bool
-	downUntil    map[string]time.Time // when controllers that are down start again
+	downUntil    map[string]time.Time  // when controllers that are down start again
+	membership   *controlpb.Membership // as last seen at a leader
 
 	refusalRate float64 // share of starts that workers refuse without any effect
 	lossRate    float64 // share of calls to workers that get no answer
@@ -317,7 +319,11 @@
 			s.startController(d)
 		}
 	}
-	s.schedule(20*time.Millisecond, s.superviseLoop)
+	if leader := s.leader(); leader != nil && leader.core.Membership() != s.membership {
+		s.membership = leader.core.Membership()
+		s.ledger.record(eventMembership)
+	}
+	s.schedule(5*time.Millisecond, s.superviseLoop)
 }
 
 func (s *workSystem) startController(d *simDaemon) {
