--- a/internal/shell/replica/disk_loss_test.go
+++ b/internal/shell/replica/disk_loss_test.go
@@ -281,6 +281,7 @@
 // TestDiskLostWhileVoterIsReplaced guards against a group that never elects a leader again, because a disk is lost between the
 // two membership changes by which a learner takes the place of a voter that was only cut off.
 func TestDiskLostWhileVoterIsReplaced(t *testing.T) {
+	skipInShort(t)
 	for name, lost := range map[string]int{"the leader's": 0, "a follower's": 2} {
 		for changes := range 3 {
 			t.Run(fmt.Sprintf("%s after %d changes", name, changes), func(t *testing.T) {
