--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -31,6 +31,7 @@
 	lossRate          float64               // fraction of messages that are lost
 	extraSyncDelay    time.Duration         // maximum additional duration of a sync
 	extraMessageDelay time.Duration         // maximum additional delay, which a tenth of the messages get
+	frozenUntil       map[string]time.Time  // when the process on a host continues
 	oracle            oracle
 	operations        map[string]*operation
 
@@ -38,6 +39,10 @@
 	newScheduler func() coordinator.Scheduler // nil: nothing is scheduled
 	newAllocator func() coordinator.Allocator // nil: slots are not allocated
 
+	// newCoordinator creates the coordinator of a daemon that starts; nil for a coordinator.Coordinator.
+	newCoordinator func(d *simDaemon, state *controlstate.State, leaseValid func(time.Time) bool) Coordinator
+	usesFolders    bool // daemons persist to a simFolder instead of simDaemon.disk
+
 	compactAfter       uint64
 	compactions        int // durable snapshots taken locally
 	installedSnapshots int // durable snapshots received from a leader
@@ -45,6 +50,7 @@
 	// Injected faults.
 	losesSyncs   bool          // disks report syncs as done but lose the entries of half of them
 	sameIdentity bool          // a wiped disk keeps its identity
+	acksEarly    bool          // Outputs are advanced before they are persisted
 	staleAfter   time.Duration // instead of StaleAfter
 
 	replacing map[string]bool // daemons whose member is being replaced
@@ -57,7 +63,8 @@
 	core      *Core // nil while it is down
 	boots     int   // number of starts
 	disk      Restored
-	outputs   []Output // returned by Ready, with their sync not started yet
+	folder    *simFolder // used instead of disk if it isn't nil
+	outputs   []Output   // returned by Ready, with their sync not started yet
 	syncing   bool
 	callbacks map[RequestID]func(DeferredReply)
 	lastTick  time.Time
@@ -76,7 +83,7 @@
 	start := time.Unix(1_700_000_000, 0)
 	c := &simCluster{
 		random: rand.New(rand.NewPCG(seed, 3)), start: start, now: start,
-		daemons: map[string]*simDaemon{}, daemonsByID: map[uint64]*simDaemon{}, partitionedLinks: map[[2]string]bool{}, operations: map[string]*operation{}, oracle: newOracle(),
+		daemons: map[string]*simDaemon{}, daemonsByID: map[uint64]*simDaemon{}, partitionedLinks: map[[2]string]bool{}, frozenUntil: map[string]time.Time{}, operations: map[string]*operation{}, oracle: newOracle(),
 		replacing: map[string]bool{}, staleAfter: StaleAfter, compactAfter: 20,
 	}
 	for _, option := range options {
@@ -113,12 +120,20 @@
 }
 
 func (c *simCluster) boot(d *simDaemon, bootstrap *controlpb.Membership) {
+	if c.usesFolders {
+		if !c.openFolder(d) {
+			return
+		}
+	}
 	state := controlstate.New()
 	core, err := NewCore(CoreConfig{
 		Consensus:    consensus.Config{ID: d.id, Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(c.random.Uint64(), 1)), Now: c.now},
 		StateMachine: state,
 		CompactAfter: c.compactAfter,
 		NewCoordinator: func(valid func(time.Time) bool) Coordinator {
+			if c.newCoordinator != nil {
+				return c.newCoordinator(d, state, valid)
+			}
 			return coordinator.New(coordinator.Config{
 				State: state, LeaseValid: valid, NewScheduler: c.newScheduler, NewAllocator: c.newAllocator,
 			})
@@ -133,8 +148,13 @@
 	c.processOutputs(d)
 }
 
-// crash stops a daemon. What it hasn't synced is lost.
-func (c *simCluster) crash(d *simDaemon) { d.core = nil }
+// crash stops a daemon. What it hasn't synced is lost, unless it has a folder, which outlives the process.
+func (c *simCluster) crash(d *simDaemon) {
+	if d.core != nil && d.folder != nil {
+		d.folder.crash(c.random, false)
+	}
+	d.core = nil
+}
 
 // restart starts a daemon that is down. A learner starts as a new replica.
 func (c *simCluster) restart(d *simDaemon) {
@@ -146,7 +166,7 @@
 
 func (c *simCluster) wipeDisk(d *simDaemon) {
 	c.crash(d)
-	d.disk = Restored{}
+	d.disk, d.folder = Restored{}, nil
 	c.newIdentity(d)
 }
 
@@ -154,6 +174,11 @@
 	c.events.Push(c.now.Add(delay), run)
 }
 
+// scheduleOn schedules run on a daemon, later if the daemon is frozen then.
+func (c *simCluster) scheduleOn(d *simDaemon, delay time.Duration, run func()) {
+	c.schedule(delay, func() { c.whenRunning(d.name, run) })
+}
+
 // transmit simulates a message between hosts: it calls arrive after a delay, unless the message is lost.
 func (c *simCluster) transmit(from, to string, arrive func()) {
 	if c.partitionedLinks[[2]string{from, to}] || c.random.Float64() < c.lossRate {
@@ -165,11 +190,22 @@
 	}
 	c.schedule(delay, func() {
 		if !c.partitionedLinks[[2]string{from, to}] {
-			arrive()
+			c.whenRunning(to, arrive)
 		}
 	})
 }
 
+func (c *simCluster) isFrozen(d *simDaemon) bool { return c.now.Before(c.frozenUntil[d.name]) }
+
+// whenRunning calls run once the process on a host isn't frozen.
+func (c *simCluster) whenRunning(host string, run func()) {
+	if wait := c.frozenUntil[host].Sub(c.now); wait > 0 {
+		c.schedule(wait, func() { c.whenRunning(host, run) })
+		return
+	}
+	run()
+}
+
 func (c *simCluster) send(d *simDaemon, messages []*controlpb.ConsensusMessage) {
 	for _, m := range messages {
 		m := proto.CloneOf(m)
@@ -217,22 +253,42 @@
 	boots, batch := d.boots, d.outputs
 	d.outputs = nil
 	delay := time.Millisecond + time.Duration(c.random.Int64N(int64(3*time.Millisecond+c.extraSyncDelay)))
-	c.schedule(delay, func() {
+	if d.folder != nil {
+		delay += d.folder.extraDelay(c.now, c.random)
+		d.folder.save(batch)
+	}
+	if c.acksEarly {
+		c.advance(d, batch)
+	}
+	c.scheduleOn(d, delay, func() {
 		if d.core == nil || d.boots != boots {
 			return
 		}
-		for _, output := range batch {
-			c.persist(d, output)
+		if d.folder != nil && !d.folder.finishSave() {
+			c.crash(d) // as the process does when its store fails
+			return
+		}
+		if d.folder == nil {
+			for _, output := range batch {
+				c.persist(d, output)
+			}
 		}
 		d.syncing = false
-		for _, output := range batch {
-			c.send(d, output.Messages)
-			d.core.Advance(c.now, output)
+		if !c.acksEarly {
+			c.advance(d, batch)
 		}
 		c.processOutputs(d)
 	})
 }
 
+// advance reports Outputs as persisted.
+func (c *simCluster) advance(d *simDaemon, batch []Output) {
+	for _, output := range batch {
+		c.send(d, output.Messages)
+		d.core.Advance(c.now, output)
+	}
+}
+
 func (c *simCluster) persist(d *simDaemon, output Output) {
 	if c.losesSyncs && len(output.Entries) > 0 && c.random.IntN(2) == 0 {
 		output.Entries, output.HardState = nil, nil
@@ -280,6 +336,9 @@
 			if earliest := d.lastTick.Add(time.Millisecond); deadline.Before(earliest) {
 				deadline = earliest // a real timer wouldn't fire more often
 			}
+			if until := c.frozenUntil[d.name]; deadline.Before(until) {
+				deadline = until
+			}
 			if deadline.Before(next) {
 				next, due = deadline, d
 			}
