voters: promote a learner before the voter that it replaces is removed

What callers saw: nothing yet.

Cause: a voter that is inactive for 3 s is removed before a learner is promoted in its place. A group of three has two voters in between, which are both needed. If the disk of one is lost then, nobody can be elected, although the removed voter was only cut off and still has its disk.

Change: a group of the minimum size first grows by the learner. Then the inactive voter is removed, as soon as the leader has missed it for 3 s, which a leader that has promoted the learner has. A host that returned without its disk still replaces its earlier identity by removal first: there the lost disk is the one that is tolerated.

--- a/internal/decision/voters/reconciler.go
+++ b/internal/decision/voters/reconciler.go
@@ -58,6 +58,9 @@
 		}
 	}
 	summary := r.summarize(now, members)
+	if summary.inactiveVoter != nil && summary.voters > r.minVoters && summary.voters%2 == 0 && r.inactivity(now, summary.inactiveVoter) >= replaceVoterAfter {
+		return remove(summary.inactiveVoter) // a learner was promoted in its place
+	}
 	if summary.activeLearner != nil {
 		return r.placeLearner(now, self, members, summary)
 	}
@@ -106,6 +109,10 @@
 		}
 	}
 	if summary.inactiveVoter != nil && summary.voters >= r.minVoters && r.inactivity(now, summary.inactiveVoter) >= replaceVoterAfter {
+		if summary.voters == r.minVoters {
+			// Without the inactive voter, which may still hold its disk, a smaller group wouldn't survive the loss of another disk.
+			return &controlpb.MembershipChange{Kind: controlpb.MembershipChange_PROMOTE, Member: summary.activeLearner}
+		}
 		return remove(summary.inactiveVoter)
 	}
 	// An even number of voters tolerates no more losses than the odd number below it.
