dispatch: withhold acknowledgements after each start until the next list

An acknowledgement counts as early there unless the earlier incarnation has answered a poll that was sent after the start; a poll that was sent before can't show the restart.

--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -55,9 +55,6 @@
 	// single call may be lost.
 	maxMissedCalls = 1
 
-	// shortestRun is the time from an order to start to the end of a run, of the shortest tasks.
-	shortestRun = 100 * time.Millisecond
-
 	// leaveTimeout bounds the time for which the acknowledgement of a worker's leave waits until its runs have stopped. The
 	// worker repeats the request if it isn't acknowledged within a second.
 	leaveTimeout = 700 * time.Millisecond
@@ -282,7 +279,7 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	if !w.mayHaveUnlistedEnds(d.now) {
+	if !w.mayHaveUnlistedEnds() {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
 	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
@@ -304,9 +301,7 @@
 
 // mayHaveUnlistedEnds reports whether a later incarnation may have ended a run that was ordered since the newest list of this one. An
 // acknowledgement would make it forget that end.
-func (w *worker) mayHaveUnlistedEnds(now time.Time) bool {
-	return w.orderedAt.After(w.listedAt) && now.Sub(w.lastPoll) >= shortestRun
-}
+func (w *worker) mayHaveUnlistedEnds() bool { return w.orderedAt.After(w.listedAt) }
 
 // pollDelayAfter returns the delay from a worker's answer to the next poll.
 func (d *Dispatcher) pollDelayAfter(w *worker) time.Duration {
