--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -448,11 +448,14 @@
 // hasRestarted reports whether an answer comes from a later incarnation of the worker, because its clock is behind that of this one.
 // Only answers to polls tell the incarnation.
 func (w *worker) hasRestarted(a *order.Answer) bool {
-	if a.Clock == 0 || w.clockReadAt.IsZero() || a.Call.Sent.Before(w.clockReadAt) {
+	if a.Clock == 0 || w.clockReadAt.IsZero() {
 		return false
 	}
-	elapsed := a.Call.Sent.Sub(w.clockReadAt)
-	return a.Clock < w.workerClock+time.Duration(float64(elapsed)*(1-maxClockDrift))
+	elapsed, rate := a.Call.Sent.Sub(w.clockReadAt), 1-maxClockDrift
+	if elapsed < 0 { // answers may overtake each other
+		rate = 1 + maxClockDrift
+	}
+	return a.Clock < w.workerClock+time.Duration(float64(elapsed)*rate)
 }
 
 func errorText(err error) string {
