--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -248,7 +248,7 @@
 }
 
 // fenceOff polls an incarnation that isn't known yet, with a fencing token above those of all earlier ones, so that it rejects late
-// orders for them while its announcement is being committed. The answer doesn't matter.
+// orders for them while its announcement is being committed.
 func (d *Dispatcher) fenceOff(incarnation *controlpb.WorkerLife) {
 	address, err := netip.ParseAddrPort(incarnation.GetAddress())
 	if err != nil {
@@ -260,6 +260,17 @@
 	})
 }
 
+// handleFencedOff handles the answer to a poll of an incarnation that wasn't known yet: it may come from a later one.
+func (d *Dispatcher) handleFencedOff(a *order.Answer) {
+	current := d.state.WorkerByID(a.Call.ID)
+	if current == nil || a.IncarnationStartMs == 0 || a.IncarnationStartMs == current.GetBornMs() {
+		return
+	}
+	if w := d.workers[current.GetNumber()]; w != nil {
+		d.checkRestart(w)
+	}
+}
+
 // otherAt returns a worker with another ID at the address of an announced one, or nil.
 func (d *Dispatcher) otherAt(incarnation *controlpb.WorkerLife) *worker {
 	for _, w := range d.orderedWorkers {
--- a/internal/decision/dispatch/successor_test.go
+++ b/internal/decision/dispatch/successor_test.go
@@ -108,3 +108,15 @@
 	}
 	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
 }
+
+// The answer to the poll that fences off late orders may be the only sign of a later incarnation, and mustn't be ignored.
+func TestFencedOffByLaterIncarnation(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	d := sim.dispatcher
+	w := d.orderedWorkers[0]
+	call := &order.Call{Kind: order.Poll, ID: w.incarnation.GetId(), IncarnationStartMs: w.incarnation.GetBornMs(), Epoch: d.epoch}
+	d.handleAnswer(&order.Answer{Call: call, Status: order.OtherIncarnation, IncarnationStartMs: w.incarnation.GetBornMs() + 1, Received: sim.now})
+	if !w.mayHaveRestarted {
+		t.Error("the worker isn't checked for a later incarnation")
+	}
+}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -24,6 +24,9 @@
 // checkRestart does the same after a sign of a later incarnation under the worker's ID and at its address, which may carry out
 // orders for the earlier one.
 func (d *Dispatcher) checkRestart(w *worker) {
+	if w.superseded {
+		return
+	}
 	w.mayHaveRestarted = true
 	d.pollIncarnation(w)
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -381,6 +381,10 @@
 		d.handleMaintain(a)
 		return
 	}
+	if a.Call.Incarnation == 0 {
+		d.handleFencedOff(a)
+		return
+	}
 	w := d.workers[a.Call.Incarnation]
 	if w == nil {
 		return
