dispatch: throttle an inherited run only if its image is known to be harmful

What callers saw: nothing yet. In virtual time best-effort jobs took 105 s instead of 37 s after a change of leader.

Cause: takes an inherited run that uses few processors for throttled unless its image is known to be harmless. A run may use few because others leave little, and throttled runs give no evidence that would lift it.

TestInheritedTaskIsNotThrottledForLackOfProcessors failed.

Change: only runs of images that are known to do harm are throttled.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -74,15 +74,15 @@
 		"BelowTargetAgo", d.now.Sub(w.belowTargetAt).String())
 }
 
-// adoptSpeed decides about a best-effort run that an earlier leader may have slowed down, by the processors that it uses. Unless it
-// is known to be harmless here, it may have been throttled from its start.
+// adoptSpeed decides about a best-effort run that an earlier leader may have slowed down, by the processors that it uses. If it is
+// known to be harmful here, it was throttled from its start.
 func (d *Dispatcher) adoptSpeed(r *run) {
 	if float64(r.measurement) > maxSlowedShare*float64(r.task.Step.GetProcessors()) {
 		r.speed = fullSpeed
 		return
 	}
 	r.wasSlowed = true
-	r.throttled = d.interferenceWith(r.task.Step, r.worker) != imagepair.Harmless
+	r.throttled = d.interferenceWith(r.task.Step, r.worker) == imagepair.Harmful
 }
 
 // tickSpeed sends a speed call for a best-effort run whose acknowledged speed isn't the wanted one.
