dispatch: bound the time for which acknowledgements are withheld

What callers saw: nothing yet. In virtual time an end on a worker with 50 starts a second wasn't acknowledged for 12.5 s, with 622 ends listed.

Cause: withholds an acknowledgement if a start was ordered since the newest poll. On a busy worker one is ordered between any two polls.

TestEndsOfBusyWorkerAreAcknowledged failed: 6.49 s without the bound.

Change: acknowledgements are withheld for at most 1 s.

Also: a clock that a worker tells in whole milliseconds may seem to be behind by one, so that a healthy worker was taken for restarted if two answers follow each other at once. TestClockInWholeMilliseconds failed. The comparison allows for the resolution now.

--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -55,6 +55,12 @@
 	// single call may be lost.
 	maxMissedCalls = 1
 
+	// maxWithheld bounds the time for which the acknowledgement of ends is withheld, as a worker lists only so many.
+	maxWithheld = time.Second
+
+	// clockResolution is the resolution of the clocks that workers tell.
+	clockResolution = time.Millisecond
+
 	// leaveTimeout bounds the time for which the acknowledgement of a worker's leave waits until its runs have stopped. The
 	// worker repeats the request if it isn't acknowledged within a second.
 	leaveTimeout = 700 * time.Millisecond
@@ -68,15 +74,16 @@
 	incarnation *workload.Worker
 	address     netip.AddrPort
 
-	workerClock  time.Duration // worker's clock when it sent its newest answer
-	clockReadAt  time.Time     // when that answer was received; zero before the first one
-	leaseExpires time.Time     // every lease granted to this incarnation has expired by then
-	grantedAt    time.Time     // of the newest call that extends the lease; when this leader took over, if there is none
-	lastAnswer   time.Time     // when the newest answer was received
-	lastPoll     time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
-	listedAt     time.Time     // when that poll was sent
-	orderedAt    time.Time     // of the newest start call
-	addedAt      time.Time     // when this leader started tracking it
+	workerClock   time.Duration // worker's clock when it sent its newest answer
+	clockReadAt   time.Time     // when that answer was received; zero before the first one
+	leaseExpires  time.Time     // every lease granted to this incarnation has expired by then
+	grantedAt     time.Time     // of the newest call that extends the lease; when this leader took over, if there is none
+	lastAnswer    time.Time     // when the newest answer was received
+	lastPoll      time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
+	listedAt      time.Time     // when that poll was sent
+	withheldSince time.Time     // since when no end is acknowledged; zero if the newest poll could do so
+	orderedAt     time.Time     // of the newest start call
+	addedAt       time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
 	pollAtOnce    bool // the next poll doesn't wait for a run to end
@@ -279,7 +286,7 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	if !w.mayHaveUnlistedEnds() {
+	if !w.withholdsEnds(d.now) {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
 	if w.missedCalls == 0 && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
@@ -299,9 +306,22 @@
 	d.config.WorkerCalls.Send(call)
 }
 
-// mayHaveUnlistedEnds reports whether a later incarnation may have ended a run that was ordered since the newest list of this one. An
-// acknowledgement would make it forget that end.
-func (w *worker) mayHaveUnlistedEnds() bool { return w.orderedAt.After(w.listedAt) }
+// withholdsEnds reports whether no end may be acknowledged, because a later incarnation may have ended a run that was ordered since the
+// newest list of this one: it would forget that end. On a worker with a start between any two polls this lasts for maxWithheld.
+func (w *worker) withholdsEnds(now time.Time) bool {
+	if !w.orderedAt.After(w.listedAt) {
+		w.withheldSince = time.Time{}
+		return false
+	}
+	if w.withheldSince.IsZero() {
+		w.withheldSince = now
+	}
+	if now.Sub(w.withheldSince) < maxWithheld {
+		return true
+	}
+	w.withheldSince = time.Time{}
+	return false
+}
 
 // pollDelayAfter returns the delay from a worker's answer to the next poll.
 func (d *Dispatcher) pollDelayAfter(w *worker) time.Duration {
@@ -459,7 +479,7 @@
 	if elapsed < 0 { // answers may overtake each other
 		rate = 1 + maxClockDrift
 	}
-	return a.Clock < w.workerClock+time.Duration(float64(elapsed)*rate)
+	return a.Clock+clockResolution < w.workerClock+time.Duration(float64(elapsed)*rate)
 }
 
 func errorText(err error) string {
