dispatch: one check of simultaneous runs for the tests that restart workers

Three tests had the same loop with the same check; runChecked serves them. The two simulations of workers share the number of ends that one answer lists. No assertion, time or bound is changed.

--- a/internal/decision/dispatch/inherited_test.go
+++ b/internal/decision/dispatch/inherited_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// runChecked advances virtual time and fails the test once two runs of a task are at work.
+func (sim *simulation) runChecked(d time.Duration, task workload.TaskKey) {
+	sim.t.Helper()
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.run(10 * time.Millisecond)
+		if running := sim.running(task); running > 1 {
+			sim.t.Fatalf("%d runs of the task at the same time", running)
+		}
+	}
+}
+
 // running returns the number of runs of a task on workers that are up.
 func (sim *simulation) running(task workload.TaskKey) int {
 	count := 0
--- a/internal/decision/dispatch/late_lease_test.go
+++ b/internal/decision/dispatch/late_lease_test.go
@@ -53,12 +53,7 @@
 			calls.silent = true
 			sim.run(100 * time.Millisecond) // an order leaves before the restart
 			calls.target.startIncarnation(calls.target.incarnation)
-			for range 6000 {
-				sim.run(10 * time.Millisecond)
-				if running := sim.running(workload.TaskKey{Job: "a"}); running > 1 {
-					t.Fatalf("%d runs of the task at the same time", running)
-				}
-			}
+			sim.runChecked(time.Minute, workload.TaskKey{Job: "a"})
 			sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
 		})
 	}
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -187,7 +187,7 @@
 
 // A run whose end isn't listed yet, because its worker lists only some ends at a time, must not be taken for missing.
 func TestEndsBeyondOneList(t *testing.T) {
-	const tasks = 2*protocolMaxEnds + 100
+	const tasks = 2*maxListedEnds + 100
 	c := newCluster(t, 1, 2)
 	w := c.workers[0]
 	c.workers[1].partition(10 * time.Second)
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// protocolMaxEnds is the number of ends that a worker lists in one response.
-	protocolMaxEnds = 500
-
 	// firstUptime is how long the workers have been up before the cluster starts. The leases of a worker that has just started
 	// are shorter on the clock of a later incarnation.
 	firstUptime = 10 * time.Minute
@@ -346,10 +343,10 @@
 		}
 		answer.Running = append(answer.Running, order.Running{Run: key, Percent: percent, Measurement: -1})
 	}
-	for _, e := range w.incarnation.ended[:min(len(w.incarnation.ended), protocolMaxEnds)] {
+	for _, e := range w.incarnation.ended[:min(len(w.incarnation.ended), maxListedEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
-	answer.EndsIncomplete = len(answer.Ended) == protocolMaxEnds
+	answer.EndsIncomplete = len(answer.Ended) == maxListedEnds
 	return answer
 }
 
--- a/internal/decision/dispatch/successor_test.go
+++ b/internal/decision/dispatch/successor_test.go
@@ -56,12 +56,7 @@
 				calls := &silentRestart{simulation: sim, delay: delay, answers: answers, silentUntil: sim.now.Add(40 * time.Second)}
 				sim.dispatcher.config.WorkerCalls = calls
 				sim.submit("batch", "a", dedicated(1, 20*time.Second))
-				for range 7000 {
-					sim.run(10 * time.Millisecond)
-					if running := sim.running(workload.TaskKey{Job: "a"}); running > 1 {
-						t.Fatalf("%d runs of the task at the same time", running)
-					}
-				}
+				sim.runChecked(70*time.Second, workload.TaskKey{Job: "a"})
 				sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
 			})
 		}
@@ -100,12 +95,7 @@
 	calls := &silentRestart{simulation: sim, delay: time.Millisecond, silentUntil: sim.now.Add(40 * time.Second), answersStart: true}
 	sim.dispatcher.config.WorkerCalls = calls
 	sim.submit("batch", "a", dedicated(1, 20*time.Second))
-	for range 7000 {
-		sim.run(10 * time.Millisecond)
-		if running := sim.running(workload.TaskKey{Job: "a"}); running > 1 {
-			t.Fatalf("%d runs of the task at the same time", running)
-		}
-	}
+	sim.runChecked(70*time.Second, workload.TaskKey{Job: "a"})
 	sim.expect("a", controlpb.WorkState_WORK_COMPLETED)
 }
 
