dispatch: log the records of leases, and how long a worker was tried that never answered

Why a new leader waits for a silent worker can't be told from the logs: the record of its lease isn't logged, and SinceLastReply reads 2562047h47m for a worker that has answered only earlier leaders.

The records are logged once committed, one line a worker and record. For a worker that never answered this leader, SinceLastReply counts from when the leader started to track it, and Replied is false.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -102,6 +102,7 @@
 		w.recordingLease = false
 		if result != nil {
 			w.recordedExpiry = expires
+			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String())
 		}
 		if w.missedCalls == 0 && !d.rejectsPolls(w) {
 			d.resumeLease(w) // it has answered meanwhile
@@ -121,6 +122,7 @@
 		w.recordingLease = false
 		if result != nil {
 			w.leaseWithheld = false
+			d.config.Log.Info("lease resumed", "Worker", w.incarnation.GetId())
 			w.pollAtOnce, w.nextPoll = true, d.now
 		}
 	})
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -206,7 +206,7 @@
 	}
 	suspects := d.crashSuspects(w)
 	d.rememberLoss(w)
-	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.now.Sub(w.lastAnswer).String(), "Runs", len(w.incarnation.Runs),
+	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.silenceOf(w).String(), "Replied", !w.lastAnswer.IsZero(), "Runs", len(w.incarnation.Runs),
 		"Suspects", suspectNames(suspects))
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{
 		Number: w.incarnation.GetNumber(), Ends: ends, Suspects: suspects, Crashed: w.crashed,
