dispatch: a new leader awaits the leases that leaders grant, not the longest ones

Cause: for a worker without a record of a withheld lease, a new leader assumed the longest lease that a worker accepts (10 s on that site, counted as 10.45 s), and no answer lowered this. All late losses were declared 10.4 to 10.9 s after the log line "leading". Leaders grant 4.5 s, so for the same incarnation no lease can be longer: its end is a time on the worker's own clock, which a late call doesn't move.

A lease now lasts at most 4.5 s by the worker's clock however old the leader's reading of that clock is, and the start of an epoch records how long its leases last, and until when those of earlier epochs do. A record of an earlier version is counted as the longest lease, and so is the lease of a worker that reuses an ID or shows a sign of a restart, as calls for its earlier incarnation may have granted it a lease by another clock. Both are replicated now: WorkerLife has ReusesId, and an unanswered check for a restart is recorded, where formerly the record was removed.

TestLossShortlyBeforeLeaderChange failed: 10.5 s after the crash instead of 4.8 s after the last change. TestLaterIncarnationVoidsLeaseRecord looked for the removed record; it now checks what the next leader counts, which is what the removal was for.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -4,7 +4,7 @@
 // A Dispatcher is deterministic and does no I/O: calls leave through WorkerCalls, and their answers come back through
 // Mailbox. Its state is lost with the leader; what must survive a change of leader is proposed as a change of
 // workload.State and acted upon once it is committed. A Dispatcher that doesn't lead only notes when its replica has applied the
-// records of withheld leases.
+// records of leases.
 package dispatch
 
 import (
@@ -100,6 +100,10 @@
 	withheldAt   map[*controlpb.WithholdLease]time.Time // when this replica applied the records of withheld leases, also while it didn't lead
 	leaseChanges uint64                                 // workload.State.LeaseChanges as of withheldAt
 
+	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
+	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
+	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
+
 	workers           map[uint32]*worker
 	orderedWorkers    []*worker // the values of workers by incarnation number, for decisions that must not depend on map order
 	runs              map[workload.RunKey]*run
@@ -178,14 +182,19 @@
 	d.reset()
 	d.now, d.leadingSince, d.leading = now, now, true
 	d.state = d.config.State()
-	d.observeWithheldLeases()
+	d.observeLeases()
+	d.inheritedLeasesExpire = now.Add(d.recordedLease(d.newestEpoch.GetLeaseMs()))
+	if d.earlierLeasesExpire.After(d.inheritedLeasesExpire) {
+		d.inheritedLeasesExpire = d.earlierLeasesExpire
+	}
 	d.proposeEpoch()
 }
 
 // proposeEpoch proposes this leader's epoch.
 func (d *Dispatcher) proposeEpoch() {
 	d.epochPending = true
-	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginEpoch{BeginEpoch: &controlpb.BeginEpoch{}}},
+	epoch := &controlpb.BeginEpoch{LeaseMs: milliseconds(untilExpired(d.grantedLease())), EarlierLeaseMs: milliseconds(d.inheritedLeasesExpire.Sub(d.now))}
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginEpoch{BeginEpoch: epoch}},
 		func(result *controlpb.Result) {
 			d.epochPending = false
 			if result != nil {
@@ -211,7 +220,7 @@
 func (d *Dispatcher) beginEpoch(epoch uint64) {
 	d.epoch, d.nextScan = epoch, d.now
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
-		"Routing", d.state.Routing().GetVersion())
+		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String())
 	for _, incarnation := range d.state.Workers() {
 		d.addWorker(incarnation)
 		d.lastAnnouncements[incarnation.GetId()] = announcementVersion{
@@ -240,6 +249,12 @@
 // here.
 func (d *Dispatcher) Applied(now time.Time, _ *controlstate.Changes) {
 	d.now = now
+	d.observeLeases()
+}
+
+// observeLeases notes when this replica has applied the records of leases.
+func (d *Dispatcher) observeLeases() {
+	d.observeEpoch()
 	d.observeWithheldLeases()
 }
 
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -6,9 +6,10 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A worker whose tasks are to start elsewhere must have no lease any more. Only the leader knows how long the leases last that it
-// has granted, so before it lets them expire, it records that it grants no further one and how long they last at most. The next
-// leader counts this from when its own replica applied the record.
+// A worker whose tasks are to start elsewhere must have no lease any more. Only the leader knows which leases it has granted and
+// when, so before it lets them expire, it records that it grants no further one and how long they last at most. The next leader
+// counts this from when its own replica applied the record. For a worker without a record, it assumes that the last leader has
+// granted a lease just before it started leading itself. How long that lasts stands in the record of the last leader's epoch.
 
 const (
 	// leaseTime is the duration of a worker lease. It bridges a change of leader, which takes up to 1.8 s, and a short
@@ -22,16 +23,26 @@
 	// the lease expires.
 	leaseExpiryMargin = 150 * time.Millisecond
 
+	// restartRecordDelay is the time for the answer to a check for a later incarnation. An unanswered check is recorded then.
+	restartRecordDelay = 100 * time.Millisecond
+
 	// maxMissedCalls is the number of consecutive unanswered calls up to which a worker's lease is still extended: a
 	// single call may be lost.
 	maxMissedCalls = 1
 )
 
+// untilExpired returns the time after which a lease that a worker has just been granted has certainly expired, however slow the
+// worker's clock.
+func untilExpired(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+maxClockDrift)) + leaseExpiryMargin
+}
+
+// grantedLease returns the duration of the leases that a leader grants.
+func (d *Dispatcher) grantedLease() time.Duration { return min(leaseTime, d.config.Limits.MaxLease) }
+
 // longestLease returns the time after which a lease has certainly expired, however long it is and however slow the worker's
 // clock.
-func (d *Dispatcher) longestLease() time.Duration {
-	return time.Duration(float64(d.config.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpiryMargin
-}
+func (d *Dispatcher) longestLease() time.Duration { return untilExpired(d.config.Limits.MaxLease) }
 
 // extendLease returns the new end of the lease on the worker's clock, and records when it has certainly expired on the
 // leader's. It returns 0, which grants nothing, without a valid leader lease or a reading of the worker's clock, and for
@@ -40,16 +51,14 @@
 	if w.clockReadAt.IsZero() || w.terminating || w.leaseWithheld || w.missedCalls > maxMissedCalls || d.rejectsPolls(w) || !d.config.LeaseValid(d.now) {
 		return 0
 	}
-	elapsed := d.now.Sub(w.clockReadAt)
-	lease := min(leaseTime, d.config.Limits.MaxLease)
-	expiry := w.workerClock + elapsed + lease
-	slowestClock := w.workerClock + time.Duration(float64(elapsed)*(1-maxClockDrift))
-	expires := d.now.Add(time.Duration(float64(expiry-slowestClock)*(1+maxClockDrift)) + leaseExpiryMargin)
-	if expires.After(w.leaseExpires) {
+	lease := d.grantedLease()
+	if expires := d.now.Add(untilExpired(lease)); expires.After(w.leaseExpires) {
 		w.leaseExpires = expires
 	}
 	w.grantedAt = d.now
-	return expiry
+	elapsed := d.now.Sub(w.clockReadAt)
+	drift := time.Duration(float64(elapsed.Abs()) * maxClockDrift)
+	return w.workerClock + elapsed - drift + lease // no longer than the lease, however old the reading of the clock
 }
 
 // rejectsPolls reports whether a worker has rejected all polls for so long that they count as no extension of its lease.
@@ -67,42 +76,52 @@
 
 // initLease sets until when a worker that this leader starts to track may hold a lease.
 func (d *Dispatcher) initLease(w *worker) {
-	w.grantedAt, w.leaseExpires = d.leadingSince, d.leadingSince.Add(d.longestLease())
+	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeasesExpire
+	w.reusesID = w.incarnation.GetReusesId()
 	record := w.incarnation.GetWithheldLease()
+	w.leaseWithheld = record != nil
 	switch {
+	case record.GetMayHaveRestarted(), record == nil && w.reusesID:
+		w.leaseExpires = d.now.Add(d.longestLease())
 	case record != nil:
-		w.leaseWithheld = true
-		if appliedAt, ok := d.withheldAt[record]; ok {
-			until := appliedAt.Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
-			if until.Before(w.leaseExpires) {
-				w.leaseExpires = until
-			}
+		appliedAt, ok := d.withheldAt[record]
+		if !ok {
+			appliedAt = d.now
 		}
+		w.leaseExpires = appliedAt.Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
 		w.recordedExpiry = w.leaseExpires
-	case d.now.After(w.leaseExpires):
+	}
+	if record == nil && d.now.After(w.leaseExpires) {
 		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
 	}
 }
 
 // withholdLease stops extending the lease of a worker that hasn't accepted a poll, and records when it expires. It is repeated after
-// the next poll if the outcome is unknown. Nothing is recorded while a lease that this leader can't count may still be granted: in a
-// later incarnation, or by calls for an earlier one.
+// the next poll if the outcome is unknown. The record bounds no lease that this leader can't count: of a later incarnation, or
+// granted by calls for an earlier one.
 func (d *Dispatcher) withholdLease(w *worker) {
-	if len(w.incarnation.Runs) == 0 || w.recordingLease || w.ending || w.mayHaveRestarted || w.reusesID && w.clockReadAt.IsZero() {
+	if len(w.incarnation.Runs) == 0 || w.recordingLease || w.ending {
 		return
 	}
+	isUncountable := w.superseded || w.mayHaveRestarted || w.reusesID && w.clockReadAt.IsZero()
 	expires := w.leaseExpires
-	if w.leaseWithheld && !expires.After(w.recordedExpiry) {
+	switch {
+	case isUncountable && w.incarnation.GetWithheldLease().GetMayHaveRestarted():
+		return
+	case !isUncountable && w.leaseWithheld && !expires.After(w.recordedExpiry):
 		return
 	}
-	w.leaseWithheld, w.recordingLease = true, true
-	remaining := max(0, expires.Sub(d.now)+time.Millisecond-1)
-	change := &controlpb.WithholdLease{Worker: w.incarnation.GetNumber(), ExpiresInMs: remaining.Milliseconds()}
+	w.leaseWithheld, w.recordingLease, w.recordedExpiry = true, true, time.Time{}
+	change := &controlpb.WithholdLease{
+		Worker: w.incarnation.GetNumber(), ExpiresInMs: milliseconds(expires.Sub(d.now)), MayHaveRestarted: isUncountable,
+	}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: change}}, func(result *controlpb.Result) {
 		w.recordingLease = false
 		if result != nil {
+			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String(), "MayHaveRestarted", isUncountable)
+		}
+		if result != nil && !isUncountable {
 			w.recordedExpiry = expires
-			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String())
 		}
 		if w.missedCalls == 0 && !d.rejectsPolls(w) {
 			d.resumeLease(w) // it has answered meanwhile
@@ -113,7 +132,7 @@
 // resumeLease proposes to extend the lease of a worker again. The next poll extends it once that is committed: until then the next
 // leader may count on the record.
 func (d *Dispatcher) resumeLease(w *worker) {
-	if !w.leaseWithheld || w.recordingLease || w.ending {
+	if !w.leaseWithheld || w.recordingLease || w.ending || w.superseded || w.mayHaveRestarted {
 		return
 	}
 	w.recordingLease, w.recordedExpiry = true, time.Time{}
@@ -146,3 +165,24 @@
 		}
 	})
 }
+
+// observeEpoch notes when this replica has applied the start of an epoch: all leases of earlier epochs were granted before.
+func (d *Dispatcher) observeEpoch() {
+	if newest := d.config.State().NewestEpoch(); newest != d.newestEpoch {
+		d.newestEpoch = newest
+		d.earlierLeasesExpire = d.now.Add(d.recordedLease(newest.GetEarlierLeaseMs()))
+	}
+}
+
+// recordedLease returns the duration of a record of the epoch. A leader of an earlier version has left it 0.
+func (d *Dispatcher) recordedLease(ms int64) time.Duration {
+	if ms == 0 {
+		return d.longestLease()
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// milliseconds returns a duration of at least 1 ms, rounded up, in milliseconds.
+func milliseconds(duration time.Duration) int64 {
+	return max(1, (duration + time.Millisecond - 1).Milliseconds())
+}
--- a/internal/decision/dispatch/lease_across_leaders_test.go
+++ b/internal/decision/dispatch/lease_across_leaders_test.go
@@ -86,3 +86,39 @@
 		t.Errorf("the lease expires %v after the change of leader, expected %v", got.Sub(expires.Add(-remaining)), remaining)
 	}
 }
+
+// The tasks of workers that are lost shortly before a change of leader, so that no lease is recorded as withheld, must not wait for
+// the longest lease that a worker accepts: leaders grant shorter ones.
+func TestLossShortlyBeforeLeaderChange(t *testing.T) {
+	const tasks, changeInterval, margin = 16, 1300 * time.Millisecond, 300 * time.Millisecond
+	for _, age := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		for changes := 1; changes <= 3; changes++ {
+			t.Run(fmt.Sprintf("age=%v/changes=%d", age, changes), func(t *testing.T) {
+				sim := newSimulationWithWorkers(t, 1, 8)
+				sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+				sim.submit("urgent", "a", serving(tasks, "image"))
+				sim.run(5 * time.Second)
+				sim.changeLeader()
+				sim.run(12 * time.Second)
+				sim.crashWorkers(4)
+				crashed := sim.now
+				if n := sim.servingRuns("a"); n == tasks {
+					t.Fatal("no task is affected")
+				}
+				sim.run(age)
+				sim.changeLeader()
+				for range changes - 1 {
+					sim.run(changeInterval)
+					sim.changeLeader()
+				}
+				due := sim.now.Add(leaseBound + margin)
+				for sim.servingRuns("a") < tasks && sim.now.Sub(crashed) < time.Minute {
+					sim.run(10 * time.Millisecond)
+				}
+				if sim.now.After(due) {
+					t.Errorf("the tasks run again %v after the crash, expected at most %v", sim.now.Sub(crashed), due.Sub(crashed))
+				}
+			})
+		}
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -228,7 +228,7 @@
 		}
 	}
 	earlier, isKnown := d.lastAnnouncements[incarnation.GetId()]
-	reusesID := isKnown && earlier.incarnationStartMs != incarnation.GetBornMs()
+	incarnation.ReusesId = isKnown && earlier.incarnationStartMs != incarnation.GetBornMs()
 	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
 	if unchanged {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
@@ -240,7 +240,7 @@
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
 			d.logGivenUp(suspects)
-			d.incarnationChanged(uint32(result.GetFence()), d.leavesAt(a), reusesID)
+			d.incarnationChanged(uint32(result.GetFence()), d.leavesAt(a))
 		}
 		return outcome(controlpb.WorkOutcome_WORK_OK)
 	})
--- a/internal/decision/dispatch/withheld_lease_test.go
+++ b/internal/decision/dispatch/withheld_lease_test.go
@@ -117,18 +117,26 @@
 	}
 }
 
-// A sign of a later incarnation must void the record, which doesn't cover the leases that late calls grant that one.
+// The next leader must count the longest lease for a worker with a sign of a later incarnation, whether or not the lease is recorded as
+// withheld: neither the record nor the leases that leaders grant cover those that late calls grant that incarnation.
 func TestLaterIncarnationVoidsLeaseRecord(t *testing.T) {
-	sim := newSimulationWithWorkers(t, 1, 1)
-	sim.submit("urgent", "a", serving(1, "image"))
-	sim.run(5 * time.Second)
-	sim.workers[0].answersLost = true
-	for sim.state.Worker(1).GetWithheldLease() == nil {
-		sim.run(10 * time.Millisecond)
-	}
-	sim.dispatcher.checkRestart(sim.dispatcher.workers[1])
-	sim.run(100 * time.Millisecond)
-	if sim.state.Worker(1).GetWithheldLease() != nil {
-		t.Error("the record still stands")
+	for _, withheld := range []bool{false, true} {
+		t.Run(fmt.Sprintf("withheld=%v", withheld), func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 1)
+			sim.submit("urgent", "a", serving(1, "image"))
+			sim.run(5 * time.Second)
+			sim.workers[0].answersLost = true
+			for withheld && sim.state.Worker(1).GetWithheldLease() == nil {
+				sim.run(10 * time.Millisecond)
+			}
+			sim.dispatcher.checkRestart(sim.dispatcher.workers[1])
+			sim.run(restartRecordDelay + 100*time.Millisecond)
+			sim.changeLeader()
+			longest := sim.now.Add(sim.dispatcher.longestLease())
+			sim.run(100 * time.Millisecond)
+			if expires := sim.dispatcher.workers[1].leaseExpires; expires.Before(longest) {
+				t.Errorf("the next leader counts a lease that ends %v too early", longest.Sub(expires))
+			}
+		})
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -152,8 +152,8 @@
 }
 
 // incarnationChanged updates the soft state after a committed change of an incarnation. leavesAt is the earliest time at
-// which a leaving worker terminates; reusesID is set if an earlier incarnation under its ID is known.
-func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time, reusesID bool) {
+// which a leaving worker terminates.
+func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time) {
 	d.dropEnded()
 	incarnation := d.state.Worker(number)
 	if incarnation == nil {
@@ -164,7 +164,7 @@
 	if w != nil && incarnation.GetLeaving() {
 		w.leavesAt = leavesAt
 	}
-	if w != nil && reusesID {
+	if w != nil && incarnation.GetReusesId() && !w.reusesID {
 		w.reusesID = true
 		d.countForeignLeases(w)
 	}
@@ -248,8 +248,8 @@
 		if !d.now.Before(w.leaveAckBy) {
 			d.acknowledgeLeave(w)
 		}
-		if w.superseded || w.mayHaveRestarted {
-			d.resumeLease(w) // a later incarnation may have been granted a lease that the record doesn't cover
+		if w.superseded || w.mayHaveRestarted && (w.leaseWithheld || d.now.Sub(w.checkedSince) > restartRecordDelay) {
+			d.withholdLease(w) // a later incarnation may have been granted a lease that the record doesn't cover
 		}
 		if w.pendingPoll != nil || w.recordingEnds || w.ending || isLost || d.now.Before(w.nextPoll) {
 			continue
--- a/internal/decision/workload/script_test.go
+++ b/internal/decision/workload/script_test.go
@@ -157,6 +157,9 @@
 	if w.GetResumed() {
 		line += " resumed"
 	}
+	if w.GetReusesId() {
+		line += " reuses-id"
+	}
 	if record := w.GetWithheldLease(); record != nil {
 		line += fmt.Sprintf(" withheld %dms", record.GetExpiresInMs())
 	}
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -20,6 +20,8 @@
 		Finished:   slices.Clone(s.finishedOrder),
 		GivenUp:    maps.Clone(s.lostIncarnations),
 		Pairs:      s.ImagePairs(),
+
+		NewestEpoch: s.newestEpoch,
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
@@ -71,7 +73,7 @@
 	leaseChanges := s.leaseChanges + 1
 	*s = *New()
 	s.leaseChanges = leaseChanges
-	s.epoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetLastWorker()
+	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
 	if routing := snapshot.GetRouting(); routing != nil {
 		s.replaceRouting(routing)
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -54,7 +54,8 @@
 	maintenance   map[uint64]*controlpb.Maintenance
 	pairs         map[imagePair]float64 // log-odds that the aggressor interferes with the victim
 	epoch         uint64
-	time          int64 // time of the latest command, in Unix milliseconds
+	newestEpoch   *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
+	time          int64                 // time of the latest command, in Unix milliseconds
 }
 
 // New returns an empty state.
@@ -107,6 +108,7 @@
 		return s.dropRun(kind.DropRun)
 	case *controlpb.WorkChange_BeginEpoch:
 		s.epoch++
+		s.newestEpoch = kind.BeginEpoch
 		return &controlpb.Result{Fence: s.epoch}
 	case *controlpb.WorkChange_LearnPairs:
 		return s.learnPairs(kind.LearnPairs)
@@ -141,6 +143,9 @@
 // Epoch returns the latest leader's epoch, on which the fencing tokens of its calls are based.
 func (s *State) Epoch() uint64 { return s.epoch }
 
+// NewestEpoch returns the change that began the latest epoch, or nil if it isn't known. Restoring a snapshot replaces it.
+func (s *State) NewestEpoch() *controlpb.BeginEpoch { return s.newestEpoch }
+
 // Jobs returns the jobs that are unfinished or still have live runs, in order of submission. The result must not be changed.
 func (s *State) Jobs() []*Job { return s.jobOrder }
 
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -38,10 +38,12 @@
 		if incarnation.GetBornMs() == current.GetBornMs() {
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
+			incarnation.ReusesId = incarnation.GetReusesId() || current.GetReusesId()
 			incarnation.WithheldLease = current.GetWithheldLease()
 			current.WorkerLife = incarnation
 			return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 		}
+		incarnation.ReusesId = true
 		s.removeWorker(current)
 	}
 	for _, other := range s.workers {
@@ -57,6 +59,7 @@
 	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease = s.lastWorkerNumber, 0, nil
 	if startMs, ok := s.lostIncarnations[incarnation.GetId()]; ok {
 		incarnation.Resumed = startMs == incarnation.GetBornMs()
+		incarnation.ReusesId = incarnation.GetReusesId() || !incarnation.GetResumed()
 		delete(s.lostIncarnations, incarnation.GetId())
 	}
 	s.insertWorker(incarnation)
