dispatch: don't acknowledge ends while a start has no answer, nor after a sign of a restart

Callers would see a task run again after it has ended as done: a poll for an incarnation of a worker acknowledged an end of the later one, under the same ID, which forgot it.

Cause: acknowledgements were withheld for a second at most after a start was ordered, answered or not, because a busy worker has a start between any two polls.

Only a start without an answer withholds now, which a busy worker rarely has at each poll, until both a second and four polls have passed; after a sign of a restart, and while calls are missed, nothing is acknowledged.

TestEndsOfBusyWorkerAreAcknowledged passes unchanged. The time is still bounded, so the fault can in principle occur on a worker with a start open at five polls in a row.

--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -237,6 +237,36 @@
 	f.run(20 * time.Second)
 }
 
+// playProtocolFaults plays the schedule of a seed, and fails the test if a task ran twice that the leader could have prevented.
+func playProtocolFaults(t *testing.T, seed uint64) *protocolFaults {
+	f := newProtocolFaults(t, seed)
+	f.play()
+	for _, v := range f.oracle.violations {
+		switch {
+		case v.class != unfenced:
+			t.Errorf("%s: %s\n%s", v.class, v.detail, v.trace)
+		case *protocolUnfenced:
+			t.Logf("%s: %s\n%s", v.class, v.detail, v.trace)
+		}
+	}
+	return f
+}
+
+// An end must not be acknowledged while a later incarnation may have ended a run that the earlier one hasn't listed: it would forget
+// that end, and the task would start again.
+func TestNoAcknowledgementWithOpenStart(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		60371: "a start was open at two rare polls, which are more than a second apart",
+		70086: "a start was answered by another clock than that of the worker",
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			if playProtocolFaults(t, seed); t.Failed() {
+				t.Log(cause)
+			}
+		})
+	}
+}
+
 // No task may run twice under faults that the protocol allows, unless an order that the leader can't fence is carried out.
 func TestProtocolFaults(t *testing.T) {
 	var mutex sync.Mutex
@@ -245,22 +275,13 @@
 		for seed := *protocolFirstSeed; seed < *protocolFirstSeed+*protocolSeeds; seed++ {
 			t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 				t.Parallel()
-				f := newProtocolFaults(t, seed)
-				f.play()
+				f := playProtocolFaults(t, seed)
 				mutex.Lock()
 				defer mutex.Unlock()
 				for class, n := range f.oracle.byClass {
 					counts[class] += n
 				}
 				counts["tasks started"] += len(f.oracle.starts)
-				for _, v := range f.oracle.violations {
-					switch {
-					case v.class != unfenced:
-						t.Errorf("%s: %s\n%s", v.class, v.detail, v.trace)
-					case *protocolUnfenced:
-						t.Logf("%s: %s\n%s", v.class, v.detail, v.trace)
-					}
-				}
 			})
 		}
 	})
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -184,7 +184,7 @@
 		d.config.Log.Info("repeating start", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "SinceLastOrder", d.now.Sub(r.lastOrderedAt).String())
 	}
 	call.Checkpoint, call.Ticket = r.checkpoint, d.ticketFor(r.task.Step, r.worker)
-	r.startPending, r.lastOrderedAt, r.worker.orderedAt = true, d.now, d.now
+	r.startPending, r.lastOrderedAt = true, d.now
 	d.config.WorkerCalls.Send(call)
 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -40,8 +40,10 @@
 	// one lost packet.
 	unresponsiveAfter = 1800 * time.Millisecond
 
-	// maxWithheld bounds the time for which the acknowledgement of ends is withheld, as a worker lists only so many.
-	maxWithheld = time.Second
+	// maxWithheld and maxWithholdingPolls bound the time and the number of polls for which the acknowledgement of ends is withheld, as a
+	// worker lists only so many. Both have to be exceeded, because polls are rare while answers are slow.
+	maxWithheld         = time.Second
+	maxWithholdingPolls = 4
 
 	// clockResolution is the resolution of the clocks that workers tell.
 	clockResolution = time.Millisecond
@@ -69,8 +71,8 @@
 	lastAnswer        time.Time     // when the newest answer was received
 	lastPoll          time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
 	listedAt          time.Time     // when that poll was sent
-	endsWithheldSince time.Time     // since when no end is acknowledged; zero if the newest poll could do so
-	orderedAt         time.Time     // of the newest start call
+	endsWithheldSince time.Time     // since when no end is acknowledged, if withholdingPolls is set
+	withholdingPolls  int           // number of polls since then
 	addedAt           time.Time     // when this leader started tracking it
 
 	pendingPoll   *order.Call
@@ -284,7 +286,7 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	if !w.withholdsEnds(d.now) {
+	if !d.withholdsEnds(w) {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
 	if w.missedCalls == 0 && !w.leaseWithheld && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
@@ -305,19 +307,32 @@
 }
 
 // withholdsEnds reports whether no end may be acknowledged, because a later incarnation may have ended a run that was ordered since the
-// newest list of this one: it would forget that end. On a worker with a start between any two polls this lasts for maxWithheld.
-func (w *worker) withholdsEnds(now time.Time) bool {
-	if !w.orderedAt.After(w.listedAt) {
-		w.endsWithheldSince = time.Time{}
-		return false
+// newest list of this one: it would forget that end. A start that was answered without a sign of a restart has reached this one. A worker
+// with an open start at each poll gets an acknowledgement now and then.
+func (d *Dispatcher) withholdsEnds(w *worker) bool {
+	if w.mayHaveRestarted || w.missedCalls > 0 {
+		return true
 	}
-	if w.endsWithheldSince.IsZero() {
-		w.endsWithheldSince = now
+	if d.hasUnlistedStart(w) {
+		if w.withholdingPolls == 0 {
+			w.endsWithheldSince = d.now
+		}
+		if d.now.Sub(w.endsWithheldSince) < maxWithheld || w.withholdingPolls < maxWithholdingPolls {
+			w.withholdingPolls++
+			return true
+		}
 	}
-	if now.Sub(w.endsWithheldSince) < maxWithheld {
-		return true
+	w.withholdingPolls = 0
+	return false
+}
+
+// hasUnlistedStart reports whether a start that was ordered since the newest list of a worker's runs has no answer.
+func (d *Dispatcher) hasUnlistedStart(w *worker) bool {
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.lastOrderedAt.After(w.listedAt) && (r.startPending || r.startUnanswered && r.acknowledgedAt.IsZero()) {
+			return true
+		}
 	}
-	w.endsWithheldSince = time.Time{}
 	return false
 }
 
