replica: log how long outputs waited for a slow disk

A leader ended with "no quorum has answered" while disks were slow, and nothing showed whether its outputs, and with them its heartbeats, waited for its own disk. The end of a leadership now includes the unsynced outputs and how long others have been held. A hold and a write that are longer than a heartbeat interval are logged once a second at most.

--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -37,6 +37,9 @@
 	// maxUnsynced limits the Outputs that wait to be persisted.
 	maxUnsynced = 64
 
+	// diskLogInterval is the minimum time between log lines about a slow disk.
+	diskLogInterval = time.Second
+
 	// transferTimeout limits the wait for a new leader in Stop.
 	transferTimeout = time.Second
 )
@@ -160,11 +163,14 @@
 	// The fields below belong to the control goroutine.
 	pending     map[RequestID]*pendingRequest
 	unsynced    int
+	outputsHeld heldOutputs
 	addressBook []*controlpb.Member
 	failure     error
 	role        string // last role that was logged
 	outputQueue chan Output
 	syncResults chan syncResult
+
+	slowDiskLoggedAt time.Time // belongs to the disk goroutine
 }
 
 // syncResult reports Outputs that the disk goroutine has persisted, or failed to persist.
@@ -310,6 +316,13 @@
 		"Decisions", ticked.Sub(drained).String(), "Commits", end.Sub(ticked).String(), "Queued", len(r.requests), "Unsynced", r.unsynced)
 }
 
+// logHeldOutputs logs that Outputs were held for long enough to delay heartbeats.
+func (r *Replica) logHeldOutputs() {
+	if held, due := r.outputsHeld.end(r.options.Clock.Now()); due {
+		r.options.Log.Info("outputs waited for the disk", "Host", r.options.Host, "Replica", r.id, "Role", r.role, "Held", held.String())
+	}
+}
+
 // checkSuspension makes a leader step down after its host was suspended.
 func (r *Replica) checkSuspension() {
 	if r.options.Suspended == nil || !r.options.Suspended() {
@@ -353,6 +366,9 @@
 
 // processOutputs processes the pending Outputs of the Core. Those that need a sync go to the disk goroutine.
 func (r *Replica) processOutputs() {
+	if r.unsynced < maxUnsynced {
+		r.logHeldOutputs()
+	}
 	for r.unsynced < maxUnsynced && r.failure == nil {
 		o, ok := r.core.Ready()
 		if !ok {
@@ -372,6 +388,9 @@
 		r.unsynced++
 		r.outputQueue <- o
 	}
+	if r.unsynced == maxUnsynced {
+		r.outputsHeld.begin(r.options.Clock.Now())
+	}
 	if err := r.core.Err(); err != nil {
 		r.fail(err)
 	}
@@ -484,7 +503,8 @@
 	if role := status.Role.String(); role != r.role {
 		if r.role == consensus.Leader.String() {
 			r.options.Log.Info("leadership ended", "Host", r.options.Host, "Replica", r.id, "Reason", string(status.LastStepDown.Reason),
-				"SinceQuorum", status.LastStepDown.SinceQuorum.String())
+				"SinceQuorum", status.LastStepDown.SinceQuorum.String(), "Unsynced", r.unsynced,
+				"OutputsHeld", r.outputsHeld.lasting(r.options.Clock.Now()).String())
 		}
 		r.role = role
 		r.options.Log.Info("role changed", "Host", r.options.Host, "Replica", r.id, "Role", role, "Term", status.Term,
@@ -561,13 +581,27 @@
 	if err := r.options.Store.Save(batch); err != nil {
 		return err
 	}
+	saved := r.options.Clock.Now()
 	if batch.HardState != nil || batch.Snapshot != nil || len(batch.Entries) > 0 {
-		r.counters.recordSync(r.options.Clock.Since(start), len(batch.Entries))
+		r.counters.recordSync(saved.Sub(start), len(batch.Entries))
 	}
-	if compact == nil {
-		return nil
+	var err error
+	if compact != nil {
+		err = r.options.Store.Compact(compact)
+	}
+	r.logSlowDisk(start, saved, len(batch.Entries))
+	return err
+}
+
+// logSlowDisk logs a write to the store that took longer than a heartbeat interval.
+func (r *Replica) logSlowDisk(start, saved time.Time, entries int) {
+	end := r.options.Clock.Now()
+	if end.Sub(start) < slowIteration || end.Sub(r.slowDiskLoggedAt) < diskLogInterval {
+		return
 	}
-	return r.options.Store.Compact(compact)
+	r.slowDiskLoggedAt = end
+	r.options.Log.Info("disk was slow", "Host", r.options.Host, "Replica", r.id, "Save", saved.Sub(start).String(),
+		"Compact", end.Sub(saved).String(), "Entries", entries)
 }
 
 // Stop transfers leadership if this replica leads, and waits for up to 1 s until another replica leads. Run continues until
