replica: send heartbeats and replies while a slow sync holds outputs

Callers saw a leader end with "no quorum has answered" when its own disk was slow, and up to half a second without answers before that. The control loop takes no Output from the Core while 64 of them aren't persisted, and an Output without anything to persist also counts once it follows one that has. Heartbeats, answers to them, and replies to requests are part of Outputs, so they waited for the sync although they need none.

While the limit is reached, the control loop now sends what needs no sync: Core.ReadyImmediate and Node.Immediate. Votes, answers in a term that isn't durable, and the indexes of acknowledged entries still wait for Advance.

--- a/internal/decision/consensus/doc.go
+++ b/internal/decision/consensus/doc.go
@@ -19,7 +19,8 @@
 //	}
 //
 // Ready may be called again before earlier outputs are advanced, so that work is accepted while a sync runs.
-// Outputs must be persisted and advanced in the order in which Ready returned them.
+// Outputs must be persisted and advanced in the order in which Ready returned them. A caller that limits the outputs in
+// flight sends the messages of [Node.Immediate] while the limit is reached.
 //
 // # Design
 //
--- a/internal/decision/consensus/node.go
+++ b/internal/decision/consensus/node.go
@@ -276,6 +276,20 @@
 	return o, true
 }
 
+// Immediate returns the queued messages that need no sync, for a caller that can't persist another output yet. Heartbeats and
+// their replies then don't wait for its disk.
+func (n *Node) Immediate() []*Message {
+	switch {
+	case n.role == Leader:
+		n.replicateAll()
+	case n.persisted.term == n.term:
+		n.replyToLeader()
+	}
+	messages := n.immediate
+	n.immediate = nil
+	return messages
+}
+
 // Advance reports that an output was persisted and synced and that its committed entries were applied. It panics if
 // outputs are not advanced in order.
 func (n *Node) Advance(now time.Time, o Output) {
--- a/internal/decision/consensus/simulation_test.go
+++ b/internal/decision/consensus/simulation_test.go
@@ -247,6 +247,9 @@
 			h.node.Advance(h.local(), o)
 		}
 	}
+	if len(h.pending) >= h.maxPending {
+		h.send(h.node.Immediate())
+	}
 	h.sim.checkFreshness(h)
 	if at := h.node.NextDeadline(); !at.IsZero() {
 		due := h.global(at) + time.Microsecond
--- a/internal/shell/replica/core.go
+++ b/internal/shell/replica/core.go
@@ -271,6 +271,22 @@
 	return o, o.hasConsensusOutput || len(o.Replies) > 0 || o.Compact != nil || o.Members != nil
 }
 
+// ReadyImmediate returns the Replies, Immediate and Members of the next Output, for a caller that can't persist another Output
+// yet. What it returns isn't advanced.
+func (c *Core) ReadyImmediate() Output {
+	var o Output
+	if c.failure != nil {
+		return o
+	}
+	o.Immediate = c.node.Immediate()
+	c.book.attach(c.now, c.node, o.Immediate)
+	c.updateCoordinator()
+	c.collectReplies()
+	o.Members = c.book.takeChanged(c.node)
+	o.Replies, c.replies = c.replies, nil
+	return o
+}
+
 // Advance reports that an Output was persisted and its messages were sent. It is called in the order of Ready.
 func (c *Core) Advance(now time.Time, o Output) {
 	c.now = now
--- a/internal/shell/replica/core_test.go
+++ b/internal/shell/replica/core_test.go
@@ -84,6 +84,7 @@
 // chaos runs a cluster under random faults while operators submit conflicting configurations, then heals it.
 func chaos(seed uint64, injections ...faultInjection) *simCluster {
 	c := newSimCluster(seed, 3+2*int(seed%2), int(seed%3))
+	c.maxUnsynced = []int{maxUnsynced, 1, 3}[seed/2%3]
 	for _, inject := range injections {
 		inject(c)
 	}
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -34,7 +34,7 @@
 	// slowIteration is the duration from which an iteration of the control loop is logged: the heartbeat interval.
 	slowIteration = 100 * time.Millisecond
 
-	// maxUnsynced limits the Outputs that wait to be persisted.
+	// maxUnsynced limits the Outputs that wait to be persisted. Messages and replies that need no sync don't wait for them.
 	maxUnsynced = 64
 
 	// diskLogInterval is the minimum time between log lines about a slow disk.
@@ -316,7 +316,7 @@
 		"Decisions", ticked.Sub(drained).String(), "Commits", end.Sub(ticked).String(), "Queued", len(r.requests), "Unsynced", r.unsynced)
 }
 
-// logHeldOutputs logs that Outputs were held for long enough to delay heartbeats.
+// logHeldOutputs logs that Outputs were held for longer than a heartbeat interval.
 func (r *Replica) logHeldOutputs() {
 	if held, due := r.outputsHeld.end(r.options.Clock.Now()); due {
 		r.options.Log.Info("outputs waited for the disk", "Host", r.options.Host, "Replica", r.id, "Role", r.role, "Held", held.String())
@@ -374,12 +374,7 @@
 		if !ok {
 			break
 		}
-		r.deliverReplies(o.Replies)
-		r.send(o.Immediate)
-		if o.Members != nil {
-			r.addressBook = o.Members
-			r.options.Transport.SetPeers(r.id, o.Members)
-		}
+		r.deliverImmediate(o)
 		if !o.NeedsSync() && r.unsynced == 0 {
 			r.send(o.Messages)
 			r.core.Advance(r.options.Clock.Now(), o)
@@ -388,14 +383,25 @@
 		r.unsynced++
 		r.outputQueue <- o
 	}
-	if r.unsynced == maxUnsynced {
+	if r.unsynced >= maxUnsynced && r.failure == nil {
 		r.outputsHeld.begin(r.options.Clock.Now())
+		r.deliverImmediate(r.core.ReadyImmediate())
 	}
 	if err := r.core.Err(); err != nil {
 		r.fail(err)
 	}
 }
 
+// deliverImmediate processes the parts of an Output that need no sync.
+func (r *Replica) deliverImmediate(o Output) {
+	r.deliverReplies(o.Replies)
+	r.send(o.Immediate)
+	if o.Members != nil {
+		r.addressBook = o.Members
+		r.options.Transport.SetPeers(r.id, o.Members)
+	}
+}
+
 // completeSync reports persisted Outputs to the Core, or stops the replica if they could not be persisted.
 func (r *Replica) completeSync(s syncResult) {
 	r.unsynced -= len(s.outputs)
--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -43,6 +43,7 @@
 	newCoordinator func(d *simDaemon, state *controlstate.State, leaseValid func(time.Time) bool) Coordinator
 	usesFolders    bool // daemons persist to a simFolder instead of simDaemon.disk
 
+	maxUnsynced        int // Outputs of a daemon that aren't persisted
 	compactAfter       uint64
 	compactions        int // durable snapshots taken locally
 	installedSnapshots int // durable snapshots received from a leader
@@ -65,6 +66,7 @@
 	disk      Restored
 	folder    *simFolder // used instead of disk if it isn't nil
 	outputs   []Output   // returned by Ready, with their sync not started yet
+	unsynced  int        // outputs, and those being synced
 	syncing   bool
 	callbacks map[RequestID]func(DeferredReply)
 	lastTick  time.Time
@@ -84,7 +86,7 @@
 	c := &simCluster{
 		random: rand.New(rand.NewPCG(seed, 3)), start: start, now: start,
 		daemons: map[string]*simDaemon{}, daemonsByID: map[uint64]*simDaemon{}, partitionedLinks: map[[2]string]bool{}, frozenUntil: map[string]time.Time{}, operations: map[string]*operation{}, oracle: newOracle(),
-		replacing: map[string]bool{}, staleAfter: StaleAfter, compactAfter: 20,
+		replacing: map[string]bool{}, staleAfter: StaleAfter, compactAfter: 20, maxUnsynced: maxUnsynced,
 	}
 	for _, option := range options {
 		option(c)
@@ -143,7 +145,7 @@
 		c.oracle.violation("starting %s: %v", d.name, err)
 		return
 	}
-	d.core, d.callbacks, d.outputs, d.syncing = core, map[RequestID]func(DeferredReply){}, nil, false
+	d.core, d.callbacks, d.outputs, d.unsynced, d.syncing = core, map[RequestID]func(DeferredReply){}, nil, 0, false
 	d.boots++
 	c.processOutputs(d)
 }
@@ -221,29 +223,38 @@
 
 // processOutputs processes the pending Outputs of a Core.
 func (c *simCluster) processOutputs(d *simDaemon) {
-	for d.core != nil {
+	for d.core != nil && d.unsynced < c.maxUnsynced {
 		output, ok := d.core.Ready()
 		if !ok {
 			break
 		}
-		for _, answer := range output.Replies {
-			if done := d.callbacks[answer.RequestID]; done != nil {
-				delete(d.callbacks, answer.RequestID)
-				done(answer)
-			}
-		}
-		c.send(d, output.Immediate)
+		c.deliverImmediate(d, output)
 		if !output.NeedsSync() && !d.syncing && len(d.outputs) == 0 {
 			c.send(d, output.Messages)
 			d.core.Advance(c.now, output)
 			continue
 		}
 		d.outputs = append(d.outputs, output)
+		d.unsynced++
+	}
+	if d.core != nil && d.unsynced >= c.maxUnsynced {
+		c.deliverImmediate(d, d.core.ReadyImmediate())
 	}
 	c.sync(d)
 	c.checkInvariants(d)
 }
 
+// deliverImmediate processes the parts of an Output that need no sync.
+func (c *simCluster) deliverImmediate(d *simDaemon, output Output) {
+	for _, answer := range output.Replies {
+		if done := d.callbacks[answer.RequestID]; done != nil {
+			delete(d.callbacks, answer.RequestID)
+			done(answer)
+		}
+	}
+	c.send(d, output.Immediate)
+}
+
 // sync persists all waiting Outputs together, as Replica does, in 1 to 4 ms or longer on slow disks.
 func (c *simCluster) sync(d *simDaemon) {
 	if d.core == nil || d.syncing || len(d.outputs) == 0 {
@@ -273,7 +284,7 @@
 				c.persist(d, output)
 			}
 		}
-		d.syncing = false
+		d.syncing, d.unsynced = false, d.unsynced-len(batch)
 		if !c.acksEarly {
 			c.advance(d, batch)
 		}
