suspension: repeat a reading that could be a preempted thread

The detector reads CLOCK_MONOTONIC and then CLOCK_BOOTTIME; a thread that is preempted for more than 20 ms in between sees their offset jump as after a suspension.

A jump is now read again and the smaller offset counts: preemption inflates one reading, a suspension all later ones, so that none is missed.

--- a/internal/shell/suspension/detector.go
+++ b/internal/shell/suspension/detector.go
@@ -12,7 +12,7 @@
 )
 
 // tolerance is the change of the offset between the clocks above which the host is taken to have been suspended. Reading
-// the two clocks one after the other causes differences of microseconds.
+// the two clocks one after the other causes differences of microseconds, or more if the thread is preempted in between.
 const tolerance = 20 * time.Millisecond
 
 // Detector compares CLOCK_MONOTONIC with CLOCK_BOOTTIME, which also advances during suspension. It is not safe for
@@ -39,6 +39,14 @@
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
+	if offset-d.offset > tolerance {
+		// Preemption between the two clocks makes one reading too high, while a suspension changes all later ones.
+		repeated, err := d.read()
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		offset = min(offset, repeated)
+	}
 	suspended := offset-d.offset > tolerance
 	d.offset = offset
 	return suspended, nil
