dispatch: pause best-effort tasks that are being stopped

Cause: a best-effort task works on until its stop takes effect, 0.4 s and the calls. Once all of a worker's best-effort tasks are being stopped, it counted as one without any, and was not paused; and a pause left out those that were being stopped, often at the same poll that found the pause due.

Change: tasks that are being stopped count, and are paused with the others. Their speed isn't raised again.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -10,7 +10,8 @@
 // A serving task may exceed its latency target for seconds beside best-effort tasks that are rated as harmless, because
 // its own load has risen or one of them has changed. The best-effort tasks of its host are paused before this has lasted
 // for as long as the platform allows, and resume once the latency is below the target. Pausing loses no work; they are
-// only stopped if a pause of maxPause didn't help.
+// only stopped if a pause of maxPause didn't help. Those that are being stopped are paused too, because they work on until
+// the stop takes effect.
 
 const (
 	// fullSpeed and pausedSpeed are the speeds, in percent, of best-effort tasks.
@@ -51,9 +52,10 @@
 	if w.latencyRatio < safeLatencyRatio {
 		w.belowTargetAt = d.now
 	}
-	mustPause := len(bestEffort) > 0 && d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
+	working := len(bestEffort) + d.stoppingOn(w)
+	mustPause := working > 0 && d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
 	if isPaused := w.speed == pausedSpeed; mustPause != isPaused {
-		d.setSpeed(w, mustPause, len(bestEffort))
+		d.setSpeed(w, mustPause, working)
 		return
 	}
 	if mustPause && d.now.Sub(w.pausedAt) >= maxPause {
@@ -63,6 +65,22 @@
 	}
 }
 
+// stoppingOn returns the number of best-effort runs on a worker that are being stopped and may still be at work.
+func (d *Dispatcher) stoppingOn(w *worker) int {
+	stopping := 0
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.isStoppingBestEffort() {
+			stopping++
+		}
+	}
+	return stopping
+}
+
+// isStoppingBestEffort reports whether a best-effort run is being stopped and may still be at work.
+func (r *run) isStoppingBestEffort() bool {
+	return r.task.Step.GetFills() && r.seen && r.stopRequested && !r.ended
+}
+
 // setSpeed pauses or resumes the best-effort tasks of a worker.
 func (d *Dispatcher) setSpeed(w *worker, pause bool, bestEffort int) {
 	w.speed = fullSpeed
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -125,6 +125,8 @@
 		d.start(r)
 	case (r.seen || !r.acknowledgedAt.IsZero()) && !r.stopRequested && r.task.Step.GetFills():
 		d.tickSpeed(r)
+	case r.isStoppingBestEffort() && r.worker.speed == pausedSpeed:
+		d.tickSpeed(r)
 	}
 }
 
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -96,11 +96,12 @@
 	ended           []simEnd
 	nextEnd         uint64
 	failing         bool
-	stalled         bool    // its tasks make no progress
-	rejectsStarts   bool    // it rejects starts without any effect
-	rejectionRate   float64 // share of the starts that it rejects without any effect
-	slowdown        float64 // factor by which its tasks take longer; 0 for 1
-	slowTail        float64 // added to the latency ratio of its serving tasks
+	stalled         bool          // its tasks make no progress
+	rejectsStarts   bool          // it rejects starts without any effect
+	rejectionRate   float64       // share of the starts that it rejects without any effect
+	slowdown        float64       // factor by which its tasks take longer; 0 for 1
+	slowTail        float64       // added to the latency ratio of its serving tasks
+	stopTime        time.Duration // for which a run works on after a stop
 }
 
 // simEnd is an end that isn't acknowledged yet. It is discarded if the worker's lease expires first.
@@ -490,7 +491,11 @@
 	case order.Start:
 		return &order.Answer{Status: s.start(call, clock), Clock: clock}
 	case order.Stop:
-		s.stop(call.Run)
+		if s.stopTime > 0 {
+			s.simulation.after(s.stopTime, func() { s.stop(call.Run) })
+		} else {
+			s.stop(call.Run)
+		}
 		return &order.Answer{Status: order.OK, Clock: clock}
 	case order.Poll:
 		return s.poll(call, clock)
