dispatch: a new leader pauses best-effort tasks at the first poll over the target

What callers saw: nothing yet.

Cause: the time over the target counts from the last poll below it, for which a new leader takes the time at which it took over.

Evidence: TestNewLeaderPausesInTime fails before.

Change: where a leader hasn't seen a worker's serving tasks below their targets yet, and one may be over its own, the pause is due at once. It ends at the first poll below the target, as any pause.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -47,13 +47,14 @@
 
 // pauseIfOverTarget pauses the best-effort tasks of a worker while a serving task may have exceeded its latency target
 // for too long, whatever the cause. The time counts from the last poll at which all serving tasks were certainly below
-// their targets.
+// their targets. A new leader doesn't know that time, and pauses them at the first poll at which one may be over it.
 func (d *Dispatcher) pauseIfOverTarget(w *worker, bestEffort []*run) {
 	if w.latencyRatio < safeLatencyRatio {
 		w.belowTargetAt = d.now
 	}
 	working := len(bestEffort) + d.stoppingOn(w)
-	mustPause := working > 0 && d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
+	isDue := !w.belowTargetAt.After(w.addedAt) || d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
+	mustPause := working > 0 && isDue
 	if isPaused := w.speed == pausedSpeed; mustPause != isPaused {
 		d.setSpeed(w, mustPause, working)
 		return
