dispatch: log best-effort runs that aren't paused in time

At most one line for each poll of a worker whose pause is a second from being late, with five runs at most.

--- a/internal/decision/dispatch/interference.go
+++ b/internal/decision/dispatch/interference.go
@@ -57,6 +57,7 @@
 		}
 	}
 	d.pauseIfOverTarget(w, bestEffort)
+	d.logUnpaused(w)
 }
 
 // bestEffortOn returns the best-effort runs on a worker that aren't being stopped, and the images of those that have run
--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"galenamoor/internal/decision/imagepair"
@@ -39,6 +41,11 @@
 	// elsewhere.
 	maxPause = 2 * time.Second
 
+	// unpausedLogTime is how long before the end of MaxOverTarget best-effort runs that aren't paused yet are logged, and
+	// maxLoggedRuns the number of them that are named.
+	unpausedLogTime = time.Second
+	maxLoggedRuns   = 5
+
 	// maxCallDelay is the time after which an unanswered call is certainly no longer carried out, and speedRepeatInterval
 	// the interval at which speed calls are repeated until then.
 	maxCallDelay        = 12 * time.Second
@@ -66,6 +73,27 @@
 	}
 }
 
+// logUnpaused logs the best-effort runs of a worker that aren't known to be paused although a serving task may soon have
+// exceeded its latency target for too long.
+func (d *Dispatcher) logUnpaused(w *worker) {
+	belowTargetAgo := d.now.Sub(w.belowTargetAt)
+	if w.latencyRatio < safeLatencyRatio || belowTargetAgo < d.config.Limits.MaxOverTarget-unpausedLogTime {
+		return
+	}
+	var unpaused []string
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.task.Step.GetFills() && r.seen && !r.ended && r.speed != pausedSpeed {
+			unpaused = append(unpaused, fmt.Sprintf("%s/%d", key.Task, key.Run))
+		}
+	}
+	if len(unpaused) == 0 {
+		return
+	}
+	slices.Sort(unpaused)
+	d.config.Log.Info("best-effort runs not paused yet", "Worker", w.incarnation.GetId(), "LatencyRatio", w.latencyRatio, "BelowTargetAgo", belowTargetAgo.String(),
+		"PausedAgo", d.now.Sub(w.pausedAt).String(), "Count", len(unpaused), "Runs", unpaused[:min(len(unpaused), maxLoggedRuns)])
+}
+
 // stoppingOn returns the number of best-effort runs on a worker that are being stopped and may still be at work.
 func (d *Dispatcher) stoppingOn(w *worker) int {
 	stopping := 0
