--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"galenamoor/internal/decision/imagepair"
@@ -10,7 +12,8 @@
 // A serving task may exceed its latency target for seconds beside best-effort tasks that are rated as harmless, because
 // its own load has risen or one of them has changed. The best-effort tasks of its host are paused before this has lasted
 // for as long as the platform allows, and resume once the latency is below the target. Pausing loses no work; they are
-// only stopped if a pause of maxPause didn't help.
+// only stopped if a pause of maxPause didn't help. Those that are being stopped are paused too, because they work on until
+// the stop takes effect.
 
 const (
 	// fullSpeed and pausedSpeed are the speeds, in percent, of best-effort tasks.
@@ -38,6 +41,11 @@
 	// elsewhere.
 	maxPause = 2 * time.Second
 
+	// unpausedLogTime is how long before the end of MaxOverTarget best-effort runs that aren't paused yet are logged, and
+	// maxLoggedRuns the number of them that are named.
+	unpausedLogTime = time.Second
+	maxLoggedRuns   = 5
+
 	// maxCallDelay is the time after which an unanswered call is certainly no longer carried out, and speedRepeatInterval
 	// the interval at which speed calls are repeated until then.
 	maxCallDelay        = 12 * time.Second
@@ -46,14 +54,16 @@
 
 // pauseIfOverTarget pauses the best-effort tasks of a worker while a serving task may have exceeded its latency target
 // for too long, whatever the cause. The time counts from the last poll at which all serving tasks were certainly below
-// their targets.
+// their targets. A new leader doesn't know that time, and pauses them at the first poll at which one may be over it.
 func (d *Dispatcher) pauseIfOverTarget(w *worker, bestEffort []*run) {
 	if w.latencyRatio < safeLatencyRatio {
 		w.belowTargetAt = d.now
 	}
-	mustPause := len(bestEffort) > 0 && d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
+	working := len(bestEffort) + d.stoppingOn(w)
+	isDue := !w.belowTargetAt.After(w.addedAt) || d.now.Sub(w.belowTargetAt) >= max(minOverTarget, d.config.Limits.MaxOverTarget-pauseLeadTime)
+	mustPause := working > 0 && isDue
 	if isPaused := w.speed == pausedSpeed; mustPause != isPaused {
-		d.setSpeed(w, mustPause, len(bestEffort))
+		d.setSpeed(w, mustPause, working)
 		return
 	}
 	if mustPause && d.now.Sub(w.pausedAt) >= maxPause {
@@ -63,6 +73,43 @@
 	}
 }
 
+// logUnpaused logs the best-effort runs of a worker that aren't known to be paused although a serving task may soon have
+// exceeded its latency target for too long.
+func (d *Dispatcher) logUnpaused(w *worker) {
+	belowTargetAgo := d.now.Sub(w.belowTargetAt)
+	if w.latencyRatio < safeLatencyRatio || belowTargetAgo < d.config.Limits.MaxOverTarget-unpausedLogTime {
+		return
+	}
+	var unpaused []string
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.task.Step.GetFills() && r.seen && !r.ended && r.speed != pausedSpeed {
+			unpaused = append(unpaused, fmt.Sprintf("%s/%d", key.Task, key.Run))
+		}
+	}
+	if len(unpaused) == 0 {
+		return
+	}
+	slices.Sort(unpaused)
+	d.config.Log.Info("best-effort runs not paused yet", "Worker", w.incarnation.GetId(), "LatencyRatio", w.latencyRatio, "BelowTargetAgo", belowTargetAgo.String(),
+		"PausedAgo", d.now.Sub(w.pausedAt).String(), "Count", len(unpaused), "Runs", unpaused[:min(len(unpaused), maxLoggedRuns)])
+}
+
+// stoppingOn returns the number of best-effort runs on a worker that are being stopped and may still be at work.
+func (d *Dispatcher) stoppingOn(w *worker) int {
+	stopping := 0
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.isStoppingBestEffort() {
+			stopping++
+		}
+	}
+	return stopping
+}
+
+// isStoppingBestEffort reports whether a best-effort run is being stopped and may still be at work.
+func (r *run) isStoppingBestEffort() bool {
+	return r.task.Step.GetFills() && r.seen && r.stopRequested && !r.ended
+}
+
 // setSpeed pauses or resumes the best-effort tasks of a worker.
 func (d *Dispatcher) setSpeed(w *worker, pause bool, bestEffort int) {
 	w.speed = fullSpeed
