dispatch: a record of an unanswered check costs no lease, and bounds none

Causes: the record of an unanswered check stopped the extension of the lease, although it bounds no lease that the next leader could count on. And a successor that hadn't read the clock of a worker with a reused ID replaced the bounded record of its predecessor by one without a bound.

Such a record no longer withholds the lease. A reused ID has no part in it, as leaseExpires already counts the longest lease there. An answer by another clock is recorded without delay.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -97,13 +97,13 @@
 }
 
 // withholdLease stops extending the lease of a worker that hasn't accepted a poll, and records when it expires. It is repeated after
-// the next poll if the outcome is unknown. The record bounds no lease that this leader can't count: of a later incarnation, or
-// granted by calls for an earlier one.
+// the next poll if the outcome is unknown. While a later incarnation may exist, the record only says that: it bounds no lease, and
+// leases are still extended.
 func (d *Dispatcher) withholdLease(w *worker) {
 	if len(w.incarnation.Runs) == 0 || w.recordingLease || w.ending {
 		return
 	}
-	isUncountable := w.superseded || w.mayHaveRestarted || w.reusesID && w.clockReadAt.IsZero()
+	isUncountable := w.superseded || w.mayHaveRestarted
 	expires := w.leaseExpires
 	switch {
 	case isUncountable && w.incarnation.GetWithheldLease().GetMayHaveRestarted():
@@ -111,9 +111,15 @@
 	case !isUncountable && w.leaseWithheld && !expires.After(w.recordedExpiry):
 		return
 	}
-	w.leaseWithheld, w.recordingLease, w.recordedExpiry = true, true, time.Time{}
+	w.recordingLease, w.recordedExpiry = true, time.Time{}
+	remaining := expires.Sub(d.now)
+	if isUncountable {
+		remaining = max(remaining, d.longestLease()) // an earlier version takes it for a bound
+	} else {
+		w.leaseWithheld = true
+	}
 	change := &controlpb.WithholdLease{
-		Worker: w.incarnation.GetNumber(), ExpiresInMs: milliseconds(expires.Sub(d.now)), MayHaveRestarted: isUncountable,
+		Worker: w.incarnation.GetNumber(), ExpiresInMs: milliseconds(remaining), MayHaveRestarted: isUncountable,
 	}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: change}}, func(result *controlpb.Result) {
 		w.recordingLease = false
@@ -132,7 +138,7 @@
 // resumeLease proposes to extend the lease of a worker again. The next poll extends it once that is committed: until then the next
 // leader may count on the record.
 func (d *Dispatcher) resumeLease(w *worker) {
-	if !w.leaseWithheld || w.recordingLease || w.ending || w.superseded || w.mayHaveRestarted {
+	if !w.leaseWithheld && w.incarnation.GetWithheldLease() == nil || w.recordingLease || w.ending || w.superseded || w.mayHaveRestarted {
 		return
 	}
 	w.recordingLease, w.recordedExpiry = true, time.Time{}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -73,7 +73,7 @@
 	if w.checkedSince.IsZero() || a.Call.Sent.Before(w.checkedSince) {
 		return false
 	}
-	w.checkedSince, w.mayHaveRestarted, w.recheck.confirmedAt = time.Time{}, false, d.now
+	w.checkedSince, w.mayHaveRestarted, w.restartSeen, w.recheck.confirmedAt = time.Time{}, false, false, d.now
 	if a.IncarnationStartMs > w.incarnation.GetBornMs() {
 		d.supersede(w)
 		return true
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -117,6 +117,7 @@
 	leaveRequests       []*controlpb.LeaderRequest
 	checkedSince        time.Time // since when a later incarnation here is checked for; zero once an answer shows whether it exists
 	recheck             recheck   // after announcements that come soon after a check
+	restartSeen         bool      // an answer has shown a clock that isn't that of this incarnation
 	mayHaveRestarted    bool      // that one has the same ID and address, so that it accepts orders for this one
 	reusesID            bool      // an earlier incarnation under its ID is known
 	crashed             bool      // a later incarnation of its host has shown that it ended without notice
@@ -250,7 +251,7 @@
 		if !d.now.Before(w.leaveAckBy) {
 			d.acknowledgeLeave(w)
 		}
-		if w.superseded || w.mayHaveRestarted && (w.leaseWithheld || d.now.Sub(w.checkedSince) > restartRecordDelay) {
+		if w.superseded || w.mayHaveRestarted && (w.leaseWithheld || w.restartSeen || d.now.Sub(w.checkedSince) > restartRecordDelay) {
 			d.withholdLease(w) // a later incarnation may have been granted a lease that the record doesn't cover
 		}
 		if w.pendingPoll != nil || w.recordingEnds || w.ending || isLost || d.now.Before(w.nextPoll) {
@@ -461,6 +462,7 @@
 	if !w.superseded {
 		w.lastAnswer = d.now
 		if w.hasRestarted(a) {
+			w.restartSeen = true // false announcements don't show this: record it without delay
 			d.checkRestart(w)
 		}
 	}
