dispatch: a new leader awaits starts that only its predecessor may have known of

Cause: only the last leader knows which starts have no answer, and which answers came from another clock; the later incarnation may have accepted the longest lease. A record of that is committed too late if the leader falls at once.

Replicas note how many assignments they have applied, and when. The other runs of the same worker are dropped when its granted lease has expired, so that their tasks don't wait.

TestStartCarriedOutBeforeLeaderChange failed, TestRecentRunDelaysNoOther fails (10.5 s) if the other runs wait too. TestGrantedLeaseIsAwaited fails if the counted lease is halved, which no test had noticed. TestTasksOutliveCrashesAcrossLeaders becomes six subtests with the same checks.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -4,7 +4,7 @@
 // A Dispatcher is deterministic and does no I/O: calls leave through WorkerCalls, and their answers come back through
 // Mailbox. Its state is lost with the leader; what must survive a change of leader is proposed as a change of
 // workload.State and acted upon once it is committed. A Dispatcher that doesn't lead only notes when its replica has applied the
-// records of leases.
+// records of leases and the assignments of runs.
 package dispatch
 
 import (
@@ -102,6 +102,7 @@
 
 	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
 	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
+	assignmentMarks       []assignmentMark      // of the last recentAssignment, oldest first
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
 	workers           map[uint32]*worker
@@ -252,9 +253,10 @@
 	d.observeLeases()
 }
 
-// observeLeases notes when this replica has applied the records of leases.
+// observeLeases notes when this replica has applied the records of leases and the assignments of runs.
 func (d *Dispatcher) observeLeases() {
 	d.observeEpoch()
+	d.observeAssignments()
 	d.observeWithheldLeases()
 }
 
--- a/internal/decision/dispatch/epoch_leases_test.go
+++ b/internal/decision/dispatch/epoch_leases_test.go
@@ -54,6 +54,9 @@
 			sim.run(passed)
 			if restart {
 				sim.standby = New(sim.dispatcher.config)
+				if err := sim.state.Restore(sim.state.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
 			}
 			sim.changeLeader()
 			sim.run(50 * time.Millisecond)
--- a/internal/decision/dispatch/flapping_test.go
+++ b/internal/decision/dispatch/flapping_test.go
@@ -197,35 +197,41 @@
 // TestTasksOutliveCrashesAcrossLeaders guards against giving up tasks because leaders don't know how often workers crash. Few may be
 // paused, as some of the crashes look as if they were to blame.
 func TestTasksOutliveCrashesAcrossLeaders(t *testing.T) {
-	const tasks = 24
 	for _, interval := range []time.Duration{800 * time.Millisecond, 1500 * time.Millisecond} {
 		for seed := range uint64(3) {
-			sim := newSimulationWithWorkers(t, seed, 12)
-			sim.submit("urgent", "a", serving(tasks, "web"))
-			sim.run(3 * time.Second)
-			for i := range int(100 * time.Second / interval) {
-				if w := sim.workers[i%12]; w.up {
-					w.crash(time.Duration(1000+sim.random.IntN(3000)) * time.Millisecond)
-				}
-				if i%12 == 11 {
-					sim.changeLeader()
-				}
-				sim.run(interval)
-			}
-			sim.run(8 * time.Second)
-			running, paused := sim.servingRuns("a"), 0
-			for _, task := range sim.state.Job("a").Occurrences[0][0].Tasks {
-				if task.IsPaused(sim.now) {
-					paused++
-				}
-			}
-			if running+paused != tasks || paused > tasks/10 {
-				t.Errorf("crashes every %v, seed %d: %d of %d tasks run, %d are paused", interval, seed, running, tasks, paused)
-			}
-			sim.run(5 * time.Minute)
-			if running := sim.servingRuns("a"); running != tasks {
-				t.Errorf("crashes every %v, seed %d: %d of %d tasks run after all pauses", interval, seed, running, tasks)
-			}
+			t.Run(fmt.Sprintf("interval=%v/seed=%d", interval, seed), func(t *testing.T) {
+				crashAcrossLeaders(t, interval, seed)
+			})
 		}
 	}
 }
+
+func crashAcrossLeaders(t *testing.T, interval time.Duration, seed uint64) {
+	const tasks = 24
+	sim := newSimulationWithWorkers(t, seed, 12)
+	sim.submit("urgent", "a", serving(tasks, "web"))
+	sim.run(3 * time.Second)
+	for i := range int(100 * time.Second / interval) {
+		if w := sim.workers[i%12]; w.up {
+			w.crash(time.Duration(1000+sim.random.IntN(3000)) * time.Millisecond)
+		}
+		if i%12 == 11 {
+			sim.changeLeader()
+		}
+		sim.run(interval)
+	}
+	sim.run(8 * time.Second)
+	running, paused := sim.servingRuns("a"), 0
+	for _, task := range sim.state.Job("a").Occurrences[0][0].Tasks {
+		if task.IsPaused(sim.now) {
+			paused++
+		}
+	}
+	if running+paused != tasks || paused > tasks/10 {
+		t.Errorf("%d of %d tasks run, %d are paused", running, tasks, paused)
+	}
+	sim.run(5 * time.Minute)
+	if running := sim.servingRuns("a"); running != tasks {
+		t.Errorf("%d of %d tasks run after all pauses", running, tasks)
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/recent.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import "time"
+
+// The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
+// have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for the runs that were assigned shortly
+// before it started leading.
+
+// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
+const recentAssignment = unresponsiveAfter
+
+// assignmentMark is the number of assignments that this replica had applied at a time.
+type assignmentMark struct {
+	at          time.Time
+	assignments uint64
+}
+
+// observeAssignments notes how many assignments this replica has applied by now.
+func (d *Dispatcher) observeAssignments() {
+	marks, assignments := d.assignmentMarks, d.config.State().Assignments()
+	if n := len(marks); n == 0 || marks[n-1].assignments != assignments {
+		marks = append(marks, assignmentMark{d.now, assignments})
+	}
+	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment)) {
+		marks = marks[1:]
+	}
+	d.assignmentMarks = marks
+}
+
+// isRecent reports whether an inherited run was assigned shortly before this leader started leading, as far as this replica knows.
+func (d *Dispatcher) isRecent(r *run) bool {
+	settled := uint64(0)
+	for _, mark := range d.assignmentMarks {
+		if !mark.at.After(d.leadingSince.Add(-recentAssignment)) {
+			settled = mark.assignments
+		}
+	}
+	return r.task.Assignment(r.key.Run) > settled
+}
+
+// awaitsRecentStart reports whether a later incarnation may run what was ordered by the last leader and has no answer.
+func (d *Dispatcher) awaitsRecentStart(r *run) bool {
+	return r.recent && d.now.Before(d.leadingSince.Add(d.longestLease()))
+}
--- /dev/null
+++ b/internal/decision/dispatch/recent_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenamoor/internal/decision/order"
+)
+
+// A task must not start elsewhere while a later incarnation of its worker runs it, which carried out the start shortly before the leader
+// changed and is partitioned since: the next leader knows nothing of it.
+func TestStartCarriedOutBeforeLeaderChange(t *testing.T) {
+	for responses := range 2 {
+		for _, age := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("responses=%d/age=%v", responses, age), func(t *testing.T) {
+				c := newCluster(t, 1, 2)
+				c.deliver = func(e *exchange, w *strictWorker) delivery {
+					return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
+				}
+				c.run(12 * time.Second)
+				c.submit("batch", "a", dedicated(4, 20*time.Second))
+				w := c.assigned()
+				w.setClockRate(slowestClock)
+				w.restart(0)
+				if responses > 0 {
+					w.responsesLeft, w.partitionTime = responses, 18*time.Second
+				} else {
+					c.after(8*time.Millisecond, func() { w.partition(18 * time.Second) })
+				}
+				c.run(age)
+				c.changeLeader(0, 0)
+				c.run(16 * time.Second)
+				c.expectNoViolation()
+			})
+		}
+	}
+}
+
+// The next leader must await a lease that the last one has granted just before, by the slowest clock.
+func TestGrantedLeaseIsAwaited(t *testing.T) {
+	for offset := time.Duration(0); offset < 1200*time.Millisecond; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			c.submit("batch", "a", dedicated(4, 40*time.Second))
+			w := c.assigned()
+			w.setClockRate(slowestClock)
+			c.run(3*time.Second + offset)
+			w.partition(20 * time.Second)
+			c.loseCalls(w, func(*order.Call) bool { return w.isPartitioned() })
+			c.changeLeader(0, 0)
+			c.run(12 * time.Second)
+			c.expectNoViolation()
+		})
+	}
+}
+
+// Runs that were assigned shortly before a change of leader must not make the other tasks of their worker wait for the longest lease.
+func TestRecentRunDelaysNoOther(t *testing.T) {
+	const tasks = 8
+	sim := newSimulationWithWorkers(t, 1, 4)
+	sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+	sim.submit("urgent", "old", serving(tasks, "image"))
+	sim.run(10 * time.Second)
+	sim.submit("urgent", "recent", serving(tasks, "image"))
+	sim.run(300 * time.Millisecond)
+	for _, worker := range sim.workers {
+		jobs := map[string]bool{}
+		for key := range worker.runs {
+			jobs[key.Task.Job] = true
+		}
+		if len(jobs) == 2 {
+			worker.crash(time.Hour)
+			break
+		}
+	}
+	if sim.servingRuns("old") == tasks {
+		t.Fatal("no worker runs both")
+	}
+	sim.changeLeader()
+	changed := sim.now
+	for sim.servingRuns("old") < tasks && sim.now.Sub(changed) < time.Minute {
+		sim.run(10 * time.Millisecond)
+	}
+	if waited := sim.now.Sub(changed); waited > leaseBound+300*time.Millisecond {
+		t.Errorf("the tasks run again %v after the change of leader", waited)
+	}
+}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -94,17 +94,23 @@
 }
 
 // hasOpenStarts reports whether a later incarnation of a worker may still carry out a start that was ordered from this one, or run
-// what it has started that way. It knows nothing of starts of runs whose assignment was removed: their tasks don't wait.
+// what it has started that way. Unless there is a sign of one, only recent runs of the last leader count. It knows nothing of starts of
+// runs whose assignment was removed: their tasks don't wait.
 func (d *Dispatcher) hasOpenStarts(w *worker) bool {
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && d.hasOpenStart(r) {
+		if r := d.runs[key]; r != nil && d.mayRunLater(r) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasOpenStart does the same for one run. Late orders may both start the run and extend its lease.
+// mayRunLater reports the same for one run.
+func (d *Dispatcher) mayRunLater(r *run) bool {
+	return d.awaitsRecentStart(r) || (r.worker.superseded || r.worker.mayHaveRestarted) && d.hasOpenStart(r)
+}
+
+// hasOpenStart reports whether a start of a run may still be carried out, or have an effect. Late orders may both start the run and extend its lease.
 func (d *Dispatcher) hasOpenStart(r *run) bool {
 	lastStart := r.lastOrderedAt.Add(maxCallDelay)
 	switch {
@@ -118,15 +124,18 @@
 }
 
 // dropSettled drops the runs of a silent worker that no later incarnation can have, so that their tasks don't wait until the worker
-// is declared lost. Runs that may have crashed the worker are dropped only then.
-func (d *Dispatcher) dropSettled(w *worker) {
+// is declared lost, and reports whether there were any. Runs that may have crashed the worker are dropped only then.
+func (d *Dispatcher) dropSettled(w *worker) bool {
+	dropped := false
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && !r.withdrawn && !r.unproven && !d.hasOpenStart(r) {
+		if r := d.runs[key]; r != nil && !r.withdrawn && !r.unproven && !d.mayRunLater(r) {
 			d.config.Log.Info("run settled", "Task", key.Task.String(), "Run", key.Run, "Worker", w.incarnation.GetId())
 			r.leaseExpired = true
 			d.drop(r)
+			dropped = true
 		}
 	}
+	return dropped
 }
 
 // pollSuccessor polls the later incarnation with a fencing token that invalidates earlier orders.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -151,6 +151,7 @@
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
 		r.inherited, r.lastOrderedAt, r.speed = true, d.leadingSince, unknownSpeed
+		r.recent = d.isRecent(r)
 	}
 }
 
@@ -241,8 +242,8 @@
 			d.endIncarnation(w, "it terminates and runs nothing")
 		case isLost:
 			d.endIncarnation(w, "its lease has expired")
-		case w.mayHaveRestarted && d.isSilent(w):
-			d.dropSettled(w)
+		case d.isSilent(w) && d.dropSettled(w):
+			losses++
 		}
 		if w.ending && !wasEnding {
 			losses++
@@ -270,7 +271,7 @@
 
 // isLost reports whether an unresponsive worker runs nothing any more, nor does a later incarnation that is known of.
 func (d *Dispatcher) isLost(w *worker) bool {
-	return d.isSilent(w) && !(w.mayHaveRestarted && d.hasOpenStarts(w))
+	return d.isSilent(w) && !d.hasOpenStarts(w)
 }
 
 // isSilent reports whether a worker doesn't answer and its lease has expired.
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -92,6 +92,8 @@
 	Number     uint32
 	Worker     uint32
 	AssignedMs int64 // by the leaders' clocks, Unix milliseconds
+
+	Assignment uint64 // State.Assignments when this replica applied the assignment; not replicated
 }
 
 // Demand returns the capacity that a task of the step reserves on its worker. A best-effort task reserves no processors.
@@ -143,6 +145,16 @@
 	return slices.ContainsFunc(t.Runs, func(r Run) bool { return r.Number == number })
 }
 
+// Assignment returns State.Assignments as of the assignment of the numbered run of the task, or 0 if it isn't live.
+func (t *Task) Assignment(number uint32) uint64 {
+	for _, r := range t.Runs {
+		if r.Number == number {
+			return r.Assignment
+		}
+	}
+	return 0
+}
+
 // AssignedAt returns when the numbered run of the task was assigned, or the zero time if it isn't live.
 func (t *Task) AssignedAt(number uint32) time.Time {
 	for _, r := range t.Runs {
@@ -268,7 +280,8 @@
 		t.Step.Waiting--
 	}
 	t.LastRun = start.GetRun()
-	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time})
+	s.assignments++
+	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time, Assignment: s.assignments})
 	w.Runs[RunKey{Task: t.Key(), Run: start.GetRun()}] = t
 	t.Step.Job.liveRuns++
 	t.Step.Job.Started = true
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -70,9 +70,9 @@
 // Restore replaces the state by that of a snapshot; a nil snapshot gives an empty state. It returns an error if the
 // snapshot is inconsistent.
 func (s *State) Restore(snapshot *controlpb.WorkSnapshot) error {
-	leaseChanges := s.leaseChanges + 1
+	leaseChanges, assignments := s.leaseChanges+1, s.assignments+1
 	*s = *New()
-	s.leaseChanges = leaseChanges
+	s.leaseChanges, s.assignments = leaseChanges, assignments
 	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
 	if routing := snapshot.GetRouting(); routing != nil {
 		s.replaceRouting(routing)
@@ -143,7 +143,7 @@
 		if len(t.Runs) == 0 && !t.Done {
 			t.Step.Waiting--
 		}
-		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs()})
+		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: s.assignments})
 		t.Step.Job.liveRuns++
 		w.Runs[RunKey{Task: t.Key(), Run: r.GetRun()}] = t
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -44,6 +44,7 @@
 	lastWorkerNumber uint32
 	lostIncarnations map[string]int64 // by worker ID: start of the latest incarnation declared lost, in Unix milliseconds
 	leaseChanges     uint64           // number of changes of withheld leases; not replicated
+	assignments      uint64           // number of runs that were assigned here, or restored together; not replicated
 
 	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
 
@@ -143,6 +144,9 @@
 // Epoch returns the latest leader's epoch, on which the fencing tokens of its calls are based.
 func (s *State) Epoch() uint64 { return s.epoch }
 
+// Assignments returns a number that grows with each run that is assigned, and once the state was restored.
+func (s *State) Assignments() uint64 { return s.assignments }
+
 // NewestEpoch returns the change that began the latest epoch, or nil if it isn't known. Restoring a snapshot replaces it.
 func (s *State) NewestEpoch() *controlpb.BeginEpoch { return s.newestEpoch }
 
