dispatch: recent runs are counted from when the last leader fell, on the state of this replica

The recent runs are determined when leadership starts, back from the newest assignment, which the last leader has outlived, and at most 3.6 s. Marks belong to one state. An answer to a poll ends the wait, as it rejects the starts of the last leader from then on.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -99,10 +99,12 @@
 
 	withheldAt   map[*controlpb.WithholdLease]time.Time // when this replica applied the records of withheld leases, also while it didn't lead
 	leaseChanges uint64                                 // workload.State.LeaseChanges as of withheldAt
+	observed     *workload.State                        // to which withheldAt and assignmentMarks belong
 
 	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
 	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
-	assignmentMarks       []assignmentMark      // of the last recentAssignment, oldest first
+	assignmentMarks       []assignmentMark      // of the time that isRecent covers, oldest first
+	settledAssignments    uint64                // assignments that weren't recent when this leader started leading
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
 	workers           map[uint32]*worker
@@ -184,6 +186,7 @@
 	d.now, d.leadingSince, d.leading = now, now, true
 	d.state = d.config.State()
 	d.observeLeases()
+	d.settleAssignments()
 	d.inheritedLeasesExpire = now.Add(d.recordedLease(d.newestEpoch.GetLeaseMs()))
 	if d.earlierLeasesExpire.After(d.inheritedLeasesExpire) {
 		d.inheritedLeasesExpire = d.earlierLeasesExpire
@@ -255,6 +258,9 @@
 
 // observeLeases notes when this replica has applied the records of leases and the assignments of runs.
 func (d *Dispatcher) observeLeases() {
+	if state := d.config.State(); state != d.observed { // a snapshot was installed, which counts its changes anew
+		d.observed, d.leaseChanges, d.assignmentMarks = state, 0, nil
+	}
 	d.observeEpoch()
 	d.observeAssignments()
 	d.observeWithheldLeases()
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -79,7 +79,7 @@
 	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeasesExpire
 	w.reusesID = w.incarnation.GetReusesId()
 	record := w.incarnation.GetWithheldLease()
-	w.leaseWithheld = record != nil
+	w.leaseWithheld = record != nil && !record.GetMayHaveRestarted()
 	switch {
 	case record.GetMayHaveRestarted(), record == nil && w.reusesID:
 		w.leaseExpires = d.now.Add(d.longestLease())
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -6,8 +6,13 @@
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for the runs that were assigned shortly
 // before it started leading.
 
-// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
-const recentAssignment = unresponsiveAfter
+const (
+	// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
+	recentAssignment = unresponsiveAfter
+
+	// maxLeaderGap is the longest time without a leader that leases bridge (see leaseTime).
+	maxLeaderGap = 1800 * time.Millisecond
+)
 
 // assignmentMark is the number of assignments that this replica had applied at a time.
 type assignmentMark struct {
@@ -21,24 +26,33 @@
 	if n := len(marks); n == 0 || marks[n-1].assignments != assignments {
 		marks = append(marks, assignmentMark{d.now, assignments})
 	}
-	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment)) {
+	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-maxLeaderGap)) {
 		marks = marks[1:]
 	}
 	d.assignmentMarks = marks
 }
 
-// isRecent reports whether an inherited run was assigned shortly before this leader started leading, as far as this replica knows.
-func (d *Dispatcher) isRecent(r *run) bool {
-	settled := uint64(0)
+// settleAssignments notes which assignments aren't recent as this leader starts leading. The last leader led at least until the newest
+// one.
+func (d *Dispatcher) settleAssignments() {
+	d.settledAssignments = 0
+	until := d.now.Add(-maxLeaderGap)
+	if newest := d.assignmentMarks[len(d.assignmentMarks)-1].at; newest.After(until) {
+		until = newest
+	}
 	for _, mark := range d.assignmentMarks {
-		if !mark.at.After(d.leadingSince.Add(-recentAssignment)) {
-			settled = mark.assignments
+		if !mark.at.After(until.Add(-recentAssignment)) {
+			d.settledAssignments = mark.assignments
 		}
 	}
-	return r.task.Assignment(r.key.Run) > settled
+}
+
+// isRecent reports whether an inherited run was assigned shortly before the last leader fell, as far as this replica knows.
+func (d *Dispatcher) isRecent(r *run) bool {
+	return r.task.Assignment(r.key.Run) > d.settledAssignments
 }
 
 // awaitsRecentStart reports whether a later incarnation may run what was ordered by the last leader and has no answer.
 func (d *Dispatcher) awaitsRecentStart(r *run) bool {
-	return r.recent && d.now.Before(d.leadingSince.Add(d.longestLease()))
+	return r.recent && r.worker.lastPoll.IsZero() && d.now.Before(d.leadingSince.Add(d.longestLease()))
 }
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -6,33 +6,36 @@
 	"time"
 
 	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
 )
 
 // A task must not start elsewhere while a later incarnation of its worker runs it, which carried out the start shortly before the leader
-// changed and is partitioned since: the next leader knows nothing of it.
+// fell and is partitioned since: the next leader knows nothing of it.
 func TestStartCarriedOutBeforeLeaderChange(t *testing.T) {
 	for responses := range 2 {
-		for _, age := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
-			t.Run(fmt.Sprintf("responses=%d/age=%v", responses, age), func(t *testing.T) {
-				c := newCluster(t, 1, 2)
-				c.deliver = func(e *exchange, w *strictWorker) delivery {
-					return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
-				}
-				c.run(12 * time.Second)
-				c.submit("batch", "a", dedicated(4, 20*time.Second))
-				w := c.assigned()
-				w.setClockRate(slowestClock)
-				w.restart(0)
-				if responses > 0 {
-					w.responsesLeft, w.partitionTime = responses, 18*time.Second
-				} else {
-					c.after(8*time.Millisecond, func() { w.partition(18 * time.Second) })
-				}
-				c.run(age)
-				c.changeLeader(0, 0)
-				c.run(16 * time.Second)
-				c.expectNoViolation()
-			})
+		for _, age := range []time.Duration{30 * time.Millisecond, 50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
+			for _, gap := range []time.Duration{0, time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("responses=%d/age=%v/gap=%v", responses, age, gap), func(t *testing.T) {
+					c := newCluster(t, 1, 2)
+					c.deliver = func(e *exchange, w *strictWorker) delivery {
+						return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
+					}
+					c.run(12 * time.Second)
+					c.submit("batch", "a", dedicated(4, 20*time.Second))
+					w := c.assigned()
+					w.setClockRate(slowestClock)
+					w.restart(0)
+					if responses > 0 {
+						w.responsesLeft, w.partitionTime = responses, 18*time.Second
+					} else {
+						c.after(8*time.Millisecond, func() { w.partition(18 * time.Second) })
+					}
+					c.run(age)
+					c.changeLeader(0, gap)
+					c.run(20 * time.Second)
+					c.expectNoViolation()
+				})
+			}
 		}
 	}
 }
@@ -86,3 +89,75 @@
 		t.Errorf("the tasks run again %v after the change of leader", waited)
 	}
 }
+
+// A flow of short tasks, each of which is assigned shortly before the change of leader, must not make the older ones count as recent.
+func TestOldRunsAmongManyAssignments(t *testing.T) {
+	const tasks = 8
+	for _, interval := range []time.Duration{time.Second, 200 * time.Millisecond, 50 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 4)
+			sim.submit("urgent", "old", serving(tasks, "image"))
+			sim.run(10 * time.Second)
+			for i := range int(5 * time.Second / interval) {
+				sim.request(submission("batch", fmt.Sprint("short-", i), dedicated(1, 30*time.Millisecond)))
+				sim.run(interval)
+			}
+			sim.changeLeader()
+			sim.run(100 * time.Millisecond)
+			for key, r := range sim.dispatcher.runs {
+				if key.Task.Job == "old" && r.recent {
+					t.Errorf("%v counts as recent", key.Task)
+				}
+			}
+		})
+	}
+}
+
+// A recent run whose worker has answered the new leader must not wait for the longest lease once that worker is lost.
+func TestRecentRunOfAnsweringWorker(t *testing.T) {
+	const tasks = 8
+	sim := newSimulationWithWorkers(t, 1, 4)
+	sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+	sim.run(10 * time.Second)
+	sim.submit("urgent", "recent", serving(tasks, "image"))
+	sim.run(300 * time.Millisecond)
+	sim.changeLeader()
+	sim.run(500 * time.Millisecond)
+	sim.crashWorkers(1)
+	crashed := sim.now
+	if sim.servingRuns("recent") == tasks {
+		t.Fatal("no task is affected")
+	}
+	for sim.servingRuns("recent") < tasks && sim.now.Sub(crashed) < time.Minute {
+		sim.run(10 * time.Millisecond)
+	}
+	if waited := sim.now.Sub(crashed); waited > leaseBound+300*time.Millisecond {
+		t.Errorf("the tasks run again %v after the crash", waited)
+	}
+}
+
+// Runs that came with a snapshot must count as recent, although the state that it was installed in counts assignments anew.
+func TestRunsOfSnapshotAreRecent(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	for i := range 20 {
+		sim.submit("batch", fmt.Sprint("short-", i), dedicated(1, 30*time.Millisecond))
+		sim.run(500 * time.Millisecond)
+	}
+	sim.submit("urgent", "a", serving(8, "image"))
+	sim.run(10 * time.Second)
+	state := workload.New()
+	if err := state.Restore(sim.state.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	sim.state = state
+	sim.changeLeader()
+	sim.run(100 * time.Millisecond)
+	if len(sim.dispatcher.runs) == 0 {
+		t.Fatal("nothing runs")
+	}
+	for key, r := range sim.dispatcher.runs {
+		if !r.recent {
+			t.Errorf("%v doesn't count as recent", key.Task)
+		}
+	}
+}
--- a/internal/decision/dispatch/uncertain_lease_test.go
+++ b/internal/decision/dispatch/uncertain_lease_test.go
@@ -41,7 +41,7 @@
 		for _, commitTime := range []time.Duration{200 * time.Millisecond, time.Second} {
 			t.Run(fmt.Sprintf("response=%v/commit=%v", responseTime, commitTime), func(t *testing.T) {
 				c := newCluster(t, 1, 2)
-				c.submit("batch", "a", dedicated(4, 40*time.Second))
+				c.submit("batch", "a", dedicated(4, time.Minute))
 				c.run(3 * time.Second)
 				c.deliver = func(*exchange, *strictWorker) delivery {
 					return delivery{delay: responseTime / 2, responseDelay: responseTime / 2}
@@ -61,7 +61,11 @@
 					c.after(50*time.Millisecond, announce)
 				}
 				announce()
-				c.run(20 * time.Second)
+				c.run(15 * time.Second)
+				for range 3 {
+					c.changeLeader(0, time.Second)
+					c.run(5 * time.Second)
+				}
 				running := 0
 				for _, w := range c.workers {
 					for key := range w.incarnation.runs {
