dispatch: the time without a leader doesn't make recent runs settled

Runs count as recent unless their assignment is older by 1.8 s than the newest one, or by more than the longest lease than the change: what the last leader has ordered before that has expired.

--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -47,6 +47,7 @@
 	mailbox  []*order.Answer
 	events   []clusterEvent
 	sequence int
+	maxLease time.Duration
 	jobs     map[string]*controlpb.WorkJob
 	oracle   *protocolOracle
 
@@ -75,7 +76,7 @@
 func newCluster(t *testing.T, seed uint64, workers int) *cluster {
 	c := &cluster{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
-		jobs: map[string]*controlpb.WorkJob{}, replies: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){},
+		maxLease: protocolMaxLease, jobs: map[string]*controlpb.WorkJob{}, replies: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){},
 		deliver:    func(*exchange, *strictWorker) delivery { return delivery{delay: time.Millisecond} },
 		commitTime: func() time.Duration { return 15 * time.Millisecond }, heartbeatDelay: func() time.Duration { return 0 },
 	}
@@ -112,6 +113,14 @@
 	})
 }
 
+// setMaxLease sets the longest lease that the workers accept.
+func (c *cluster) setMaxLease(lease time.Duration) {
+	c.maxLease = lease
+	for _, replica := range c.replicas {
+		replica.config.Limits.MaxLease = lease
+	}
+}
+
 // lead makes the next replica lead, which has only the replicated state.
 func (c *cluster) lead() {
 	c.leader = c.replicas[0]
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -266,7 +266,7 @@
 // acceptToken keeps the fencing token of a call, and extends the lease.
 func (w *strictWorker) acceptToken(call *order.Call) {
 	w.incarnation.fence = call.Fence
-	w.incarnation.lease = max(w.incarnation.lease, min(call.LeaseExpiry, w.clock()+protocolMaxLease))
+	w.incarnation.lease = max(w.incarnation.lease, min(call.LeaseExpiry, w.clock()+w.cluster.maxLease))
 }
 
 func (w *strictWorker) start(call *order.Call) order.Status {
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -4,15 +4,10 @@
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for the runs that were assigned shortly
-// before it started leading.
+// before the last leader fell.
 
-const (
-	// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
-	recentAssignment = unresponsiveAfter
-
-	// maxLeaderGap is the longest time without a leader that leases bridge (see leaseTime).
-	maxLeaderGap = 1800 * time.Millisecond
-)
+// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
+const recentAssignment = unresponsiveAfter
 
 // assignmentMark is the number of assignments that this replica had applied at a time.
 type assignmentMark struct {
@@ -26,17 +21,17 @@
 	if n := len(marks); n == 0 || marks[n-1].assignments != assignments {
 		marks = append(marks, assignmentMark{d.now, assignments})
 	}
-	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-maxLeaderGap)) {
+	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-d.longestLease())) {
 		marks = marks[1:]
 	}
 	d.assignmentMarks = marks
 }
 
 // settleAssignments notes which assignments aren't recent as this leader starts leading. The last leader led at least until the newest
-// one.
+// one. What it ordered longer than the longest lease ago has expired.
 func (d *Dispatcher) settleAssignments() {
 	d.settledAssignments = 0
-	until := d.now.Add(-maxLeaderGap)
+	until := d.now.Add(-d.longestLease())
 	if newest := d.assignmentMarks[len(d.assignmentMarks)-1].at; newest.After(until) {
 		until = newest
 	}
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -20,6 +20,7 @@
 					c.deliver = func(e *exchange, w *strictWorker) delivery {
 						return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
 					}
+					c.setMaxLease(10 * time.Second)
 					c.run(12 * time.Second)
 					c.submit("batch", "a", dedicated(4, 20*time.Second))
 					w := c.assigned()
