dispatch: the newest assignment dates the fall of the last leader only if it is recent itself

And an assignment that the last leader couldn't commit is applied only as the next one starts, which isn't when the last one fell (TestAssignmentAppliedAtLeaderChange, which failed).

A leader is taken to have fallen 2.5 s ago, or with the newest assignment that was applied before the next one started, if that is later. A longer time without a leader isn't covered.

--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -6,8 +6,13 @@
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for the runs that were assigned shortly
 // before the last leader fell.
 
-// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
-const recentAssignment = unresponsiveAfter
+const (
+	// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
+	recentAssignment = unresponsiveAfter
+
+	// maxLeaderGap is the longest time without a leader that is counted. A change of leader takes up to 1.8 s.
+	maxLeaderGap = 2500 * time.Millisecond
+)
 
 // assignmentMark is the number of assignments that this replica had applied at a time.
 type assignmentMark struct {
@@ -21,22 +26,24 @@
 	if n := len(marks); n == 0 || marks[n-1].assignments != assignments {
 		marks = append(marks, assignmentMark{d.now, assignments})
 	}
-	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-d.longestLease())) {
+	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-maxLeaderGap)) {
 		marks = marks[1:]
 	}
 	d.assignmentMarks = marks
 }
 
-// settleAssignments notes which assignments aren't recent as this leader starts leading. The last leader led at least until the newest
-// one. What it ordered longer than the longest lease ago has expired.
+// settleAssignments notes which assignments aren't recent as this leader starts leading. The last leader led at least until the newest one
+// that was applied before: what it couldn't commit any more is applied only now.
 func (d *Dispatcher) settleAssignments() {
-	d.settledAssignments = 0
-	until := d.now.Add(-d.longestLease())
-	if newest := d.assignmentMarks[len(d.assignmentMarks)-1].at; newest.After(until) {
-		until = newest
+	fell := d.now.Add(-maxLeaderGap)
+	for _, mark := range d.assignmentMarks {
+		if mark.at.Before(d.now) && mark.at.After(fell) {
+			fell = mark.at
+		}
 	}
+	d.settledAssignments = 0
 	for _, mark := range d.assignmentMarks {
-		if !mark.at.After(until.Add(-recentAssignment)) {
+		if !mark.at.After(fell.Add(-recentAssignment)) {
 			d.settledAssignments = mark.assignments
 		}
 	}
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
@@ -162,3 +163,32 @@
 		}
 	}
 }
+
+// An assignment that the last leader couldn't commit is applied as the next one starts. It must not make those before it, which may be
+// of the time just before the last leader fell, count as older.
+func TestAssignmentAppliedAtLeaderChange(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	sim.submit("urgent", "a", serving(1, "image"))
+	for len(sim.dispatcher.assigning) == 0 {
+		sim.run(10 * time.Millisecond)
+	}
+	sim.run(100 * time.Millisecond)
+	sim.commitTime = time.Hour
+	sim.run(2200 * time.Millisecond)
+	pending := &controlpb.StartRun{Task: workload.TaskKey{Job: "b"}.Ref(), Run: 1, Worker: 1}
+	sim.state.Apply(sim.now, &controlpb.WorkBatch{Changes: []*controlpb.WorkChange{
+		{Kind: &controlpb.WorkChange_Submit{Submit: &controlpb.WorkJob{Id: "b", Queue: "batch", Steps: []*controlpb.WorkStep{dedicated(1, time.Second)}}}},
+		{Kind: &controlpb.WorkChange_StartRun{StartRun: pending}},
+	}})
+	sim.commitTime = defaultCommitTime
+	sim.changeLeader()
+	sim.run(100 * time.Millisecond)
+	for key, r := range sim.dispatcher.runs {
+		if !r.recent {
+			t.Errorf("%v doesn't count as recent", key.Task)
+		}
+	}
+	if len(sim.dispatcher.runs) != 2 {
+		t.Errorf("%d runs, expected 2", len(sim.dispatcher.runs))
+	}
+}
