dispatch: one loop for tests that await serving runs, one description of a strict worker

Five tests waited in the same loop, and a test of false announcements wrote out what a worker says of itself a second time.

--- a/internal/decision/dispatch/lease_across_leaders_test.go
+++ b/internal/decision/dispatch/lease_across_leaders_test.go
@@ -29,6 +29,13 @@
 	return count
 }
 
+// awaitServingRuns runs the simulation until so many tasks of a job run, for a minute at most.
+func (sim *simulation) awaitServingRuns(id string, tasks int) {
+	for end := sim.now.Add(time.Minute); sim.servingRuns(id) < tasks && sim.now.Before(end); {
+		sim.run(10 * time.Millisecond)
+	}
+}
+
 // Once a leader has noticed that workers don't answer, their tasks must not wait longer because the leader changes: the next one
 // used to count the longest lease from its own start.
 func TestLeasesAcrossLeaders(t *testing.T) {
@@ -51,9 +58,7 @@
 				}
 				sim.run(changeInterval)
 			}
-			for sim.servingRuns("a") < tasks && sim.now.Sub(crashed) < time.Minute {
-				sim.run(10 * time.Millisecond)
-			}
+			sim.awaitServingRuns("a", tasks)
 			if sim.now.After(due.Add(margin)) {
 				t.Errorf("the tasks run again %v after the crash, expected at most %v", sim.now.Sub(crashed), due.Add(margin).Sub(crashed))
 			}
@@ -112,9 +117,7 @@
 					sim.changeLeader()
 				}
 				due := sim.now.Add(leaseBound + margin)
-				for sim.servingRuns("a") < tasks && sim.now.Sub(crashed) < time.Minute {
-					sim.run(10 * time.Millisecond)
-				}
+				sim.awaitServingRuns("a", tasks)
 				if sim.now.After(due) {
 					t.Errorf("the tasks run again %v after the crash, expected at most %v", sim.now.Sub(crashed), due.Sub(crashed))
 				}
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -124,6 +124,14 @@
 	w.cluster.after(time.Second, w.heartbeat)
 }
 
+// life returns what the worker's incarnation says of itself.
+func (w *strictWorker) life() *controlpb.WorkerLife {
+	return &controlpb.WorkerLife{
+		Id: w.id, BornMs: w.incarnation.startMs, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
+		Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack}, Leaving: w.incarnation.draining,
+	}
+}
+
 // announce sends an announcement, which arrives after a delay.
 func (w *strictWorker) announce(delay time.Duration) {
 	if !w.incarnation.up || w.isPartitioned() {
@@ -131,10 +139,7 @@
 	}
 	w.incarnation.sequence++
 	announcement := &controlpb.AnnounceLife{
-		Life: &controlpb.WorkerLife{
-			Id: w.id, BornMs: w.incarnation.startMs, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
-			Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack}, Leaving: w.incarnation.draining,
-		},
+		Life:     w.life(),
 		Sequence: w.incarnation.sequence,
 	}
 	if w.incarnation.draining {
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -84,9 +84,7 @@
 	}
 	sim.changeLeader()
 	changed := sim.now
-	for sim.servingRuns("old") < tasks && sim.now.Sub(changed) < time.Minute {
-		sim.run(10 * time.Millisecond)
-	}
+	sim.awaitServingRuns("old", tasks)
 	if waited := sim.now.Sub(changed); waited > leaseBound+300*time.Millisecond {
 		t.Errorf("the tasks run again %v after the change of leader", waited)
 	}
@@ -130,9 +128,7 @@
 	if sim.servingRuns("recent") == tasks {
 		t.Fatal("no task is affected")
 	}
-	for sim.servingRuns("recent") < tasks && sim.now.Sub(crashed) < time.Minute {
-		sim.run(10 * time.Millisecond)
-	}
+	sim.awaitServingRuns("recent", tasks)
 	if waited := sim.now.Sub(crashed); waited > leaseBound+300*time.Millisecond {
 		t.Errorf("the tasks run again %v after the crash", waited)
 	}
--- a/internal/decision/dispatch/uncertain_lease_test.go
+++ b/internal/decision/dispatch/uncertain_lease_test.go
@@ -27,9 +27,7 @@
 		sim.changeLeader()
 		sim.run(1300 * time.Millisecond)
 	}
-	for sim.servingRuns("a") < tasks && sim.now.Sub(first) < time.Minute {
-		sim.run(10 * time.Millisecond)
-	}
+	sim.awaitServingRuns("a", tasks)
 	if waited, most := sim.now.Sub(first), changes*1300*time.Millisecond+unresponsiveAfter; waited > most {
 		t.Errorf("the tasks run again %v after the first change of leader, expected at most %v", waited, most)
 	}
@@ -52,10 +50,8 @@
 				announce = func() {
 					bornLater++
 					for _, w := range c.workers {
-						life := &controlpb.WorkerLife{
-							Id: w.id, BornMs: w.incarnation.startMs + 1000 + bornLater, Host: w.id, Pool: "pool", Address: w.address, Zone: w.zone,
-							Processors: 32_000, Memory: 128 << 10, Labels: []string{"a", w.rack},
-						}
+						life := w.life()
+						life.BornMs += 1000 + bornLater
 						c.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: &controlpb.AnnounceLife{Life: life, Sequence: 1}}}, nil)
 					}
 					c.after(50*time.Millisecond, announce)
