dispatch, workload: one test for best-effort runs at work, one search for a live run

The condition for a best-effort run at work stood twice in the pauses, and HasRun, AssignedAt and Assignment searched the runs of a task each for itself.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -82,7 +82,7 @@
 	}
 	var unpaused []string
 	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.task.Step.GetFills() && r.seen && !r.ended && r.speed != pausedSpeed {
+		if r := d.runs[key]; r != nil && r.isBestEffortAtWork() && r.speed != pausedSpeed {
 			unpaused = append(unpaused, fmt.Sprintf("%s/%d", key.Task, key.Run))
 		}
 	}
@@ -106,9 +106,10 @@
 }
 
 // isStoppingBestEffort reports whether a best-effort run is being stopped and may still be at work.
-func (r *run) isStoppingBestEffort() bool {
-	return r.task.Step.GetFills() && r.seen && r.stopRequested && !r.ended
-}
+func (r *run) isStoppingBestEffort() bool { return r.stopRequested && r.isBestEffortAtWork() }
+
+// isBestEffortAtWork reports whether a run is a best-effort run that its worker has listed and that hasn't ended as far as is known.
+func (r *run) isBestEffortAtWork() bool { return r.task.Step.GetFills() && r.seen && !r.ended }
 
 // setSpeed pauses or resumes the best-effort tasks of a worker.
 func (d *Dispatcher) setSpeed(w *worker, pause bool, bestEffort int) {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -141,26 +141,30 @@
 func (t *Task) IsSuspect() bool { return t.Crashes+t.Suspicions > 0 }
 
 // HasRun reports whether the numbered run of the task is live: assigned, and not known to have ended.
-func (t *Task) HasRun(number uint32) bool {
-	return slices.ContainsFunc(t.Runs, func(r Run) bool { return r.Number == number })
+func (t *Task) HasRun(number uint32) bool { return t.liveRun(number) != nil }
+
+// liveRun returns the numbered run of the task, or nil if it isn't live.
+func (t *Task) liveRun(number uint32) *Run {
+	for i := range t.Runs {
+		if t.Runs[i].Number == number {
+			return &t.Runs[i]
+		}
+	}
+	return nil
 }
 
 // Assignment returns State.Assignments as of the assignment of the numbered run of the task, or 0 if it isn't live.
 func (t *Task) Assignment(number uint32) uint64 {
-	for _, r := range t.Runs {
-		if r.Number == number {
-			return r.Assignment
-		}
+	if r := t.liveRun(number); r != nil {
+		return r.Assignment
 	}
 	return 0
 }
 
 // AssignedAt returns when the numbered run of the task was assigned, or the zero time if it isn't live.
 func (t *Task) AssignedAt(number uint32) time.Time {
-	for _, r := range t.Runs {
-		if r.Number == number {
-			return time.UnixMilli(r.AssignedMs)
-		}
+	if r := t.liveRun(number); r != nil {
+		return time.UnixMilli(r.AssignedMs)
 	}
 	return time.Time{}
 }
