dispatch: record a possible restart apart from withholding a lease

withholdLease had two meanings, told apart by a flag in five places: it stopped the extension of a lease and recorded its bound, or recorded only that a later incarnation may exist. recordRestart does the latter; both share the proposal. The message of the protocol says that the lease goes on in that case. Records, their durations and the log lines are the same.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -97,36 +97,45 @@
 }
 
 // withholdLease stops extending the lease of a worker that hasn't accepted a poll, and records when it expires. It is repeated after
-// the next poll if the outcome is unknown. While a later incarnation may exist, the record only says that: it bounds no lease, and
-// leases are still extended.
+// the next poll if the outcome is unknown. No bound is recorded while a later incarnation may exist.
 func (d *Dispatcher) withholdLease(w *worker) {
-	if len(w.incarnation.Runs) == 0 || w.recordingLease || w.ending {
-		return
-	}
-	isUncountable := w.superseded || w.mayHaveRestarted
-	expires := w.leaseExpires
 	switch {
-	case isUncountable && w.incarnation.GetWithheldLease().GetMayHaveRestarted():
+	case w.superseded || w.mayHaveRestarted:
+		d.recordRestart(w)
 		return
-	case !isUncountable && w.leaseWithheld && !expires.After(w.recordedExpiry):
+	case w.leaseWithheld && !w.leaseExpires.After(w.recordedExpiry) || !d.canRecordLease(w):
 		return
 	}
-	w.recordingLease, w.recordedExpiry = true, time.Time{}
-	remaining := expires.Sub(d.now)
-	if isUncountable {
-		remaining = max(remaining, d.longestLease()) // an earlier version takes it for a bound
-	} else {
-		w.leaseWithheld = true
-	}
-	change := &controlpb.WithholdLease{
-		Worker: w.incarnation.GetNumber(), ExpiresInMs: milliseconds(remaining), MayHaveRestarted: isUncountable,
+	w.leaseWithheld = true
+	d.recordLease(w, &controlpb.WithholdLease{ExpiresInMs: milliseconds(w.leaseExpires.Sub(d.now))})
+}
+
+// recordRestart records that a later incarnation of a worker may hold a longer lease than this leader counts. The lease is still
+// extended, as the next leader can't count on this record.
+func (d *Dispatcher) recordRestart(w *worker) {
+	if w.incarnation.GetWithheldLease().GetMayHaveRestarted() || !d.canRecordLease(w) {
+		return
 	}
-	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: change}}, func(result *controlpb.Result) {
+	expiresIn := max(d.longestLease(), w.leaseExpires.Sub(d.now)) // an earlier version takes it for a bound
+	d.recordLease(w, &controlpb.WithholdLease{ExpiresInMs: milliseconds(expiresIn), MayHaveRestarted: true})
+}
+
+// canRecordLease reports whether the lease of a worker matters to the next leader, and no record of it is undecided.
+func (d *Dispatcher) canRecordLease(w *worker) bool {
+	return len(w.incarnation.Runs) > 0 && !w.recordingLease && !w.ending
+}
+
+// recordLease proposes a record of a worker's lease.
+func (d *Dispatcher) recordLease(w *worker, record *controlpb.WithholdLease) {
+	record.Worker = w.incarnation.GetNumber()
+	expires := w.leaseExpires
+	w.recordingLease, w.recordedExpiry = true, time.Time{}
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: record}}, func(result *controlpb.Result) {
 		w.recordingLease = false
 		if result != nil {
-			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String(), "MayHaveRestarted", isUncountable)
+			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String(), "MayHaveRestarted", record.GetMayHaveRestarted())
 		}
-		if result != nil && !isUncountable {
+		if result != nil && !record.GetMayHaveRestarted() {
 			w.recordedExpiry = expires
 		}
 		if w.missedCalls == 0 && !d.rejectsPolls(w) {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -253,7 +253,7 @@
 			d.acknowledgeLeave(w)
 		}
 		if w.superseded || w.mayHaveRestarted && (w.leaseWithheld || w.restartSeen || d.now.Sub(w.checkedSince) > restartRecordDelay) {
-			d.withholdLease(w) // a later incarnation may have been granted a lease that the record doesn't cover
+			d.recordRestart(w) // a later incarnation may have been granted a lease that a bound doesn't cover
 		}
 		if w.pendingPoll != nil || w.recordingEnds || w.ending || isLost || d.now.Before(w.nextPoll) {
 			continue
