dispatch: the leader tells in the log which assignments have settled

Seen: lasting tasks on workers that are lost shortly before all controllers are killed and restarted waited for the longest lease that a worker accepts instead of the granted one.

Cause: counts the longest lease for runs that were assigned within 1.8 s before the last leader fell, as only that one may have known that a later incarnation of the worker has carried out the start. A replica dated assignments by when it had applied them. The time when the last leader fell was a guess as well, and a time without a leader of more than 2.5 s wasn't covered.

Assignments now have replicated numbers, and each batch may tell up to which number the leader applied them at least 1.8 s before it proposed the batch, by its own clock and within its own epoch. That is a fact whenever the batch is committed, and the state keeps the highest number. A run above it is recent, whoever leads next, when that replica started, and however long nobody led. What the last leader knew of a silent worker comes before in the log. Without other batches the leader proposes one for this, at most two a second, and none once all assignments are settled.

Numbers hold the epoch in their high bits.

As before, a second leader settles inherited runs after 1.8 s, also if their worker hasn't answered it: a number that is held back would start the wait again under each further leader.

The simulated replica that restarts in the protocol cluster now has the cluster's longest lease instead of the default, and a simulated change of leader no longer delays the commits of the next leader by those that it drops.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -4,7 +4,7 @@
 // A Dispatcher is deterministic and does no I/O: calls leave through WorkerCalls, and their answers come back through
 // Mailbox. Its state is lost with the leader; what must survive a change of leader is proposed as a change of
 // workload.State and acted upon once it is committed. A Dispatcher that doesn't lead only notes when its replica has applied the
-// records of leases and the assignments of runs.
+// records of leases.
 package dispatch
 
 import (
@@ -99,14 +99,15 @@
 
 	withheldAt   map[*controlpb.WithholdLease]time.Time // when this replica applied the records of withheld leases, also while it didn't lead
 	leaseChanges uint64                                 // workload.State.LeaseChanges as of withheldAt
-	observed     *workload.State                        // to which withheldAt and assignmentMarks belong
+	observed     *workload.State                        // to which withheldAt belongs
 
 	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
 	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
-	assignmentMarks       []assignmentMark      // of the time that isRecent covers, oldest first
-	settledAssignments    uint64                // assignments that weren't recent when this leader started leading
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
+	assignmentMarks []assignmentMark // of this leader's epoch, oldest first, without those that don't matter any more
+	settledToldAt   time.Time        // when a batch last told which assignments have settled
+
 	workers           map[uint32]*worker
 	orderedWorkers    []*worker // the values of workers by incarnation number, for decisions that must not depend on map order
 	runs              map[workload.RunKey]*run
@@ -178,6 +179,7 @@
 	d.announced = map[string]bool{}
 	d.pendingRequests = map[*controlpb.LeaderRequest]bool{}
 	d.epoch, d.epochPending = 0, false
+	d.assignmentMarks, d.settledToldAt = nil, time.Time{}
 }
 
 // StartLeading starts leading from the applied state. It proposes a new epoch; workers are called once that is committed.
@@ -186,7 +188,6 @@
 	d.now, d.leadingSince, d.leading = now, now, true
 	d.state = d.config.State()
 	d.observeLeases()
-	d.settleAssignments()
 	d.inheritedLeasesExpire = now.Add(d.recordedLease(d.newestEpoch.GetLeaseMs()))
 	if d.earlierLeasesExpire.After(d.inheritedLeasesExpire) {
 		d.inheritedLeasesExpire = d.earlierLeasesExpire
@@ -223,6 +224,7 @@
 // beginEpoch starts calling workers, and restores the learned interference between images.
 func (d *Dispatcher) beginEpoch(epoch uint64) {
 	d.epoch, d.nextScan = epoch, d.now
+	d.observeAssignments()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
 		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String())
 	for _, incarnation := range d.state.Workers() {
@@ -254,15 +256,15 @@
 func (d *Dispatcher) Applied(now time.Time, _ *controlstate.Changes) {
 	d.now = now
 	d.observeLeases()
+	d.observeAssignments()
 }
 
-// observeLeases notes when this replica has applied the records of leases and the assignments of runs.
+// observeLeases notes when this replica has applied the records of leases.
 func (d *Dispatcher) observeLeases() {
 	if state := d.config.State(); state != d.observed { // a snapshot was installed, which counts its changes anew
-		d.observed, d.leaseChanges, d.assignmentMarks = state, 0, nil
+		d.observed, d.leaseChanges = state, 0
 	}
 	d.observeEpoch()
-	d.observeAssignments()
 	d.observeWithheldLeases()
 }
 
@@ -336,7 +338,8 @@
 
 // flush turns the queued changes into commands.
 func (d *Dispatcher) flush() []*controlpb.Command {
-	var commands []*controlpb.Command
+	var batches []*controlpb.WorkBatch
+	var batched [][]proposal
 	for len(d.outbox) > 0 {
 		proposals := d.outbox[:min(len(d.outbox), batchChanges)]
 		d.outbox = d.outbox[len(proposals):]
@@ -344,11 +347,17 @@
 		for _, p := range proposals {
 			batch.Changes = append(batch.Changes, p.change)
 		}
+		batches, batched = append(batches, batch), append(batched, proposals)
+	}
+	d.outbox = nil
+	var commands []*controlpb.Command
+	for i, batch := range d.tellSettled(batches) {
 		command := &controlpb.Command{Kind: &controlpb.Command_Work{Work: batch}}
-		d.proposed[command] = proposals
+		if i < len(batched) {
+			d.proposed[command] = batched[i]
+		}
 		commands = append(commands, command)
 	}
-	d.outbox = nil
 	return commands
 }
 
--- a/internal/decision/dispatch/faults_test.go
+++ b/internal/decision/dispatch/faults_test.go
@@ -23,7 +23,7 @@
 	}
 	old.StopLeading()
 	old.TakeReplies(sim.now)
-	sim.events = dropCommits(sim.events)
+	sim.events, sim.lastCommit = dropCommits(sim.events), sim.now
 	sim.mailbox = nil
 	sim.dispatcher, sim.standby = sim.standby, old
 	sim.dispatcher.config = old.config
--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -105,7 +105,7 @@
 	return New(Config{
 		State: func() *workload.State { return c.state }, WorkerCalls: c, Mailbox: c,
 		Limits: Limits{
-			MaxLease: protocolMaxLease, StopGrace: protocolStopGrace, GangTimeout: 3 * time.Second, MaxOverTarget: 4 * time.Second,
+			MaxLease: c.maxLease, StopGrace: protocolStopGrace, GangTimeout: 3 * time.Second, MaxOverTarget: 4 * time.Second,
 			MaintenanceHandover: 3 * time.Second, RestoreTime: 250 * time.Millisecond, RemoteRuntimeFactor: 2,
 		},
 		LeaseValid: func(time.Time) bool { return true }, Wall: func() time.Time { return c.now },
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -1,57 +1,76 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
-// have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for the runs that were assigned shortly
-// before the last leader fell.
+// have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those of which no
+// leader has told in the log that they were assigned some time before. When a replica applied an assignment doesn't show its age, as
+// one that restarts applies its whole log at once.
 
 const (
 	// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
 	recentAssignment = unresponsiveAfter
 
-	// maxLeaderGap is the longest time without a leader that is counted. A change of leader takes up to 1.8 s.
-	maxLeaderGap = 2500 * time.Millisecond
+	// settledInterval is the shortest time between two batches that only tell which assignments have settled.
+	settledInterval = 500 * time.Millisecond
 )
 
-// assignmentMark is the number of assignments that this replica had applied at a time.
+// assignmentMark is the number of the newest assignment that this leader had applied at a time.
 type assignmentMark struct {
 	at          time.Time
 	assignments uint64
 }
 
-// observeAssignments notes how many assignments this replica has applied by now.
+// observeAssignments notes which assignments this leader has applied by now. It begins with its epoch: the numbers of earlier epochs may
+// differ between replicas that have restored a snapshot of an earlier version.
 func (d *Dispatcher) observeAssignments() {
-	marks, assignments := d.assignmentMarks, d.config.State().Assignments()
-	if n := len(marks); n == 0 || marks[n-1].assignments != assignments {
-		marks = append(marks, assignmentMark{d.now, assignments})
+	if d.epoch == 0 {
+		return
 	}
-	for len(marks) > 1 && !marks[1].at.After(d.now.Add(-recentAssignment-maxLeaderGap)) {
+	assignments := d.config.State().Assignments()
+	if n := len(d.assignmentMarks); n == 0 || d.assignmentMarks[n-1].assignments != assignments {
+		d.assignmentMarks = append(d.assignmentMarks, assignmentMark{d.now, assignments})
+	}
+}
+
+// settledAssignments returns the highest number of which all assignments up to it were applied here at least recentAssignment ago, or 0.
+func (d *Dispatcher) settledAssignments() uint64 {
+	marks, latest := d.assignmentMarks, d.now.Add(-recentAssignment)
+	for len(marks) > 1 && !marks[1].at.After(latest) {
 		marks = marks[1:]
 	}
 	d.assignmentMarks = marks
+	if len(marks) == 0 || marks[0].at.After(latest) {
+		return 0
+	}
+	return marks[0].assignments
 }
 
-// settleAssignments notes which assignments aren't recent as this leader starts leading. The last leader led at least until the newest one
-// that was applied before: what it couldn't commit any more is applied only now.
-func (d *Dispatcher) settleAssignments() {
-	fell := d.now.Add(-maxLeaderGap)
-	for _, mark := range d.assignmentMarks {
-		if mark.at.Before(d.now) && mark.at.After(fell) {
-			fell = mark.at
-		}
+// tellSettled tells in the last of the batches which assignments have settled, if that isn't committed yet. Without any, it adds one at
+// intervals. Records of leases that were proposed before come first in the log.
+func (d *Dispatcher) tellSettled(batches []*controlpb.WorkBatch) []*controlpb.WorkBatch {
+	settled := d.settledAssignments()
+	if settled <= d.config.State().SettledAssignments() {
+		return batches
 	}
-	d.settledAssignments = 0
-	for _, mark := range d.assignmentMarks {
-		if !mark.at.After(fell.Add(-recentAssignment)) {
-			d.settledAssignments = mark.assignments
+	if len(batches) == 0 {
+		if d.now.Before(d.settledToldAt.Add(settledInterval)) {
+			return nil
 		}
+		batches = append(batches, &controlpb.WorkBatch{})
 	}
+	d.settledToldAt = d.now
+	batches[len(batches)-1].SettledAssignments = settled
+	return batches
 }
 
-// isRecent reports whether an inherited run was assigned shortly before the last leader fell, as far as this replica knows.
+// isRecent reports whether an inherited run may have been assigned shortly before the last leader fell.
 func (d *Dispatcher) isRecent(r *run) bool {
-	return r.task.Assignment(r.key.Run) > d.settledAssignments
+	return r.task.Assignment(r.key.Run) > d.state.SettledAssignments()
 }
 
 // awaitsRecentStart reports whether a later incarnation may run what was ordered by the last leader and has no answer.
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -13,33 +13,45 @@
 // A task must not start elsewhere while a later incarnation of its worker runs it, which carried out the start shortly before the leader
 // fell and is partitioned since: the next leader knows nothing of it.
 func TestStartCarriedOutBeforeLeaderChange(t *testing.T) {
+	type combination struct {
+		responses int
+		age, gap  time.Duration
+		restarted bool // the next leader is a replica that has just read its state from its disk
+	}
+	var combinations []combination
 	for responses := range 2 {
 		for _, age := range []time.Duration{30 * time.Millisecond, 50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
-			for _, gap := range []time.Duration{0, time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond} {
-				t.Run(fmt.Sprintf("responses=%d/age=%v/gap=%v", responses, age, gap), func(t *testing.T) {
-					c := newCluster(t, 1, 2)
-					c.deliver = func(e *exchange, w *strictWorker) delivery {
-						return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
-					}
-					c.setMaxLease(10 * time.Second)
-					c.run(12 * time.Second)
-					c.submit("batch", "a", dedicated(4, 20*time.Second))
-					w := c.assigned()
-					w.setClockRate(slowestClock)
-					w.restart(0)
-					if responses > 0 {
-						w.responsesLeft, w.partitionTime = responses, 18*time.Second
-					} else {
-						c.after(8*time.Millisecond, func() { w.partition(18 * time.Second) })
-					}
-					c.run(age)
-					c.changeLeader(0, gap)
-					c.run(20 * time.Second)
-					c.expectNoViolation()
-				})
+			for _, gap := range []time.Duration{0, time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond} {
+				combinations = append(combinations, combination{responses, age, gap, false}, combination{responses, age, gap, true})
 			}
 		}
 	}
+	for _, o := range combinations {
+		t.Run(fmt.Sprintf("responses=%d/age=%v/gap=%v/restarted=%v", o.responses, o.age, o.gap, o.restarted), func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			c.deliver = func(e *exchange, w *strictWorker) delivery {
+				return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
+			}
+			c.setMaxLease(10 * time.Second)
+			c.run(12 * time.Second)
+			c.submit("batch", "a", dedicated(4, 20*time.Second))
+			w := c.assigned()
+			w.setClockRate(slowestClock)
+			w.restart(0)
+			if o.responses > 0 {
+				w.responsesLeft, w.partitionTime = o.responses, 18*time.Second
+			} else {
+				c.after(8*time.Millisecond, func() { w.partition(18 * time.Second) })
+			}
+			c.run(o.age)
+			if o.restarted {
+				c.after(o.gap, c.restartReplica)
+			}
+			c.changeLeader(0, o.gap)
+			c.run(20 * time.Second)
+			c.expectNoViolation()
+		})
+	}
 }
 
 // The next leader must await a lease that the last one has granted just before, by the slowest clock.
@@ -134,8 +146,29 @@
 	}
 }
 
-// Runs that came with a snapshot must count as recent, although the state that it was installed in counts assignments anew.
-func TestRunsOfSnapshotAreRecent(t *testing.T) {
+// Runs that were assigned shortly before the last leader fell must count as recent, and only those, if the next one has just read its
+// state from its disk.
+func TestRecentRunsAfterRestart(t *testing.T) {
+	for name, compacted := range map[string]bool{"log": false, "snapshot": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 4)
+			disk := newDisk(sim)
+			sim.submit("urgent", "old", serving(8, "image"))
+			sim.run(10 * time.Second)
+			sim.submit("urgent", "recent", serving(8, "image"))
+			sim.run(300 * time.Millisecond)
+			if compacted {
+				disk.compact()
+			}
+			sim.restartControllers(disk, 3*time.Second)
+			sim.expectRecent(map[string]bool{"old": false, "recent": true})
+		})
+	}
+}
+
+// All runs of a snapshot of an earlier version must count as recent until the next leader tells that they are settled: the snapshot
+// doesn't number them.
+func TestRunsOfEarlierSnapshotAreRecent(t *testing.T) {
 	sim := newSimulationWithWorkers(t, 1, 4)
 	for i := range 20 {
 		sim.submit("batch", fmt.Sprint("short-", i), dedicated(1, 30*time.Millisecond))
@@ -143,19 +176,101 @@
 	}
 	sim.submit("urgent", "a", serving(8, "image"))
 	sim.run(10 * time.Second)
-	state := workload.New()
-	if err := state.Restore(sim.state.Snapshot()); err != nil {
-		t.Fatal(err)
+	snapshot := sim.state.Snapshot()
+	snapshot.Assignments, snapshot.SettledAssignments = 0, 0
+	for _, job := range snapshot.GetJobs() {
+		for _, task := range job.GetTasks() {
+			for _, r := range task.GetRuns() {
+				r.Assignment = 0
+			}
+		}
 	}
-	sim.state = state
+	sim.restore(snapshot)
 	sim.changeLeader()
-	sim.run(100 * time.Millisecond)
-	if len(sim.dispatcher.runs) == 0 {
-		t.Fatal("nothing runs")
+	sim.expectRecent(map[string]bool{"a": true})
+	sim.run(5 * time.Second)
+	sim.changeLeader()
+	sim.expectRecent(map[string]bool{"a": false})
+}
+
+// A new leader must not settle inherited runs before it has led for as long as it takes to notice silent workers.
+func TestInheritedRunsStayRecent(t *testing.T) {
+	for led, recent := range map[time.Duration]bool{0: true, time.Second: true, 1700 * time.Millisecond: true, 2500 * time.Millisecond: false} {
+		sim := newSimulationWithWorkers(t, 1, 4)
+		sim.submit("urgent", "a", serving(8, "image"))
+		sim.run(300 * time.Millisecond)
+		sim.changeLeader()
+		sim.run(led)
+		sim.changeLeader()
+		sim.expectRecent(map[string]bool{"a": recent})
 	}
-	for key, r := range sim.dispatcher.runs {
-		if !r.recent {
-			t.Errorf("%v doesn't count as recent", key.Task)
+}
+
+// On an idle site runs must settle too, and nothing more must be proposed then.
+func TestIdleSiteSettles(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	sim.submit("urgent", "a", serving(8, "image"))
+	sim.run(10 * time.Second)
+	sim.submit("urgent", "b", serving(8, "image"))
+	sim.run(recentAssignment + settledInterval + 500*time.Millisecond)
+	if settled, assigned := sim.state.SettledAssignments(), sim.state.Assignments(); settled != assigned {
+		t.Errorf("assignments are settled up to %d, expected %d", settled, assigned)
+	}
+	proposed := 0
+	sim.onCommand = func(*controlpb.Command) { proposed++ }
+	sim.run(5 * time.Second)
+	if proposed > 0 {
+		t.Errorf("%d batches were proposed on the idle site", proposed)
+	}
+}
+
+// What a leader tells must be told again by a later batch if the first one isn't committed.
+func TestSettledIsToldAgain(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	sim.submit("urgent", "a", serving(8, "image"))
+	sim.run(time.Second)
+	sim.commitTime = time.Hour
+	sim.run(3 * time.Second)
+	sim.events = dropCommits(sim.events)
+	sim.commitTime, sim.lastCommit = defaultCommitTime, sim.now
+	sim.run(time.Second)
+	if settled, assigned := sim.state.SettledAssignments(), sim.state.Assignments(); settled != assigned {
+		t.Errorf("assignments are settled up to %d, expected %d", settled, assigned)
+	}
+}
+
+// Tasks of workers that are lost shortly before all controllers restart must not wait for the longest lease: a restarted replica applies
+// its whole log at once, so that all runs seemed to have been assigned just before.
+func TestLossShortlyBeforeAllControllersRestart(t *testing.T) {
+	const tasks, margin = 16, 300 * time.Millisecond
+	for name, compacted := range map[string]bool{"log": false, "snapshot": true} {
+		for _, age := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+			for _, outage := range []time.Duration{0, 500 * time.Millisecond, 3 * time.Second} {
+				t.Run(fmt.Sprintf("%s/age=%v/outage=%v", name, age, outage), func(t *testing.T) {
+					sim := newSimulationWithWorkers(t, 1, 8)
+					sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+					disk := newDisk(sim)
+					sim.run(12 * time.Second)
+					sim.changeLeader() // the leases of unknown duration before the first leader have expired
+					sim.run(100 * time.Millisecond)
+					sim.submit("urgent", "a", serving(tasks, "image"))
+					sim.run(12 * time.Second)
+					sim.crashWorkers(4)
+					if n := sim.servingRuns("a"); n == tasks {
+						t.Fatal("no task is affected")
+					}
+					sim.run(age)
+					if compacted {
+						disk.compact()
+					}
+					sim.restartControllers(disk, outage)
+					due := sim.now.Add(leaseBound + margin)
+					sim.awaitServingRuns("a", tasks)
+					if sim.now.After(due) {
+						t.Errorf("the tasks run again %v after the first leader, expected at most %v", sim.now.Sub(due.Add(-leaseBound-margin)), leaseBound+margin)
+					}
+				})
+			}
 		}
 	}
 }
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -40,6 +40,7 @@
 
 	queuedStarts int                                   // start calls that wait to be sent, as told to the dispatcher
 	onCommand    func(command *controlpb.Command)      // observes the proposed commands; nil for none
+	onCommit     func(command *controlpb.Command)      // observes the commands before they are applied; nil for none
 	onStep       func(name string, took time.Duration) // observes the processor time of the steps of the control loop; nil for none
 
 	hosts *hostService // the platform's host service; nil unless a test needs it
@@ -195,6 +196,9 @@
 				sim.lastCommit = at // commits stay in order when they become faster
 			}
 			sim.schedule(sim.lastCommit.Sub(sim.now), true, func() {
+				if sim.onCommit != nil {
+					sim.onCommit(command)
+				}
 				var result *controlpb.Result
 				sim.measure("Apply", func() { result = sim.state.Apply(sim.now, command.GetWork()) })
 				sim.audit.noteTerminal(sim.state.Jobs(), sim.now)
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -93,7 +93,7 @@
 	Worker     uint32
 	AssignedMs int64 // by the leaders' clocks, Unix milliseconds
 
-	Assignment uint64 // State.Assignments when this replica applied the assignment; not replicated
+	Assignment uint64 // number of the assignment, see State.Assignments
 }
 
 // Demand returns the capacity that a task of the step reserves on its worker. A best-effort task reserves no processors.
@@ -153,7 +153,7 @@
 	return nil
 }
 
-// Assignment returns State.Assignments as of the assignment of the numbered run of the task, or 0 if it isn't live.
+// Assignment returns the number of the assignment of the numbered run of the task, or 0 if it isn't live.
 func (t *Task) Assignment(number uint32) uint64 {
 	if r := t.liveRun(number); r != nil {
 		return r.Assignment
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -22,6 +22,9 @@
 		Pairs:      s.ImagePairs(),
 
 		NewestEpoch: s.newestEpoch,
+
+		Assignments:        s.assignments,
+		SettledAssignments: s.settledAssignments,
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
@@ -49,7 +52,7 @@
 			Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs,
 		}
 		for _, r := range t.Runs {
-			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs})
+			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment})
 		}
 		record.Tasks = append(record.Tasks, task)
 	})
@@ -70,10 +73,14 @@
 // Restore replaces the state by that of a snapshot; a nil snapshot gives an empty state. It returns an error if the
 // snapshot is inconsistent.
 func (s *State) Restore(snapshot *controlpb.WorkSnapshot) error {
-	leaseChanges, assignments := s.leaseChanges+1, s.assignments+1
+	leaseChanges := s.leaseChanges + 1
 	*s = *New()
-	s.leaseChanges, s.assignments = leaseChanges, assignments
+	s.leaseChanges = leaseChanges
 	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
+	s.assignments, s.settledAssignments = snapshot.GetAssignments(), snapshot.GetSettledAssignments()
+	if s.assignments == 0 && s.epoch > 0 {
+		s.assignments = s.epoch<<assignmentBits + 1 // of all runs of a snapshot of an earlier version; not settled
+	}
 	if routing := snapshot.GetRouting(); routing != nil {
 		s.replaceRouting(routing)
 	}
@@ -143,7 +150,11 @@
 		if len(t.Runs) == 0 && !t.Done {
 			t.Step.Waiting--
 		}
-		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: s.assignments})
+		assignment := r.GetAssignment()
+		if assignment == 0 {
+			assignment = s.assignments
+		}
+		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: assignment})
 		t.Step.Job.liveRuns++
 		w.Runs[RunKey{Task: t.Key(), Run: r.GetRun()}] = t
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -30,6 +30,11 @@
 
 	// maxPairs bounds the learned image pairs, which are cleared when the limit is reached.
 	maxPairs = 1 << 14
+
+	// assignmentBits is the number of low bits of an assignment's number that count the assignments of an epoch; the others are the
+	// epoch. Replicas that have restored different snapshots of an earlier version, which have no such numbers, agree from the next
+	// epoch on.
+	assignmentBits = 32
 )
 
 // State is the replicated state machine. It is deterministic and not safe for concurrent use.
@@ -44,7 +49,9 @@
 	lastWorkerNumber uint32
 	lostIncarnations map[string]int64 // by worker ID: start of the latest incarnation declared lost, in Unix milliseconds
 	leaseChanges     uint64           // number of changes of withheld leases; not replicated
-	assignments      uint64           // number of runs that were assigned here, or restored together; not replicated
+
+	assignments        uint64 // number of the newest assignment of a run, see assignmentBits
+	settledAssignments uint64 // assignments up to this number are settled, as leaders have told
 
 	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
 
@@ -83,6 +90,7 @@
 	for i, change := range batch.GetChanges() {
 		results[i] = s.apply(change)
 	}
+	s.settledAssignments = max(s.settledAssignments, batch.GetSettledAssignments())
 	s.pruneFinished()
 	return &controlpb.Result{Results: results}
 }
@@ -110,6 +118,7 @@
 	case *controlpb.WorkChange_BeginEpoch:
 		s.epoch++
 		s.newestEpoch = kind.BeginEpoch
+		s.assignments = s.epoch << assignmentBits
 		return &controlpb.Result{Fence: s.epoch}
 	case *controlpb.WorkChange_LearnPairs:
 		return s.learnPairs(kind.LearnPairs)
@@ -144,9 +153,12 @@
 // Epoch returns the latest leader's epoch, on which the fencing tokens of its calls are based.
 func (s *State) Epoch() uint64 { return s.epoch }
 
-// Assignments returns a number that grows with each run that is assigned, and once the state was restored.
+// Assignments returns the number of the newest assignment of a run. It grows with each assignment and each epoch.
 func (s *State) Assignments() uint64 { return s.assignments }
 
+// SettledAssignments returns the highest number up to which leaders have told that assignments are settled.
+func (s *State) SettledAssignments() uint64 { return s.settledAssignments }
+
 // NewestEpoch returns the change that began the latest epoch, or nil if it isn't known. Restoring a snapshot replaces it.
 func (s *State) NewestEpoch() *controlpb.BeginEpoch { return s.newestEpoch }
 
