dispatch: hold room for lasting tasks that fit on no host

Cause: finite tasks of the same priority aren't preempted, and need less. Each gap that one of them leaves on a host was filled by the next one at once, so that no gap grew to what a lasting task needs: backfill without a reservation. The order of the candidates isn't the cause; the lasting tasks of older jobs are tried first in each pass.

Fix: for each task of a lasting step that fits nowhere, hold the host that is expected to have room first: what is free there, plus what its finite runs release, in the order of their expected ends (less urgent runs count with the time that a preemption takes). Other steps get there only what the waiting task would leave, in processors, memory and accelerators alike. So the room on the host can only grow until the task fits, which takes about the runtime of a few finite tasks. Holds go to the candidates in their order, so the oldest jobs come first. A hold ends when its task is placed, there or elsewhere, when no task of the step waits any more, when the worker becomes unusable, and after 3 s. Room is held on an eighth of the usable hosts at most, and only where it is expected within 2 s, so that finite jobs find room on the others. Steps that a pass skips because a demand of their class has failed get holds too; those that have one aren't skipped. Both ends are logged, and the fleet's line has the number.

The reservations for suspect tasks stay separate: they keep all other jobs off a quiet worker, a hold only keeps room on a busy one.

--- /dev/null
+++ b/internal/decision/dispatch/hold.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/workload"
+	"galenamoor/pkg/resource"
+)
+
+// A perpetual task may need more than any host has free, while the hosts together have enough. Finite tasks need less, so that
+// each gap that one of them leaves is backfilled by another and none grows. Room is therefore held on the hosts that have enough
+// soonest: other steps get only what the waiting task would leave there.
+
+const (
+	// maxHeldShare is the share of the usable hosts on which room may be held, so that finite tasks find room on the others.
+	maxHeldShare = 0.125
+
+	// maxHoldWait is the longest expected time until a held host has room.
+	maxHoldWait = 2 * time.Second
+
+	// holdTimeout is the time after which a hold ends without a placement: maxHoldWait, with a margin for the ends to be
+	// reported and recorded.
+	holdTimeout = maxHoldWait + time.Second
+)
+
+// hold is room on a worker that is held for a waiting task of a step.
+type hold struct {
+	step  *workload.Step
+	since time.Time
+}
+
+// isLasting reports whether the tasks of a step reserve what they use until their job is cancelled.
+func isLasting(step *workload.Step) bool {
+	return step.GetPerpetual() && !step.GetGang() && kindOf(step) != colocation.BestEffort
+}
+
+// countPlaceable returns the number of tasks of a step that wait for a run and may start beside others.
+func (d *Dispatcher) countPlaceable(step *workload.Step) int {
+	count := 0
+	for _, task := range step.Tasks {
+		if d.isPlaceable(task) && !d.mustIsolate(task) {
+			count++
+		}
+	}
+	return count
+}
+
+// updateHolds holds room for the tasks of a lasting step that fit on no host, and ends holds that it no longer needs. Searching
+// for hosts takes long, so it happens only if search is set.
+func (d *Dispatcher) updateHolds(c candidate, hosts []host, missing int, search bool) {
+	if !isLasting(c.step) {
+		return
+	}
+	for held := d.holds[c.step]; len(held) > missing; held = d.holds[c.step] {
+		d.endHold(held[len(held)-1], "its task was placed elsewhere")
+	}
+	limit := max(1, int(maxHeldShare*float64(len(hosts))))
+	for search && len(d.holds[c.step]) < missing && d.heldWorkers() < limit {
+		chosen, wait := d.soonestHost(c, hosts)
+		if chosen == nil {
+			return
+		}
+		w := chosen.worker
+		w.hold = &hold{step: c.step, since: d.now}
+		d.holds[c.step] = append(d.holds[c.step], w)
+		d.config.Count("HoldsStarted")
+		d.config.Log.Info("holding room", "Worker", w.incarnation.GetId(), "Step", c.step.Name(), "Free", chosen.Free.Processors,
+			"Needed", c.step.GetProcessors(), "ExpectedWait", wait.String(), "Missing", missing)
+	}
+}
+
+// heldWorkers returns the number of workers on which room is held.
+func (d *Dispatcher) heldWorkers() int {
+	count := 0
+	for _, held := range d.holds {
+		count += len(held)
+	}
+	return count
+}
+
+// soonestHost returns the host that is expected to have room for a task of a step first, and when, or nil if none has
+// within maxHoldWait.
+func (d *Dispatcher) soonestHost(c candidate, hosts []host) (soonest *host, wait time.Duration) {
+	for i := range hosts {
+		h := &hosts[i]
+		if h.worker.hold != nil || h.Suspect || h.IgnoresStarts || !d.allows(c, h.worker) {
+			continue
+		}
+		d.ratingBudget--
+		if after, ok := d.timeToFit(h, c.step.Demand(), c.queue.GetPriority()); ok && after <= maxHoldWait && (soonest == nil || after < wait) {
+			soonest, wait = h, after
+		}
+	}
+	return soonest, wait
+}
+
+// timeToFit returns the expected time until a host has room for a demand, as its finite runs end or, if they are less urgent, are
+// preempted. It returns false if these runs don't release enough.
+func (d *Dispatcher) timeToFit(h *host, demand resource.Vector, priority int32) (wait time.Duration, ok bool) {
+	free := h.Free
+	for _, next := range d.releasesOn(h, priority) {
+		if demand.Fits(free) {
+			break
+		}
+		free, wait = free.Add(next.demand), next.after
+	}
+	return wait, demand.Fits(free)
+}
+
+// releases describes when the finite runs of a host are expected to release what they use, the soonest first.
+type releases struct {
+	priority int32 // for tasks of this priority, which may preempt less urgent ones
+	ends     []release
+}
+
+// release is the expected end of a run.
+type release struct {
+	after  time.Duration
+	demand resource.Vector
+}
+
+// releasesOn returns the expected ends of the finite runs of a host. They are found once in a pass.
+func (d *Dispatcher) releasesOn(h *host, priority int32) []release {
+	if h.releases != nil && h.releases.priority == priority {
+		return h.releases.ends
+	}
+	h.releases = &releases{priority: priority}
+	for key := range h.worker.incarnation.Runs {
+		r := d.runs[key]
+		after := time.Duration(0)
+		switch {
+		case r == nil || r.task.Step.GetPerpetual() && !r.ended && !r.stopRequested:
+			continue
+		case r.ended:
+		case r.stopRequested || d.isPreemptible(r, priority):
+			after = d.config.Limits.StopGrace
+		default:
+			after = d.remainingTime(r)
+		}
+		h.releases.ends = append(h.releases.ends, release{after, r.task.Step.Demand()})
+	}
+	slices.SortFunc(h.releases.ends, func(a, b release) int { return cmp.Compare(a.after, b.after) })
+	return h.releases.ends
+}
+
+// respectsHold reports whether a host has room for a task of a step beside the room that is held there for another step.
+func respectsHold(step *workload.Step, demand resource.Vector, h *host) bool {
+	held := h.worker.hold
+	if held == nil || held.step == step {
+		return true
+	}
+	rest := h.Free.Sub(held.step.Demand())
+	return demand.Fits(resource.Vector{
+		Processors: max(0, rest.Processors), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators),
+	})
+}
+
+// endStaleHolds ends the holds that have timed out, those on workers that may get no runs, and those for steps of which no task waits.
+func (d *Dispatcher) endStaleHolds(candidates []candidate) {
+	if len(d.holds) == 0 {
+		return
+	}
+	waiting := map[*workload.Step]bool{}
+	for _, c := range candidates {
+		waiting[c.step] = true
+	}
+	for step, held := range d.holds {
+		for _, w := range slices.Clone(held) {
+			switch {
+			case !waiting[step]:
+				d.endHold(w, "no task waits for it")
+			case d.workers[w.incarnation.GetNumber()] != w || !d.isUsable(w):
+				d.endHold(w, "the worker is unusable")
+			case d.now.Sub(w.hold.since) >= holdTimeout:
+				d.endHold(w, "it has timed out")
+			}
+		}
+	}
+}
+
+// endHold ends the hold on a worker.
+func (d *Dispatcher) endHold(w *worker, reason string) {
+	step, since := w.hold.step, w.hold.since
+	w.hold = nil
+	if d.holds[step] = slices.DeleteFunc(d.holds[step], func(other *worker) bool { return other == w }); len(d.holds[step]) == 0 {
+		delete(d.holds, step)
+	}
+	d.config.Log.Info("held room released", "Worker", w.incarnation.GetId(), "Step", step.Name(), "Reason", reason, "Held", d.now.Sub(since).String())
+}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -54,9 +54,11 @@
 	hosts := d.hosts()
 	d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
 	candidates := d.candidates()
+	d.endStaleHolds(candidates)
 	d.report(candidates, hosts)
 	budget := maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
-	if !d.now.Before(d.nextSpeculation) {
+	searchesHolds := !d.now.Before(d.nextSpeculation)
+	if searchesHolds {
 		d.nextSpeculation = d.now.Add(speculationInterval)
 		d.speculate(hosts)
 		d.countTrials()
@@ -70,7 +72,9 @@
 			return
 		}
 		needed := need(c.step)
-		if slices.ContainsFunc(exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) }) {
+		isExhausted := slices.ContainsFunc(exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
+		if isExhausted && len(d.holds[c.step]) == 0 {
+			d.updateHolds(c, hosts, d.countPlaceable(c.step), searchesHolds)
 			if fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
@@ -85,6 +89,7 @@
 			placedSuspects, missingSuspects := d.placeSuspects(c, hosts)
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placedSuspects + placed
+			d.updateHolds(c, hosts, missing, searchesHolds)
 			if missing > 0 && fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
@@ -198,7 +203,8 @@
 // host combines a worker with its description for the placement score.
 type host struct {
 	*colocation.Host
-	worker *worker
+	worker   *worker
+	releases *releases // as far as the current pass has needed them
 }
 
 // hosts returns the workers that may get new runs.
@@ -305,7 +311,7 @@
 	var bestScore int64
 	for i := range hosts {
 		h := &hosts[i]
-		if !colocation.HasRoom(demand, h.Host) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
+		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c.step, demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
 		d.ratingBudget--
@@ -371,6 +377,9 @@
 		w.reservedUntil = time.Time{}
 		delete(d.reservations, task.Step)
 	}
+	if w.hold != nil && w.hold.step == task.Step {
+		d.endHold(w, "its task is placed")
+	}
 	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.incarnation.GetNumber()}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
 		delete(d.assigning, key.Task)
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -49,7 +49,7 @@
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
 		}
-		if !d.allows(c, w) || w.preempting[c.step] {
+		if !d.allows(c, w) || w.preempting[c.step] || w.hold != nil && w.hold.step != c.step {
 			continue
 		}
 		chosen, cost, isEnough := d.victimsOn(w, hosts[i].Free, demand, c.queue.GetPriority())
@@ -80,7 +80,7 @@
 		case r == nil:
 		case r.stopRequested:
 			free = free.Add(r.task.Step.Demand())
-		case r.seen && !r.task.Step.GetPerpetual() && d.state.Queue(r.task.Step.Job.Spec.GetQueue()).GetPriority() > priority:
+		case d.isPreemptible(r, priority):
 			candidates = append(candidates, r)
 		}
 	}
@@ -98,6 +98,11 @@
 	return victims, cost, demand.Fits(free)
 }
 
+// isPreemptible reports whether a run may be preempted for a task of the given priority.
+func (d *Dispatcher) isPreemptible(r *run, priority int32) bool {
+	return r.seen && !r.task.Step.GetPerpetual() && d.state.Queue(r.task.Step.Job.Spec.GetQueue()).GetPriority() > priority
+}
+
 // findLeastUrgent records the priority of the least urgent preemptible run, and of the least urgent one with dedicated
 // processors. Less urgent steps need no search for victims.
 func (d *Dispatcher) findLeastUrgent() {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -42,7 +42,7 @@
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", account.ServingHosts, "SpareBesideServing", account.SpareBesideServing,
 		"SpareElsewhere", account.SpareElsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
 		"Total", account.Total, "Reserved", account.Reserved, "ReservedServing", account.Serving, "BestEffort", account.BestEffort, "Free", account.Free,
-		"LargestFree", account.LargestFree, "WaitingFor", causes,
+		"LargestFree", account.LargestFree, "HeldWorkers", d.heldWorkers(), "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
 }
 
@@ -55,7 +55,7 @@
 	for i := range hosts {
 		h := &hosts[i]
 		search.Consider(h.Host,
-			func() bool { return d.allows(c, h.worker) },
+			func() bool { return respectsHold(c.step, search.Demand.Need, h) && d.allows(c, h.worker) },
 			func() bool {
 				_, ok := d.score(c, search.Demand, h)
 				return ok
--- a/internal/decision/occupancy/account.go
+++ b/internal/decision/occupancy/account.go
@@ -12,7 +12,7 @@
 	Processors    Cause = "Processors"    // the hosts together have too few free processors
 	Fragmentation Cause = "Fragmentation" // they have enough together, but no single one has
 	Memory        Cause = "Memory"        // no host with the processors has the memory or the accelerators
-	Limits        Cause = "Limits"        // the hosts with room are excluded by a label, a limit per worker or a ticket
+	Limits        Cause = "Limits"        // the hosts with room are excluded by a label, a limit per worker, a ticket or a hold
 	Interference  Cause = "Interference"  // the hosts with room run tasks that this one would disturb
 	Pending       Cause = "Pending"       // a host accepts it; the assignment is in progress or comes with the next pass
 )
