dispatch: serving jobs aren't accepted into the room of tasks on silent workers

Between the loss at 12.4 s and its declaration at 20.2 s, six serving jobs with 91 tasks were accepted and placed on the hosts that replaced the lost ones; 38 tasks of older jobs then found no room.

Cause: headroomFor counted workers that don't answer until they were declared lost, beside the ones that had replaced them: 140 silent and 140 new ones. "job refused" told 10.4M milli-cores available at 19.7 s, before the declarations, and 1.0M at 20.8 s, after them.

A worker that hasn't answered for 1.8 s takes its processors with it, and its serving tasks need room elsewhere. If half of the workers or more don't answer, the cause may lie with the leader, and all count as before (TestSilentWorkersDontRejectServingJobs).

TestLostServingTasksKeepTheirRoom failed before: "a serving job is accepted into the room of the tasks of silent workers".

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -49,8 +49,7 @@
 }
 
 // headroomFor returns the milli-cores that would be available to dedicated tasks if a job's serving tasks ran, and those that
-// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks. A worker that doesn't answer counts until it is
-// declared lost: the cause may lie with this leader.
+// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks.
 func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
 	needed, ok := d.headroom.Processors(d.now)
 	wanted := int64(0)
@@ -62,15 +61,32 @@
 	if wanted == 0 || !ok {
 		return 0, 0
 	}
-	for _, w := range d.orderedWorkers {
-		if d.isStaying(w) {
-			available += w.incarnation.GetProcessors() - w.servingProcessors
-		}
-	}
 	for step := range d.waitingSteps(d.config.Wall()) {
 		if kindOf(step) == colocation.Serving {
 			available -= int64(step.Waiting) * step.GetProcessors()
 		}
 	}
-	return available - wanted, needed
+	return available + d.servingRoom() - wanted, needed
+}
+
+// servingRoom returns the milli-cores that serving tasks leave free once those of unresponsive workers run elsewhere. Unless most
+// workers answer, the cause may lie with this leader, and the others count as well.
+func (d *Dispatcher) servingRoom() int64 {
+	workers, unresponsive := 0, 0
+	room, lost := int64(0), int64(0) // lost is the part of room that unresponsive workers would take with them
+	for _, w := range d.orderedWorkers {
+		if !d.isStaying(w) {
+			continue
+		}
+		workers++
+		room += w.incarnation.GetProcessors() - w.servingProcessors
+		if d.silenceOf(w) > unresponsiveAfter {
+			unresponsive++
+			lost += w.incarnation.GetProcessors()
+		}
+	}
+	if 2*unresponsive >= workers {
+		return room
+	}
+	return room - lost
 }
--- a/internal/decision/dispatch/headroom_test.go
+++ b/internal/decision/dispatch/headroom_test.go
@@ -24,3 +24,30 @@
 		t.Errorf("outcome %v in a fleet without serving tasks", got)
 	}
 }
+
+// TestLostServingTasksKeepTheirRoom guards against accepting serving jobs into the room that the tasks of silent workers need once
+// these are declared lost.
+func TestLostServingTasksKeepTheirRoom(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 10)
+	for i := range 16 {
+		sim.submit("urgent", fmt.Sprintf("urgent-%d", i), dedicated(2, 800*time.Millisecond))
+		sim.run(500 * time.Millisecond)
+	}
+	step := serving(32, "image")
+	step.Processors = 8000
+	sim.submit("urgent", "serving", step)
+	sim.run(2 * time.Second)
+	sim.crashWorkers(3)
+	for range 3 {
+		sim.addWorker("zone-0", "r-0")
+	}
+	sim.run(unresponsiveAfter + pollWait)
+	if lost := len(sim.dispatcher.losses); lost > 0 {
+		t.Fatalf("%d workers are declared lost already", lost)
+	}
+	further := serving(8, "image")
+	further.Processors = 8000
+	if got := sim.submit("urgent", "further", further); got == controlpb.WorkOutcome_WORK_OK {
+		t.Error("a serving job is accepted into the room of the tasks of silent workers")
+	}
+}
