dispatch: a new leader limits serving jobs before it has learned the headroom

Cause: headroomFor told that nothing was needed until a leader has learned for 5 s what dedicated tasks need. The placement of serving tasks assumes 6% of the processors until then (areEmptyHostsScarce); so does the admission now.

TestNewLeaderKeepsHeadroom failed before: "a serving job is accepted that leaves no room for dedicated tasks".

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -41,52 +41,57 @@
 			empty += hosts[i].Processors
 		}
 	}
-	needed, ok := d.headroom.Processors(d.now)
-	if !ok {
-		needed = int64(unlearnedHeadroom * float64(total))
-	}
-	return empty <= needed
+	return empty <= d.neededHeadroom(total)
 }
 
 // headroomFor returns the milli-cores that would be available to dedicated tasks if a job's serving tasks ran, and those that
-// dedicated tasks need: 0 if that isn't known, or if the job has no serving tasks.
+// dedicated tasks need. Both are 0 if the job has no serving tasks.
 func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
-	needed, ok := d.headroom.Processors(d.now)
 	wanted := int64(0)
 	for _, step := range job.GetSteps() {
 		if (&workload.Step{WorkStep: step}).IsServing() {
 			wanted += int64(step.GetCount()) * step.GetProcessors()
 		}
 	}
-	if wanted == 0 || !ok {
+	if wanted == 0 {
 		return 0, 0
 	}
+	total, serving := d.stayingProcessors()
+	available = total - serving - wanted
 	for step := range d.waitingSteps(d.config.Wall()) {
 		if kindOf(step) == colocation.Serving {
 			available -= int64(step.Waiting) * step.GetProcessors()
 		}
 	}
-	return available + d.servingRoom() - wanted, needed
+	return available, d.neededHeadroom(total)
+}
+
+// neededHeadroom returns the milli-cores that dedicated tasks need on hosts of so many milli-cores.
+func (d *Dispatcher) neededHeadroom(total int64) int64 {
+	if needed, ok := d.headroom.Processors(d.now); ok {
+		return needed
+	}
+	return int64(unlearnedHeadroom * float64(total))
 }
 
-// servingRoom returns the milli-cores that serving tasks leave free once those of unresponsive workers run elsewhere. Unless most
-// workers answer, the cause may lie with this leader, and the others count as well.
-func (d *Dispatcher) servingRoom() int64 {
-	workers, unresponsive := 0, 0
-	room, lost := int64(0), int64(0) // lost is the part of room that unresponsive workers would take with them
+// stayingProcessors returns the milli-cores of the workers that stay, and those that serving tasks reserve there or will need there
+// once unresponsive workers are declared lost. Unless most workers answer, the cause may lie with this leader, and all count as staying.
+func (d *Dispatcher) stayingProcessors() (total, serving int64) {
+	workers, unresponsive, lost := 0, 0, int64(0)
 	for _, w := range d.orderedWorkers {
 		if !d.isStaying(w) {
 			continue
 		}
 		workers++
-		room += w.incarnation.GetProcessors() - w.servingProcessors
+		total += w.incarnation.GetProcessors()
+		serving += w.servingProcessors
 		if d.silenceOf(w) > unresponsiveAfter {
 			unresponsive++
 			lost += w.incarnation.GetProcessors()
 		}
 	}
-	if 2*unresponsive >= workers {
-		return room
+	if 2*unresponsive < workers {
+		total -= lost
 	}
-	return room - lost
+	return total, serving
 }
--- a/internal/decision/dispatch/headroom_test.go
+++ b/internal/decision/dispatch/headroom_test.go
@@ -51,3 +51,20 @@
 		t.Error("a serving job is accepted into the room of the tasks of silent workers")
 	}
 }
+
+// TestNewLeaderKeepsHeadroom guards against accepting serving jobs without a limit until a new leader has learned what dedicated tasks
+// need.
+func TestNewLeaderKeepsHeadroom(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 10)
+	step := serving(37, "image")
+	step.Processors = 8000
+	sim.submit("urgent", "serving", step)
+	sim.run(2 * time.Second)
+	sim.changeLeader()
+	sim.run(2 * time.Second)
+	further := serving(2, "image")
+	further.Processors = 8000
+	if got := sim.submit("urgent", "further", further); got == controlpb.WorkOutcome_WORK_OK {
+		t.Error("a serving job is accepted that leaves no room for dedicated tasks")
+	}
+}
