--- a/internal/decision/consensus/snapshot.go
+++ b/internal/decision/consensus/snapshot.go
@@ -16,8 +16,12 @@
 }
 
 // Compact drops entries up to and including index. The snapshot must cover these and be durable; it is sent to members
-// that lack dropped entries. A snapshot index above index retains entries for members that are slightly behind.
+// that lack dropped entries. A snapshot index above index retains entries for members that are slightly behind. A snapshot
+// older than one that was received meanwhile has no effect.
 func (n *Node) Compact(index uint64, snapshot *controlpb.Snapshot) error {
+	if snapshot.Index < n.snapshot.GetIndex() {
+		return nil
+	}
 	if snapshot.Index < index || snapshot.Index > n.delivered || !n.log.matches(snapshot.Index, snapshot.Term) {
 		return trace.BadParameter("compact to index %d with a snapshot at index %d and term %d: the log is applied to %d",
 			index, snapshot.Index, snapshot.Term, n.delivered)
--- a/internal/shell/replica/replica_test.go
+++ b/internal/shell/replica/replica_test.go
@@ -419,6 +419,20 @@
 	}}})
 }
 
+// intentLog returns a log of count small commands of term 1.
+func intentLog(t testing.TB, count int) []*controlpb.Entry {
+	t.Helper()
+	entries := make([]*controlpb.Entry, count)
+	for i := range entries {
+		data, err := proto.Marshal(recordIntent(int64(i)).GetCommand())
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries[i] = &controlpb.Entry{Index: uint64(i + 1), Term: 1, Data: data}
+	}
+	return entries
+}
+
 // commitIntent commits a small command, the intent record of a gateway's call.
 func commitIntent(b testing.TB, d *testDaemon, i int64) {
 	reply := d.Submit(context.Background(), recordIntent(i))
