replica, consensus: limit what one iteration applies, so that a restart keeps its leader

After all processes of a group had been killed, the new leader stepped down with "no quorum has answered": its control loop stood still for 277 ms in "Commits" while commit went from 63 to 1632, those of its followers for 245 to 273 ms. A replica that restarts learns of its whole log as committed at once and applied it in one iteration, without heartbeats, answers and timers. Each such change starts the wait for the workers' leases again.

An Output now has at most 64 committed entries and 64 KiB (MaxCommittedEntries, MaxCommittedBytes; one larger entry is delivered alone), and an iteration takes no further Outputs after 10 ms, but handles messages and timers and goes on at once. What needs no sync is sent before the next Output is applied.

Entries committed meanwhile form the next series, so that each one ends.

The simulations use small limits and leave Outputs for later events; those of the capacity tests delivered replies before an output was completed, and broke the order of Advance if the reply caused another request.

--- a/internal/capacity/simulation.go
+++ b/internal/capacity/simulation.go
@@ -247,18 +247,18 @@
 		if !ok {
 			break
 		}
-		for _, reply := range output.Replies {
+		sim.send(d, output.Immediate)
+		if !d.syncing && len(d.pendingOutputs) == 0 && (!d.voter || !output.NeedsSync()) {
+			sim.completeOutput(d, output)
+		} else {
+			d.pendingOutputs = append(d.pendingOutputs, output)
+		}
+		for _, reply := range output.Replies { // after the output, because done may process later outputs
 			if done := d.callbacks[reply.RequestID]; done != nil {
 				delete(d.callbacks, reply.RequestID)
 				done(reply)
 			}
 		}
-		sim.send(d, output.Immediate)
-		if !d.syncing && len(d.pendingOutputs) == 0 && (!d.voter || !output.NeedsSync()) {
-			sim.completeOutput(d, output)
-			continue
-		}
-		d.pendingOutputs = append(d.pendingOutputs, output)
 	}
 	sim.syncOutputs(d)
 	sim.scheduleTick(d)
--- a/internal/decision/consensus/config.go
+++ b/internal/decision/consensus/config.go
@@ -27,6 +27,11 @@
 	DefaultMaxInflightBytes    = 1 << 20
 	DefaultMaxUncommittedBytes = 16 << 20
 	DefaultMaxPromoteLag       = 256
+
+	// A replica that restarts learns at once that its whole log is committed. The limits on the committed entries of one
+	// output let its caller handle heartbeats and timers while it applies the log.
+	DefaultMaxCommittedBytes   = 64 << 10
+	DefaultMaxCommittedEntries = 64
 )
 
 // Config configures a Node. Timing and size fields that are zero take their defaults.
@@ -58,6 +63,9 @@
 	MaxInflightBytes    int    // limit on the entries sent to one follower and not yet acknowledged
 	MaxUncommittedBytes int    // proposals above this are refused with OverloadedError
 	MaxPromoteLag       uint64 // entries that a learner may still lack when it is promoted
+
+	MaxCommittedBytes   int // limit on the entries in Output.Committed, which has at least one if any is left
+	MaxCommittedEntries int // limit on their number
 }
 
 func (c Config) withDefaults() Config {
@@ -73,6 +81,8 @@
 	setDefault(&c.MaxInflightBytes, DefaultMaxInflightBytes)
 	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	setDefault(&c.MaxPromoteLag, DefaultMaxPromoteLag)
+	setDefault(&c.MaxCommittedBytes, DefaultMaxCommittedBytes)
+	setDefault(&c.MaxCommittedEntries, DefaultMaxCommittedEntries)
 	return c
 }
 
--- a/internal/decision/consensus/fuzz_test.go
+++ b/internal/decision/consensus/fuzz_test.go
@@ -296,9 +296,10 @@
 	return text
 }
 
-// smallLimits makes batches, full in-flight windows and snapshot retries frequent.
+// smallLimits makes batches, full in-flight windows, snapshot retries and committed entries left for later outputs frequent.
 var smallLimits = Config{
 	MaxAppendBytes: 512, MaxInflightBytes: 2048, SnapshotTimeout: 300 * time.Millisecond, MaxPromoteLag: 8,
+	MaxCommittedBytes: 256, MaxCommittedEntries: 3,
 }
 
 // fuzz runs one seed and returns the failure with its shrunk steps, or an empty string.
--- a/internal/decision/consensus/node.go
+++ b/internal/decision/consensus/node.go
@@ -25,6 +25,7 @@
 	memberships []indexedMembership // ordered by index; the first one is at or below the log's base
 
 	commit    uint64
+	released  uint64 // last index of the current series of outputs with committed entries
 	delivered uint64 // last index delivered in Committed
 	applied   uint64
 	durable   uint64 // index up to which this log is known to be on disk
@@ -242,7 +243,8 @@
 	return time.Time{}
 }
 
-// Ready returns the next output, if any. It may be called again before the output is advanced.
+// Ready returns the next output, if any. It may be called again before the output is advanced. While committed entries are
+// left for later outputs, there is a next one.
 func (n *Node) Ready() (Output, bool) {
 	if n.role == Leader {
 		n.replicateAll()
@@ -259,10 +261,9 @@
 		o.Entries = n.log.slice(n.nextEntry, last)
 		n.nextEntry = last + 1
 	}
-	if release := min(n.commit, n.durable); release > n.delivered {
-		o.Committed = n.log.slice(n.delivered+1, release)
-		n.delivered = release
-	}
+	o.Committed = n.deliverable()
+	n.delivered += uint64(len(o.Committed))
+	o.CommittedLeft = n.delivered < n.released
 	if !o.NeedsSync() && len(o.Immediate)+len(o.Messages)+len(o.Committed) == 0 {
 		return Output{}, false
 	}
@@ -276,6 +277,19 @@
 	return o, true
 }
 
+// deliverable returns the committed entries to deliver next, within the limits of one output. Entries that are committed
+// after the first of a series of outputs aren't part of that series, so that it ends.
+func (n *Node) deliverable() []*controlpb.Entry {
+	if n.delivered >= n.released {
+		n.released = min(n.commit, n.durable)
+	}
+	last := min(n.released, n.delivered+uint64(n.config.MaxCommittedEntries))
+	if last <= n.delivered {
+		return nil
+	}
+	return limitBytes(n.log.slice(n.delivered+1, last), n.config.MaxCommittedBytes)
+}
+
 // Immediate returns the queued messages that need no sync, for a caller that can't persist another output yet. Heartbeats and
 // their replies then don't wait for its disk.
 func (n *Node) Immediate() []*Message {
--- a/internal/decision/consensus/oracle_test.go
+++ b/internal/decision/consensus/oracle_test.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// checkLimits checks that the committed entries of one output are within the limits.
+func (s *sim) checkLimits(h *host, committed []*controlpb.Entry) {
+	config, bytes := h.node.config, 0
+	for _, e := range committed {
+		bytes += entrySize(e)
+	}
+	if len(committed) > config.MaxCommittedEntries || len(committed) > 1 && bytes > config.MaxCommittedBytes {
+		s.fail("host %d got %d committed entries of %d bytes in one output", h.number, len(committed), bytes)
+	}
+}
+
 // checkApplied checks that every host applies the same sequence and that a new entry is durable on a quorum.
 func (s *sim) checkApplied(h *host, e *controlpb.Entry) {
 	if int(e.Index) <= len(s.entries) {
--- a/internal/decision/consensus/output.go
+++ b/internal/decision/consensus/output.go
@@ -29,9 +29,12 @@
 	// Messages are sent after this output and all earlier ones are synced.
 	Messages []*Message
 
-	// Committed entries are applied in order, before Advance. They are durable on this replica.
+	// Committed entries are applied in order, before Advance. They are durable on this replica. Their size is limited.
 	Committed []*controlpb.Entry
 
+	// CommittedLeft means that entries which could be applied at the same time as these are left for the next outputs.
+	CommittedLeft bool
+
 	sequence uint64
 }
 
--- a/internal/decision/consensus/replication.go
+++ b/internal/decision/consensus/replication.go
@@ -260,7 +260,11 @@
 
 // batch returns the entries from index first that fit into limit bytes, but at least one if there is any.
 func (n *Node) batch(first uint64, limit int) []*controlpb.Entry {
-	entries := n.log.slice(first, n.log.last())
+	return limitBytes(n.log.slice(first, n.log.last()), limit)
+}
+
+// limitBytes returns the first entries that fit into limit bytes, but at least one if there is any.
+func limitBytes(entries []*controlpb.Entry, limit int) []*controlpb.Entry {
 	bytes := 0
 	for i, e := range entries {
 		bytes += entrySize(e)
--- a/internal/decision/consensus/rules_test.go
+++ b/internal/decision/consensus/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -201,3 +202,65 @@
 	n.advanceAll()
 	n.expect("the snapshot is durable", n.Status().Durable == 1)
 }
+
+// TestCommittedLimits guards against an output whose committed entries exceed the limits, an entry that is left out or delivered
+// twice, and freshness before the last one is applied.
+func TestCommittedLimits(t *testing.T) {
+	const last = 300
+	for _, limits := range []Config{
+		{},
+		{MaxCommittedEntries: 7},
+		{MaxCommittedBytes: 10 * entryOverheadBytes},
+		{MaxCommittedBytes: 1},
+	} {
+		entries := entriesOf(1)
+		for i := range uint64(last) {
+			entries = append(entries, &controlpb.Entry{Index: i + 1, Term: 1, Data: make([]byte, i%50)})
+		}
+		n := newTestNode(t, entries)
+		n.config.MaxCommittedBytes, n.config.MaxCommittedEntries = limits.MaxCommittedBytes, limits.MaxCommittedEntries
+		n.config = n.config.withDefaults()
+		n.receive(&Message{Type: controlpb.MessageType_APPEND, From: 2, Term: 2, Index: last, LogTerm: 1, Commit: last, Round: 1, Echo: n.stamp()})
+		applied, outputs := uint64(0), 0
+		for o, ok := n.Ready(); ok; o, ok = n.Ready() {
+			n.expect("the output tells whether entries are left", o.CommittedLeft == (applied+uint64(len(o.Committed)) < last))
+			bytes := 0
+			for _, e := range o.Committed {
+				applied++
+				bytes += entrySize(e)
+				n.expect("committed entries are in order", e.GetIndex() == applied)
+			}
+			n.expect("the limits are kept", len(o.Committed) <= n.config.MaxCommittedEntries && (len(o.Committed) <= 1 || bytes <= n.config.MaxCommittedBytes))
+			n.expect("the state is fresh only after the last entry", n.FreshAt().IsZero())
+			n.Advance(n.now, o)
+			outputs++
+		}
+		n.expect("all committed entries are delivered", applied == last && n.Status().Applied == last)
+		n.expect("the state is fresh", !n.FreshAt().IsZero())
+		n.expect("the entries are delivered in several outputs", outputs > 1)
+	}
+}
+
+// TestCommittedSeries guards against a series of outputs with committed entries that doesn't end while further entries are
+// committed.
+func TestCommittedSeries(t *testing.T) {
+	n := newTestNode(t, entriesOf(1, 1, 2, 3, 4, 5, 6, 7, 8))
+	n.config.MaxCommittedEntries = 2
+	var series [][]uint64
+	left := false
+	for _, commit := range []uint64{3, 5, 8, 8, 8} {
+		n.receive(&Message{Type: controlpb.MessageType_APPEND, From: 2, Term: 2, Index: 8, LogTerm: 1, Commit: commit})
+		o, _ := n.Ready()
+		if !left {
+			series = append(series, nil)
+		}
+		for _, e := range o.Committed {
+			series[len(series)-1] = append(series[len(series)-1], e.GetIndex())
+		}
+		left = o.CommittedLeft
+		n.Advance(n.now, o)
+	}
+	if got, want := fmt.Sprint(series), "[[1 2 3] [4 5 6 7 8]]"; got != want {
+		t.Errorf("series of committed entries: %s, want %s", got, want)
+	}
+}
--- a/internal/decision/consensus/simulation_test.go
+++ b/internal/decision/consensus/simulation_test.go
@@ -219,17 +219,25 @@
 	})
 }
 
+// maxOutputsAtOnce is the number of outputs that a host processes before it handles other events.
+const maxOutputsAtOnce = 4
+
 // processOutputs processes the node's outputs and arms its timer.
 func (h *host) processOutputs() {
 	h.tamper()
 	defer h.tamper()
-	for len(h.pending) < h.maxPending {
+	for outputs := 0; len(h.pending) < h.maxPending; outputs++ {
+		if outputs == maxOutputsAtOnce {
+			h.schedule(100*time.Microsecond, h.processOutputs)
+			break
+		}
 		o, ok := h.node.Ready()
 		if !ok {
 			break
 		}
 		h.send(o.Immediate)
 		h.install(o.Snapshot)
+		h.sim.checkLimits(h, o.Committed)
 		for _, e := range o.Committed {
 			h.apply(e)
 		}
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -31,6 +31,10 @@
 	// delay heartbeats.
 	maxDrainedEvents = 256
 
+	// maxOutputTime is the time after which an iteration of the control loop leaves further Outputs to the next one, so that
+	// applying a long log doesn't delay heartbeats and elections. It is exceeded by at most the time of one Output.
+	maxOutputTime = 10 * time.Millisecond
+
 	// slowIteration is the duration from which an iteration of the control loop is logged: the heartbeat interval.
 	slowIteration = 100 * time.Millisecond
 
@@ -163,6 +167,7 @@
 	// The fields below belong to the control goroutine.
 	pending     map[RequestID]*pendingRequest
 	unsynced    int
+	outputsLeft bool // the last iteration left Outputs to the next one
 	outputsHeld heldOutputs
 	addressBook []*controlpb.Member
 	failure     error
@@ -353,6 +358,9 @@
 	if deadline := r.core.NextDeadline(); !deadline.IsZero() {
 		wait = max(0, deadline.Sub(r.options.Clock.Now()))
 	}
+	if r.outputsLeft {
+		wait = 0
+	}
 	timer.Reset(wait)
 }
 
@@ -364,12 +372,22 @@
 	r.pending[r.core.Submit(r.options.Clock.Now(), p.request)] = p
 }
 
-// processOutputs processes the pending Outputs of the Core. Those that need a sync go to the disk goroutine.
+// processOutputs processes the pending Outputs of the Core for up to maxOutputTime. Those that need a sync go to the disk
+// goroutine.
 func (r *Replica) processOutputs() {
+	start := r.options.Clock.Now()
+	if r.outputsLeft && r.failure == nil {
+		r.deliverImmediate(r.core.ReadyImmediate()) // these needn't wait until the next Output is applied
+	}
+	r.outputsLeft = false
 	if r.unsynced < maxUnsynced {
 		r.logHeldOutputs()
 	}
 	for r.unsynced < maxUnsynced && r.failure == nil {
+		if r.options.Clock.Since(start) >= maxOutputTime {
+			r.outputsLeft = true
+			break
+		}
 		o, ok := r.core.Ready()
 		if !ok {
 			break
--- a/internal/shell/replica/simulation_test.go
+++ b/internal/shell/replica/simulation_test.go
@@ -18,6 +18,13 @@
 	"galenamoor/pkg/rules"
 )
 
+// Small limits make it frequent that committed entries are left for a later Output, and Outputs for a later event.
+const (
+	simCommittedEntries = 4
+	simOutputs          = 4
+	simOutputDelay      = 100 * time.Microsecond
+)
+
 // simCluster runs Cores in virtual time with a simulated network and disks, and checks every step with an oracle.
 type simCluster struct {
 	random            *rand.Rand
@@ -129,7 +136,9 @@
 	}
 	state := controlstate.New()
 	core, err := NewCore(CoreConfig{
-		Consensus:    consensus.Config{ID: d.id, Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(c.random.Uint64(), 1)), Now: c.now},
+		Consensus: consensus.Config{
+			ID: d.id, Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(c.random.Uint64(), 1)), Now: c.now, MaxCommittedEntries: simCommittedEntries,
+		},
 		StateMachine: state,
 		CompactAfter: c.compactAfter,
 		NewCoordinator: func(valid func(time.Time) bool) Coordinator {
@@ -221,9 +230,19 @@
 	}
 }
 
-// processOutputs processes the pending Outputs of a Core.
+// processOutputs processes the pending Outputs of a Core. It leaves those beyond simOutputs for later, as Replica does with
+// those beyond maxOutputTime.
 func (c *simCluster) processOutputs(d *simDaemon) {
-	for d.core != nil && d.unsynced < c.maxUnsynced {
+	for outputs := 0; d.core != nil && d.unsynced < c.maxUnsynced; outputs++ {
+		if outputs == simOutputs {
+			boots := d.boots
+			c.scheduleOn(d, simOutputDelay, func() {
+				if d.boots == boots {
+					c.processOutputs(d)
+				}
+			})
+			break
+		}
 		output, ok := d.core.Ready()
 		if !ok {
 			break
--- a/internal/shell/replica/slow_disk_test.go
+++ b/internal/shell/replica/slow_disk_test.go
@@ -105,8 +105,8 @@
 	running   sync.WaitGroup
 }
 
-// startSlowDiskCluster starts voters that run until ctx ends.
-func startSlowDiskCluster(ctx context.Context, t *testing.T, voters int) *slowDiskCluster {
+// startSlowDiskCluster starts voters that run until ctx ends. The functions change the options of each.
+func startSlowDiskCluster(ctx context.Context, t *testing.T, voters int, change ...func(*Options)) *slowDiskCluster {
 	t.Helper()
 	c := &slowDiskCluster{
 		transport: &directTransport{replicas: map[uint64]*Replica{}, rounds: map[[2]uint64]*sentRounds{}},
@@ -119,7 +119,7 @@
 	for _, member := range bootstrap.GetMembers() {
 		store, state := &slowStore{}, controlstate.New()
 		store.delay.Store(int64(usualSync))
-		r, err := New(Options{
+		options := Options{
 			Host: member.GetHost(), Store: store, Transport: c.transport, Clock: clockwork.NewRealClock(), Log: logr.Discard(),
 			Core: CoreConfig{
 				Consensus:    consensus.Config{ID: member.GetId(), Bootstrap: bootstrap, Rand: rand.New(rand.NewPCG(member.GetId(), 1))},
@@ -128,7 +128,11 @@
 					return coordinator.New(coordinator.Config{State: state, LeaseValid: valid})
 				},
 			},
-		})
+		}
+		for _, f := range change {
+			f(&options)
+		}
+		r, err := New(options)
 		if err != nil {
 			t.Fatal(err)
 		}
