dispatch: lease records count from their proposal, also after a restart

Seen: after all controllers were killed and restarted, workers that had been silent and recorded for seconds kept their leases for as long again, and a leader that had led for any time left its successor the longest lease of the epochs before it. Both add to the time until lasting tasks run again.

Cause: WithholdLease.expires_in_ms and BeginEpoch.earlier_lease_ms counted from when a replica had applied them.

Each batch now tells for how long its leader had led when it proposed the batch, by its own monotonic clock. The state sums this up within each epoch; the time between two leaders, and that of earlier versions, isn't counted, so that the sum is a lower bound of the time between two proposals. The state marks each record with the sum as of the change. A replica that applies a record counts it from then, less the time that its state shows to have passed since. It takes 3% off that time (maxClockDrift), for a leader whose clock is fast. A replica that applies a record as it is committed finds no time passed, as before. Records and epochs of an earlier version are marked with 0, and no time is told before a leader of this version.

While recorded leases last, the leader proposes a batch at least every 0.5 s, so that an idle site tells the time too.

Tests that fail on the previous commit, in a copy with the new tests: * TestSilenceBeforeAllControllersRestart, all 8 cases: "the tasks run again 7.54s after the crash, expected at most 5.8s", up to 9.04 s instead of 7.3 s. * TestEarlierLeasesAcrossRestart, all 6 cases: "earlier leases are counted for 10.45s, expected -9.55s to 1.3s" after 20 s. * TestRestoredLeaseRecord: "the lease expires 5.825s after its record was proposed, expected 4.705s to 4.875s".

TestRestoredLeaseRecord required that a record counts from when a replica has read it, as the time of its proposal wasn't known. TestGrantedLeaseIsAwaited has cases with recorded leases and a restarted replica. With the time counted twice, it and the other two tests of bounds fail.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -97,7 +97,7 @@
 	epochPending bool      // the epoch is proposed and not yet decided
 	leadingSince time.Time // when this leader started leading
 
-	withheldAt   map[*controlpb.WithholdLease]time.Time // when this replica applied the records of withheld leases, also while it didn't lead
+	withheldAt   map[*controlpb.WithholdLease]time.Time // by when the records of withheld leases were proposed, as observed also while this replica didn't lead
 	leaseChanges uint64                                 // workload.State.LeaseChanges as of withheldAt
 	observed     *workload.State                        // to which withheldAt belongs
 
@@ -106,7 +106,9 @@
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
 	assignmentMarks []assignmentMark // of this leader's epoch, oldest first, without those that don't matter any more
-	settledToldAt   time.Time        // when a batch last told which assignments have settled
+
+	toldAt             time.Time // of the newest batch
+	recordsMatterUntil time.Time // until when this leader tells the time, as the leases that it or an earlier one has recorded expire by then
 
 	workers           map[uint32]*worker
 	orderedWorkers    []*worker // the values of workers by incarnation number, for decisions that must not depend on map order
@@ -179,7 +181,7 @@
 	d.announced = map[string]bool{}
 	d.pendingRequests = map[*controlpb.LeaderRequest]bool{}
 	d.epoch, d.epochPending = 0, false
-	d.assignmentMarks, d.settledToldAt = nil, time.Time{}
+	d.assignmentMarks, d.toldAt, d.recordsMatterUntil = nil, time.Time{}, time.Time{}
 }
 
 // StartLeading starts leading from the applied state. It proposes a new epoch; workers are called once that is committed.
@@ -192,6 +194,7 @@
 	if d.earlierLeasesExpire.After(d.inheritedLeasesExpire) {
 		d.inheritedLeasesExpire = d.earlierLeasesExpire
 	}
+	d.tellTimeUntil(d.inheritedLeasesExpire)
 	d.proposeEpoch()
 }
 
@@ -351,7 +354,7 @@
 	}
 	d.outbox = nil
 	var commands []*controlpb.Command
-	for i, batch := range d.tellSettled(batches) {
+	for i, batch := range d.tell(batches) {
 		command := &controlpb.Command{Kind: &controlpb.Command_Work{Work: batch}}
 		if i < len(batched) {
 			d.proposed[command] = batched[i]
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -8,8 +8,9 @@
 
 // A worker whose tasks are to start elsewhere must have no lease any more. Only the leader knows which leases it has granted and
 // when, so before it lets them expire, it records that it grants no further one and how long they last at most. The next leader
-// counts this from when its own replica applied the record. For a worker without a record, it assumes that the last leader has
-// granted a lease just before it started leading itself. How long that lasts stands in the record of the last leader's epoch.
+// counts this from when its own replica applied the record, or earlier as far as the log shows that time has passed since: a replica
+// that restarts applies its whole log at once. For a worker without a record, it assumes that the last leader has granted a lease just
+// before it started leading itself. How long that lasts stands in the record of the last leader's epoch.
 
 const (
 	// leaseTime is the duration of a worker lease. It bridges a change of leader, which takes up to 1.8 s, and a short
@@ -84,12 +85,13 @@
 	case record.GetMayHaveRestarted(), record == nil && w.reusesID:
 		w.leaseExpires = d.now.Add(d.longestLease())
 	case record != nil:
-		appliedAt, ok := d.withheldAt[record]
+		recordedAt, ok := d.withheldAt[record]
 		if !ok {
-			appliedAt = d.now
+			recordedAt = d.recordedAt(record.GetElapsedMs())
 		}
-		w.leaseExpires = appliedAt.Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
+		w.leaseExpires = recordedAt.Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
 		w.recordedExpiry = w.leaseExpires
+		d.tellTimeUntil(w.leaseExpires)
 	}
 	if record == nil && d.now.After(w.leaseExpires) {
 		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
@@ -130,6 +132,7 @@
 	record.Worker = w.incarnation.GetNumber()
 	expires := w.leaseExpires
 	w.recordingLease, w.recordedExpiry = true, time.Time{}
+	d.tellTimeUntil(expires)
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: record}}, func(result *controlpb.Result) {
 		w.recordingLease = false
 		if result != nil {
@@ -162,8 +165,7 @@
 	})
 }
 
-// observeWithheldLeases notes when this replica has applied the records of withheld leases, which is after they were proposed. One
-// that came with a snapshot counts from when that was installed.
+// observeWithheldLeases notes by when the records of withheld leases were proposed that this replica has applied.
 func (d *Dispatcher) observeWithheldLeases() {
 	state := d.config.State()
 	if state.LeaseChanges() == d.leaseChanges {
@@ -176,16 +178,17 @@
 		if at, ok := known[record]; ok {
 			d.withheldAt[record] = at
 		} else {
-			d.withheldAt[record] = d.now
+			d.withheldAt[record] = d.recordedAt(record.GetElapsedMs())
 		}
 	})
 }
 
-// observeEpoch notes when this replica has applied the start of an epoch: all leases of earlier epochs were granted before.
+// observeEpoch notes until when leases of earlier epochs last once this replica has applied the start of an epoch: they were all granted
+// before that was proposed.
 func (d *Dispatcher) observeEpoch() {
 	if newest := d.config.State().NewestEpoch(); newest != d.newestEpoch {
 		d.newestEpoch = newest
-		d.earlierLeasesExpire = d.now.Add(d.recordedLease(newest.GetEarlierLeaseMs()))
+		d.earlierLeasesExpire = d.recordedAt(newest.GetElapsedMs()).Add(d.recordedLease(newest.GetEarlierLeaseMs()))
 	}
 }
 
--- a/internal/decision/dispatch/lease_across_leaders_test.go
+++ b/internal/decision/dispatch/lease_across_leaders_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"galenamoor/internal/controlpb"
 )
 
 // leaseBound is the time after which a lease that the simulated leader has just extended has expired.
@@ -66,29 +68,112 @@
 	}
 }
 
-// A lease record that a replica has read from its disk must count from when the replica has read it: the time at which it was
-// proposed isn't known there.
+// A lease record that a replica has read from its disk must not count from when the replica has read it, but neither from before it was
+// proposed, even if the clock of its leader was fast. A snapshot of an earlier version doesn't tell how much time has passed since.
 func TestRestoredLeaseRecord(t *testing.T) {
-	sim := newSimulationWithWorkers(t, 1, 1)
-	sim.submit("urgent", "a", serving(1, "image"))
-	sim.run(5 * time.Second)
-	sim.crashWorkers(1)
-	incarnation := sim.state.Worker(1)
-	for incarnation.GetWithheldLease() == nil {
-		sim.run(10 * time.Millisecond)
+	for name, test := range map[string]struct {
+		earlierVersion bool
+		clockRate      float64 // of the leader
+	}{"exact clock": {false, 1}, "fast clock": {false, 1 + maxClockDrift}, "earlier version": {true, 1}} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 1)
+			sim.submit("urgent", "a", serving(1, "image"))
+			sim.run(5 * time.Second)
+			sim.crashWorkers(1)
+			var proposed time.Time
+			sim.onCommand = func(command *controlpb.Command) {
+				batch := command.GetWork()
+				batch.LedMs = int64(float64(batch.GetLedMs()) * test.clockRate)
+				for _, change := range batch.GetChanges() {
+					if change.GetWithholdLease() != nil {
+						proposed = sim.now
+					}
+				}
+			}
+			for sim.state.Worker(1).GetWithheldLease() == nil {
+				sim.run(10 * time.Millisecond)
+			}
+			sim.run(1100 * time.Millisecond)
+			snapshot := sim.state.Snapshot()
+			if test.earlierVersion {
+				snapshot.ElapsedMs, snapshot.LedMs = 0, 0
+				snapshot.GetWorkers()[0].GetWithheldLease().ElapsedMs = 0
+			}
+			sim.standby = New(sim.dispatcher.config)
+			sim.restore(snapshot)
+			sim.changeLeader()
+			remaining := time.Duration(sim.state.Worker(1).GetWithheldLease().GetExpiresInMs()) * time.Millisecond
+			earliest, latest := proposed.Add(remaining), sim.now.Add(remaining-950*time.Millisecond)
+			if test.earlierVersion {
+				earliest, latest = sim.now.Add(remaining), sim.now.Add(remaining)
+			}
+			sim.run(100 * time.Millisecond)
+			if got := sim.dispatcher.workers[1].leaseExpires; remaining == 0 || got.Before(earliest) || got.After(latest) {
+				t.Errorf("the lease expires %v after its record was proposed, expected %v to %v", got.Sub(proposed), earliest.Sub(proposed), latest.Sub(proposed))
+			}
+		})
 	}
-	sim.run(time.Second)
-	sim.standby = New(sim.dispatcher.config)
-	if err := sim.state.Restore(sim.state.Snapshot()); err != nil {
-		t.Fatal(err)
+}
+
+// Tasks of workers whose leases are recorded as withheld must not wait longer because all controllers restart: a restarted replica
+// counted the records from when it read them.
+func TestSilenceBeforeAllControllersRestart(t *testing.T) {
+	const tasks, margin = 16, time.Second // some of the time isn't told in the log
+	for name, compacted := range map[string]bool{"log": false, "snapshot": true} {
+		for _, silence := range []time.Duration{3 * time.Second, 4 * time.Second} {
+			for _, outage := range []time.Duration{0, 500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s/silence=%v/outage=%v", name, silence, outage), func(t *testing.T) {
+					sim := newSimulationWithWorkers(t, 1, 8)
+					sim.dispatcher.config.Limits.MaxLease = 10 * time.Second
+					disk := newDisk(sim)
+					sim.submit("urgent", "a", serving(tasks, "image"))
+					sim.run(20 * time.Second)
+					sim.crashWorkers(4)
+					crashed := sim.now
+					if n := sim.servingRuns("a"); n == tasks {
+						t.Fatal("no task is affected")
+					}
+					sim.run(silence)
+					if compacted {
+						disk.compact()
+					}
+					sim.restartControllers(disk, outage)
+					due := sim.now.Add(unresponsiveAfter)
+					if recorded := crashed.Add(leaseBound + outage); recorded.After(due) {
+						due = recorded
+					}
+					sim.awaitServingRuns("a", tasks)
+					if sim.now.After(due.Add(margin)) {
+						t.Errorf("the tasks run again %v after the crash, expected at most %v", sim.now.Sub(crashed), due.Add(margin).Sub(crashed))
+					}
+				})
+			}
+		}
 	}
-	incarnation = sim.state.Worker(1)
-	sim.changeLeader()
-	remaining := time.Duration(incarnation.GetWithheldLease().GetExpiresInMs()) * time.Millisecond
-	expires := sim.now.Add(remaining)
-	sim.run(100 * time.Millisecond)
-	if got := sim.dispatcher.workers[1].leaseExpires; remaining == 0 || !got.Equal(expires) {
-		t.Errorf("the lease expires %v after the change of leader, expected %v", got.Sub(expires.Add(-remaining)), remaining)
+}
+
+// Longer leases of earlier epochs must not count anew because all controllers restart.
+func TestEarlierLeasesAcrossRestart(t *testing.T) {
+	for name, compacted := range map[string]bool{"log": false, "snapshot": true} {
+		for led, expected := range map[time.Duration]time.Duration{time.Second: 9 * time.Second, 4 * time.Second: 6 * time.Second, 20 * time.Second: 0} {
+			t.Run(fmt.Sprintf("%s/led=%v", name, led), func(t *testing.T) {
+				const margin = 1300 * time.Millisecond
+				sim := newEpochSimulation(t)
+				disk := newDisk(sim)
+				sim.applyEpoch(&controlpb.BeginEpoch{})
+				disk.compact()
+				sim.changeLeader()
+				sim.run(led)
+				if compacted {
+					disk.compact()
+				}
+				sim.restartControllers(disk, 0)
+				earlier := sim.dispatcher.earlierLeasesExpire.Sub(sim.now)
+				if earliest := sim.dispatcher.longestLease() - led; earlier < earliest || earlier > max(expected, 0)+margin {
+					t.Errorf("earlier leases are counted for %v, expected %v to %v", earlier, earliest, expected+margin)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -1,23 +1,14 @@
 package dispatch
 
-import (
-	"time"
-
-	"galenamoor/internal/controlpb"
-)
+import "time"
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those of which no
 // leader has told in the log that they were assigned some time before. When a replica applied an assignment doesn't show its age, as
 // one that restarts applies its whole log at once.
 
-const (
-	// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
-	recentAssignment = unresponsiveAfter
-
-	// settledInterval is the shortest time between two batches that only tell which assignments have settled.
-	settledInterval = 500 * time.Millisecond
-)
+// recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
+const recentAssignment = unresponsiveAfter
 
 // assignmentMark is the number of the newest assignment that this leader had applied at a time.
 type assignmentMark struct {
@@ -50,24 +41,6 @@
 	return marks[0].assignments
 }
 
-// tellSettled tells in the last of the batches which assignments have settled, if that isn't committed yet. Without any, it adds one at
-// intervals. Records of leases that were proposed before come first in the log.
-func (d *Dispatcher) tellSettled(batches []*controlpb.WorkBatch) []*controlpb.WorkBatch {
-	settled := d.settledAssignments()
-	if settled <= d.config.State().SettledAssignments() {
-		return batches
-	}
-	if len(batches) == 0 {
-		if d.now.Before(d.settledToldAt.Add(settledInterval)) {
-			return nil
-		}
-		batches = append(batches, &controlpb.WorkBatch{})
-	}
-	d.settledToldAt = d.now
-	batches[len(batches)-1].SettledAssignments = settled
-	return batches
-}
-
 // isRecent reports whether an inherited run may have been assigned shortly before the last leader fell.
 func (d *Dispatcher) isRecent(r *run) bool {
 	return r.task.Assignment(r.key.Run) > d.state.SettledAssignments()
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -54,21 +54,30 @@
 	}
 }
 
-// The next leader must await a lease that the last one has granted just before, by the slowest clock.
+// The next leader must await a lease that the last one has granted, by the slowest clock, whether or not it is recorded as withheld. That
+// also holds for a replica that has just read its state from its disk.
 func TestGrantedLeaseIsAwaited(t *testing.T) {
-	for offset := time.Duration(0); offset < 1200*time.Millisecond; offset += 100 * time.Millisecond {
-		t.Run(offset.String(), func(t *testing.T) {
-			c := newCluster(t, 1, 2)
-			c.submit("batch", "a", dedicated(4, 40*time.Second))
-			w := c.assigned()
-			w.setClockRate(slowestClock)
-			c.run(3*time.Second + offset)
-			w.partition(20 * time.Second)
-			c.loseCalls(w, func(*order.Call) bool { return w.isPartitioned() })
-			c.changeLeader(0, 0)
-			c.run(12 * time.Second)
-			c.expectNoViolation()
-		})
+	for _, silence := range []time.Duration{0, 2500 * time.Millisecond, 4 * time.Second} {
+		for _, restarted := range []bool{false, true} {
+			for offset := time.Duration(0); offset < 1200*time.Millisecond; offset += 100 * time.Millisecond {
+				t.Run(fmt.Sprintf("silence=%v/restarted=%v/offset=%v", silence, restarted, offset), func(t *testing.T) {
+					c := newCluster(t, 1, 2)
+					c.submit("batch", "a", dedicated(4, 40*time.Second))
+					w := c.assigned()
+					w.setClockRate(slowestClock)
+					c.run(3*time.Second + offset)
+					w.partition(20 * time.Second)
+					c.loseCalls(w, func(*order.Call) bool { return w.isPartitioned() })
+					c.run(silence)
+					if restarted {
+						c.restartReplica()
+					}
+					c.changeLeader(0, 0)
+					c.run(12 * time.Second)
+					c.expectNoViolation()
+				})
+			}
+		}
 	}
 }
 
@@ -212,7 +221,7 @@
 	sim.submit("urgent", "a", serving(8, "image"))
 	sim.run(10 * time.Second)
 	sim.submit("urgent", "b", serving(8, "image"))
-	sim.run(recentAssignment + settledInterval + 500*time.Millisecond)
+	sim.run(recentAssignment + tellInterval + 500*time.Millisecond)
 	if settled, assigned := sim.state.SettledAssignments(), sim.state.Assignments(); settled != assigned {
 		t.Errorf("assignments are settled up to %d, expected %d", settled, assigned)
 	}
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -25,6 +25,9 @@
 
 		Assignments:        s.assignments,
 		SettledAssignments: s.settledAssignments,
+
+		ElapsedMs: s.elapsedMs,
+		LedMs:     s.ledMs,
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
@@ -77,6 +80,7 @@
 	*s = *New()
 	s.leaseChanges = leaseChanges
 	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
+	s.elapsedMs, s.ledMs = snapshot.GetElapsedMs(), snapshot.GetLedMs()
 	s.assignments, s.settledAssignments = snapshot.GetAssignments(), snapshot.GetSettledAssignments()
 	if s.assignments == 0 && s.epoch > 0 {
 		s.assignments = s.epoch<<assignmentBits + 1 // of all runs of a snapshot of an earlier version; not settled
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -64,6 +64,8 @@
 	epoch         uint64
 	newestEpoch   *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
 	time          int64                 // time of the latest command, in Unix milliseconds
+	elapsedMs     int64                 // see Elapsed
+	ledMs         int64                 // for which the leader of the latest epoch had led when it proposed its newest batch
 }
 
 // New returns an empty state.
@@ -86,6 +88,7 @@
 // Apply applies the committed changes of a batch independently of each other, and returns one result per change.
 func (s *State) Apply(now time.Time, batch *controlpb.WorkBatch) *controlpb.Result {
 	s.time = max(s.time, now.UnixMilli())
+	s.advance(batch)
 	results := make([]*controlpb.Result, len(batch.GetChanges()))
 	for i, change := range batch.GetChanges() {
 		results[i] = s.apply(change)
@@ -95,6 +98,18 @@
 	return &controlpb.Result{Results: results}
 }
 
+// advance counts the time between two batches of the same leader. A batch that begins an epoch is the first one of its leader, and all
+// batches until the next epoch are of that leader.
+func (s *State) advance(batch *controlpb.WorkBatch) {
+	isFirst := slices.ContainsFunc(batch.GetChanges(), func(change *controlpb.WorkChange) bool { return change.GetBeginEpoch() != nil })
+	if led := batch.GetLedMs(); isFirst {
+		s.ledMs = led
+	} else if led > s.ledMs {
+		s.elapsedMs += led - s.ledMs
+		s.ledMs = led
+	}
+}
+
 func (s *State) apply(change *controlpb.WorkChange) *controlpb.Result {
 	switch kind := change.GetKind().(type) {
 	case *controlpb.WorkChange_ReplaceRouting:
@@ -118,6 +133,7 @@
 	case *controlpb.WorkChange_BeginEpoch:
 		s.epoch++
 		s.newestEpoch = kind.BeginEpoch
+		s.newestEpoch.ElapsedMs = s.elapsedMs
 		s.assignments = s.epoch << assignmentBits
 		return &controlpb.Result{Fence: s.epoch}
 	case *controlpb.WorkChange_LearnPairs:
@@ -159,6 +175,10 @@
 // SettledAssignments returns the highest number up to which leaders have told that assignments are settled.
 func (s *State) SettledAssignments() uint64 { return s.settledAssignments }
 
+// Elapsed returns the time that passed between the proposals of the first and the newest batch, as far as leaders have told it by their
+// clocks: the time between two leaders, and that of earlier versions, isn't counted.
+func (s *State) Elapsed() time.Duration { return time.Duration(s.elapsedMs) * time.Millisecond }
+
 // NewestEpoch returns the change that began the latest epoch, or nil if it isn't known. Restoring a snapshot replaces it.
 func (s *State) NewestEpoch() *controlpb.BeginEpoch { return s.newestEpoch }
 
