dispatch: recent runs stay recent under later leaders, for the longest lease in all

Found by the review of: a task ran twice if the leader that had assigned it fell within 1.8 s, a second one never reached its worker and led for more than 1.8 s, and a third one followed.

A leader now tells only which assignments of its own epoch are settled, and the state keeps that for each epoch, with the elapsed time at which it began. Runs that their own leader didn't settle are recent for every later one, until the longest lease has passed since the next epoch began, by the elapsed time of the log. So the wait doesn't start again under each leader, as it would if the second one held the number back. Epochs are forgotten a minute after their end.

TestStartCarriedOutBeforeTwoLeaderChanges failed before for a second leader of 2.2, 3 and 4 s: "tasks ran twice". TestInheritedRunsStayRecent required that inherited runs count as settled once a leader has led for 2.5 s, which was the fault; it now requires for six times that they are recent until the longest lease after the fall of the leader that assigned them, and not much longer.

--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -3,9 +3,9 @@
 import "time"
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
-// have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those of which no
-// leader has told in the log that they were assigned some time before. When a replica applied an assignment doesn't show its age, as
-// one that restarts applies its whole log at once.
+// have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those whose own leader
+// hasn't told in the log that they were assigned some time before. When a replica applied an assignment doesn't show its age, as one that
+// restarts applies its whole log at once.
 
 // recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
 const recentAssignment = unresponsiveAfter
@@ -41,12 +41,23 @@
 	return marks[0].assignments
 }
 
-// isRecent reports whether an inherited run may have been assigned shortly before the last leader fell.
-func (d *Dispatcher) isRecent(r *run) bool {
-	return r.task.Assignment(r.key.Run) > d.state.SettledAssignments()
+// recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled. The longest lease is counted from
+// the fall of the leader that assigned it, whatever leaders came since, so that the wait doesn't start again under each of them.
+func (d *Dispatcher) recentUntil(r *run) time.Time {
+	elapsed, unsettled := d.state.UnsettledSince(r.task.Assignment(r.key.Run))
+	if !unsettled {
+		return time.Time{}
+	}
+	fell := d.recordedAt(elapsed.Milliseconds())
+	if fell.After(d.leadingSince) {
+		fell = d.leadingSince
+	}
+	until := fell.Add(d.longestLease())
+	d.tellTimeUntil(until)
+	return until
 }
 
-// awaitsRecentStart reports whether a later incarnation may run what was ordered by the last leader and has no answer.
+// awaitsRecentStart reports whether a later incarnation may run what was ordered by an earlier leader and has no answer.
 func (d *Dispatcher) awaitsRecentStart(r *run) bool {
-	return r.recent && r.worker.lastPoll.IsZero() && d.now.Before(d.leadingSince.Add(d.longestLease()))
+	return r.worker.lastPoll.IsZero() && d.now.Before(r.recentUntil)
 }
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -126,7 +126,7 @@
 			sim.changeLeader()
 			sim.run(100 * time.Millisecond)
 			for key, r := range sim.dispatcher.runs {
-				if key.Task.Job == "old" && r.recent {
+				if key.Task.Job == "old" && !r.recentUntil.IsZero() {
 					t.Errorf("%v counts as recent", key.Task)
 				}
 			}
@@ -186,7 +186,7 @@
 	sim.submit("urgent", "a", serving(8, "image"))
 	sim.run(10 * time.Second)
 	snapshot := sim.state.Snapshot()
-	snapshot.Assignments, snapshot.SettledAssignments = 0, 0
+	snapshot.Assignments, snapshot.Epochs = 0, nil
 	for _, job := range snapshot.GetJobs() {
 		for _, task := range job.GetTasks() {
 			for _, r := range task.GetRuns() {
@@ -197,21 +197,64 @@
 	sim.restore(snapshot)
 	sim.changeLeader()
 	sim.expectRecent(map[string]bool{"a": true})
-	sim.run(5 * time.Second)
-	sim.changeLeader()
-	sim.expectRecent(map[string]bool{"a": false})
 }
 
-// A new leader must not settle inherited runs before it has led for as long as it takes to notice silent workers.
+// Runs that a leader inherits must stay recent under the next one, and until the longest lease from the fall of the leader that assigned
+// them: a wait that each leader starts again grows with each of them.
 func TestInheritedRunsStayRecent(t *testing.T) {
-	for led, recent := range map[time.Duration]bool{0: true, time.Second: true, 1700 * time.Millisecond: true, 2500 * time.Millisecond: false} {
+	for _, led := range []time.Duration{0, time.Second, 1700 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second, 8 * time.Second} {
 		sim := newSimulationWithWorkers(t, 1, 4)
 		sim.submit("urgent", "a", serving(8, "image"))
 		sim.run(300 * time.Millisecond)
 		sim.changeLeader()
+		fell := sim.now
 		sim.run(led)
 		sim.changeLeader()
-		sim.expectRecent(map[string]bool{"a": recent})
+		sim.run(100 * time.Millisecond)
+		expires := fell.Add(sim.dispatcher.longestLease())
+		latest := expires.Add(led/20 + tellInterval) // for fast clocks, and the time since the newest batch
+		if latest.Before(sim.now) {
+			latest = sim.now
+		}
+		for key, r := range sim.dispatcher.runs {
+			if r.recentUntil.Before(expires) || r.recentUntil.After(latest) {
+				t.Errorf("led for %v: %v counts as recent until %v after the fall of the first leader, expected %v", led, key.Task, r.recentUntil.Sub(fell), expires.Sub(fell))
+			}
+		}
+		if len(sim.dispatcher.runs) == 0 {
+			t.Error("nothing runs")
+		}
+	}
+}
+
+// A task must not run twice because a second leader, which never reached its worker, has led for a while between the one that assigned it
+// and a third.
+func TestStartCarriedOutBeforeTwoLeaderChanges(t *testing.T) {
+	for _, led := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2200 * time.Millisecond, 3 * time.Second, 4 * time.Second} {
+		for _, restarts := range []bool{false, true} {
+			t.Run(fmt.Sprintf("led=%v/restarts=%v", led, restarts), func(t *testing.T) {
+				c := newCluster(t, 1, 2)
+				c.deliver = func(e *exchange, w *strictWorker) delivery {
+					return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
+				}
+				c.setMaxLease(10 * time.Second)
+				c.run(12 * time.Second)
+				c.submit("batch", "a", dedicated(4, 20*time.Second))
+				w := c.assigned()
+				w.setClockRate(slowestClock)
+				w.restart(0)
+				w.responsesLeft, w.partitionTime = 1, 18*time.Second
+				c.run(30 * time.Millisecond)
+				c.changeLeader(0, time.Second)
+				c.run(time.Second + led)
+				if restarts {
+					c.restartReplica()
+				}
+				c.changeLeader(0, 0)
+				c.run(20 * time.Second)
+				c.expectNoViolation()
+			})
+		}
 	}
 }
 
@@ -304,7 +347,7 @@
 	sim.changeLeader()
 	sim.run(100 * time.Millisecond)
 	for key, r := range sim.dispatcher.runs {
-		if !r.recent {
+		if r.recentUntil.IsZero() {
 			t.Errorf("%v doesn't count as recent", key.Task)
 		}
 	}
--- a/internal/decision/dispatch/restart_test.go
+++ b/internal/decision/dispatch/restart_test.go
@@ -71,8 +71,9 @@
 	found := map[string]bool{}
 	for key, r := range sim.dispatcher.runs {
 		found[key.Task.Job] = true
-		if recent, ok := jobs[key.Task.Job]; ok && r.recent != recent {
-			sim.t.Errorf("%v counts as recent: %v, expected %v", key.Task, r.recent, recent)
+		isRecent := !r.recentUntil.IsZero()
+		if recent, ok := jobs[key.Task.Job]; ok && isRecent != recent {
+			sim.t.Errorf("%v counts as recent: %v, expected %v", key.Task, isRecent, recent)
 		}
 	}
 	for job := range jobs {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -26,7 +26,7 @@
 	checkpoint      string        // sent with the start calls; the same in every retry
 	started         bool          // the worker has confirmed the start
 	inherited       bool          // assigned by an earlier leader, whose start calls may still be carried out
-	recent          bool          // assigned shortly before this leader started leading
+	recentUntil     time.Time     // until then a later incarnation may run it, of which only its leader knew (see recent.go); zero if it was settled
 	startUnanswered bool          // a start call got no answer and may still be carried out
 	ignoredStarts   int           // start calls without an answer while the worker answered polls
 	startExpiry     time.Duration // by the worker's clock, from when on it carries out no start call any more
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -152,7 +152,7 @@
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
 		r.inherited, r.lastOrderedAt, r.speed = true, d.leadingSince, unknownSpeed
-		r.recent = d.isRecent(r)
+		r.recentUntil = d.recentUntil(r)
 	}
 }
 
--- /dev/null
+++ b/internal/decision/workload/assignment.go
@@ -0,0 +1,72 @@
+package workload
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"galenamoor/internal/controlpb"
+)
+
+const (
+	// assignmentBits is the number of low bits of an assignment's number that count the assignments of an epoch; the others are the
+	// epoch. Replicas that have restored different snapshots of an earlier version, which have no such numbers, agree from the next
+	// epoch on.
+	assignmentBits = 32
+
+	// epochRetention is how long after the end of an epoch its unsettled assignments matter: far longer than any lease.
+	epochRetention = time.Minute
+
+	// maxEpochs bounds the epochs whose unsettled assignments are known.
+	maxEpochs = 256
+)
+
+// Assignments returns the number of the newest assignment of a run. It grows with each assignment and each epoch.
+func (s *State) Assignments() uint64 { return s.assignments }
+
+// SettledAssignments returns the highest number up to which the leader of the latest epoch has told that its assignments are settled.
+func (s *State) SettledAssignments() uint64 {
+	if n := len(s.epochs); n > 0 {
+		return s.epochs[n-1].GetSettled()
+	}
+	return 0
+}
+
+// UnsettledSince reports whether the leader that made an assignment fell before the assignment was settled. It returns what Elapsed was
+// when the next leader had begun.
+func (s *State) UnsettledSince(assignment uint64) (elapsed time.Duration, unsettled bool) {
+	i := slices.IndexFunc(s.epochs, func(e *controlpb.EpochAssignments) bool { return e.GetEpoch() == assignment>>assignmentBits })
+	if i < 0 || i+1 == len(s.epochs) || assignment <= s.epochs[i].GetSettled() {
+		return 0, false
+	}
+	return time.Duration(s.epochs[i+1].GetElapsedMs()) * time.Millisecond, true
+}
+
+// beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
+func (s *State) beginAssignments() {
+	s.assignments = s.epoch << assignmentBits
+	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs})
+	for len(s.epochs) > maxEpochs || len(s.epochs) > 1 && s.epochs[1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs {
+		s.epochs = s.epochs[1:]
+	}
+}
+
+// settle records what the leader of the latest epoch has told.
+func (s *State) settle(number uint64) {
+	if n := len(s.epochs); n > 0 && number>>assignmentBits == s.epochs[n-1].GetEpoch() {
+		s.epochs[n-1].Settled = max(s.epochs[n-1].GetSettled(), number)
+	}
+}
+
+// restoreAssignments restores the numbers of a snapshot. No assignment of one of an earlier version is settled.
+func (s *State) restoreAssignments(snapshot *controlpb.WorkSnapshot) {
+	s.assignments = snapshot.GetAssignments()
+	for _, e := range snapshot.GetEpochs() {
+		s.epochs = append(s.epochs, proto.CloneOf(e))
+	}
+	if s.assignments == 0 && s.epoch > 0 {
+		s.assignments = s.epoch<<assignmentBits + 1
+		s.epochs = []*controlpb.EpochAssignments{{Epoch: s.epoch, ElapsedMs: s.elapsedMs}}
+	}
+}
--- a/internal/decision/workload/assignment_test.go
+++ b/internal/decision/workload/assignment_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	snapshot := proto.CloneOf(s.Snapshot())
 	if earlier {
-		snapshot.Assignments, snapshot.SettledAssignments = 0, 0
+		snapshot.Assignments, snapshot.Epochs = 0, nil
 		for _, job := range snapshot.GetJobs() {
 			for _, task := range job.GetTasks() {
 				for _, r := range task.GetRuns() {
@@ -108,11 +108,13 @@
 			}
 		}
 		s.applyAll(t, 0, beginEpoch())
-		began := s.Assignments()
-		s.assign(t, began, 1)
-		for job, settled := range map[string]bool{"a": true, "b": true, "c": false} {
-			if got := s.Task(TaskKey{Job: job}).Assignment(1) <= s.SettledAssignments(); got != settled {
-				t.Errorf("the run of %s is settled: %v, expected %v", job, got, settled)
+		s.assign(t, s.Assignments(), 2)
+		s.applyAll(t, s.Assignments())
+		s.assign(t, 0, 1)
+		s.applyAll(t, s.Assignments()-1, beginEpoch())
+		for job, unsettled := range map[string]bool{"a": true, "b": true, "c": false, "d": true} {
+			if _, got := s.UnsettledSince(s.Task(TaskKey{Job: job}).Assignment(1)); got != unsettled {
+				t.Errorf("the run of %s is unsettled: %v, expected %v", job, got, unsettled)
 			}
 		}
 		if s.Assignments() != applied.Assignments() {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -23,11 +23,12 @@
 
 		NewestEpoch: s.newestEpoch,
 
-		Assignments:        s.assignments,
-		SettledAssignments: s.settledAssignments,
-
-		ElapsedMs: s.elapsedMs,
-		LedMs:     s.ledMs,
+		Assignments: s.assignments,
+		ElapsedMs:   s.elapsedMs,
+		LedMs:       s.ledMs,
+	}
+	for _, e := range s.epochs {
+		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
@@ -81,10 +82,7 @@
 	s.leaseChanges = leaseChanges
 	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
 	s.elapsedMs, s.ledMs = snapshot.GetElapsedMs(), snapshot.GetLedMs()
-	s.assignments, s.settledAssignments = snapshot.GetAssignments(), snapshot.GetSettledAssignments()
-	if s.assignments == 0 && s.epoch > 0 {
-		s.assignments = s.epoch<<assignmentBits + 1 // of all runs of a snapshot of an earlier version; not settled
-	}
+	s.restoreAssignments(snapshot)
 	if routing := snapshot.GetRouting(); routing != nil {
 		s.replaceRouting(routing)
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -30,11 +30,6 @@
 
 	// maxPairs bounds the learned image pairs, which are cleared when the limit is reached.
 	maxPairs = 1 << 14
-
-	// assignmentBits is the number of low bits of an assignment's number that count the assignments of an epoch; the others are the
-	// epoch. Replicas that have restored different snapshots of an earlier version, which have no such numbers, agree from the next
-	// epoch on.
-	assignmentBits = 32
 )
 
 // State is the replicated state machine. It is deterministic and not safe for concurrent use.
@@ -51,7 +46,7 @@
 	leaseChanges     uint64           // number of changes of withheld leases; not replicated
 
 	assignments        uint64 // number of the newest assignment of a run, see assignmentBits
-	settledAssignments uint64 // assignments up to this number are settled, as leaders have told
+	epochs             []*controlpb.EpochAssignments // of which assignments may matter to a new leader, oldest first
 
 	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
 
@@ -93,7 +88,7 @@
 	for i, change := range batch.GetChanges() {
 		results[i] = s.apply(change)
 	}
-	s.settledAssignments = max(s.settledAssignments, batch.GetSettledAssignments())
+	s.settle(batch.GetSettledAssignments())
 	s.pruneFinished()
 	return &controlpb.Result{Results: results}
 }
@@ -134,7 +129,7 @@
 		s.epoch++
 		s.newestEpoch = kind.BeginEpoch
 		s.newestEpoch.ElapsedMs = s.elapsedMs
-		s.assignments = s.epoch << assignmentBits
+		s.beginAssignments()
 		return &controlpb.Result{Fence: s.epoch}
 	case *controlpb.WorkChange_LearnPairs:
 		return s.learnPairs(kind.LearnPairs)
@@ -169,12 +164,6 @@
 // Epoch returns the latest leader's epoch, on which the fencing tokens of its calls are based.
 func (s *State) Epoch() uint64 { return s.epoch }
 
-// Assignments returns the number of the newest assignment of a run. It grows with each assignment and each epoch.
-func (s *State) Assignments() uint64 { return s.assignments }
-
-// SettledAssignments returns the highest number up to which leaders have told that assignments are settled.
-func (s *State) SettledAssignments() uint64 { return s.settledAssignments }
-
 // Elapsed returns the time that passed between the proposals of the first and the newest batch, as far as leaders have told it by their
 // clocks: the time between two leaders, and that of earlier versions, isn't counted.
 func (s *State) Elapsed() time.Duration { return time.Duration(s.elapsedMs) * time.Millisecond }
