--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -15,7 +15,8 @@
 // soonest: other steps get only what the waiting task would leave there.
 
 const (
-	// maxHeldShare is the share of the usable hosts on which room may be held, so that finite tasks find room on the others.
+	// maxHeldShare is the share of the hosts that a step may use on which room may be held, so that finite tasks find room on the
+	// others.
 	maxHeldShare = 0.125
 
 	// maxHoldWait is the longest expected time until a held host has room.
@@ -28,8 +29,9 @@
 
 // hold is room on a worker that is held for a waiting task of a step.
 type hold struct {
-	step  *workload.Step
-	since time.Time
+	step     *workload.Step
+	priority int32 // of the step's queue; more urgent steps ignore the hold
+	since    time.Time
 }
 
 // isLasting reports whether the tasks of a step reserve what they use until their job is cancelled.
@@ -57,14 +59,16 @@
 	for held := d.holds[c.step]; len(held) > missing; held = d.holds[c.step] {
 		d.endHold(held[len(held)-1], "its task was placed elsewhere")
 	}
-	limit := max(1, int(maxHeldShare*float64(len(hosts))))
-	for search && len(d.holds[c.step]) < missing && d.heldWorkers() < limit {
+	for search && len(d.holds[c.step]) < missing {
 		chosen, wait := d.soonestHost(c, hosts)
 		if chosen == nil {
 			return
 		}
 		w := chosen.worker
-		w.hold = &hold{step: c.step, since: d.now}
+		if w.hold != nil {
+			d.endHold(w, "a more urgent task needs the room")
+		}
+		w.hold = &hold{step: c.step, priority: c.queue.GetPriority(), since: d.now}
 		d.holds[c.step] = append(d.holds[c.step], w)
 		d.config.Count("HoldsStarted")
 		d.config.Log.Info("holding room", "Worker", w.incarnation.GetId(), "Step", c.step.Name(), "Free", chosen.Free.Processors,
@@ -81,12 +85,26 @@
 	return count
 }
 
-// soonestHost returns the host that is expected to have room for a task of a step first, and when, or nil if none has
-// within maxHoldWait.
+// isHeldFrom reports whether the room that is held on a worker is kept from tasks of another step.
+func (w *worker) isHeldFrom(c candidate) bool {
+	return w.hold != nil && w.hold.step != c.step && w.hold.priority <= c.queue.GetPriority()
+}
+
+// soonestHost returns the host that is expected to have room for a task of a step first, and when. It returns nil if none has within
+// maxHoldWait, or if room is held on maxHeldShare of the hosts that the step may use.
 func (d *Dispatcher) soonestHost(c candidate, hosts []host) (soonest *host, wait time.Duration) {
+	allowed, held := 0, 0
 	for i := range hosts {
 		h := &hosts[i]
-		if h.worker.hold != nil || h.Suspect || h.IgnoresStarts || !d.allows(c, h.worker) {
+		if !d.allows(c, h.worker) {
+			continue
+		}
+		allowed++
+		if h.worker.isHeldFrom(c) || h.worker.hold != nil && h.worker.hold.step == c.step {
+			held++
+			continue
+		}
+		if h.Suspect || h.IgnoresStarts {
 			continue
 		}
 		d.ratingBudget--
@@ -94,6 +112,9 @@
 			soonest, wait = h, after
 		}
 	}
+	if held >= max(1, int(maxHeldShare*float64(allowed))) {
+		return nil, 0
+	}
 	return soonest, wait
 }
 
@@ -147,12 +168,11 @@
 }
 
 // respectsHold reports whether a host has room for a task of a step beside the room that is held there for another step.
-func respectsHold(step *workload.Step, demand resource.Vector, h *host) bool {
-	held := h.worker.hold
-	if held == nil || held.step == step {
+func respectsHold(c candidate, demand resource.Vector, h *host) bool {
+	if !h.worker.isHeldFrom(c) {
 		return true
 	}
-	rest := h.Free.Sub(held.step.Demand())
+	rest := h.Free.Sub(h.worker.hold.step.Demand())
 	return demand.Fits(resource.Vector{
 		Processors: max(0, rest.Processors), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators),
 	})
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -45,8 +45,8 @@
 	lostIncarnations map[string]int64 // by worker ID: start of the latest incarnation declared lost, in Unix milliseconds
 	leaseChanges     uint64           // number of changes of withheld leases; not replicated
 
-	assignments        uint64 // number of the newest assignment of a run, see assignmentBits
-	epochs             []*controlpb.EpochAssignments // of which assignments may matter to a new leader, oldest first
+	assignments uint64                        // number of the newest assignment of a run, see assignmentBits
+	epochs      []*controlpb.EpochAssignments // of which assignments may matter to a new leader, oldest first
 
 	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
 
