--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -311,7 +311,7 @@
 	var bestScore int64
 	for i := range hosts {
 		h := &hosts[i]
-		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c.step, demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
+		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c, demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
 		d.ratingBudget--
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -49,7 +49,7 @@
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
 		}
-		if !d.allows(c, w) || w.preempting[c.step] || w.hold != nil && w.hold.step != c.step {
+		if !d.allows(c, w) || w.preempting[c.step] || w.isHeldFrom(c) {
 			continue
 		}
 		chosen, cost, isEnough := d.victimsOn(w, hosts[i].Free, demand, c.queue.GetPriority())
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -55,7 +55,7 @@
 	for i := range hosts {
 		h := &hosts[i]
 		search.Consider(h.Host,
-			func() bool { return respectsHold(c.step, search.Demand.Need, h) && d.allows(c, h.worker) },
+			func() bool { return respectsHold(c, search.Demand.Need, h) && d.allows(c, h.worker) },
 			func() bool {
 				_, ok := d.score(c, search.Demand, h)
 				return ok
