replica: date what was applied by the end of a replay

The earlier time was needed to guess until when the last leader had led. That stands in the log now, and the time that passes between entries too, so the coordinator is told the time of the last entry. TestSnapshotDuringReplay failed before; TestCoordinatorDuringReplay wanted the time at which a follower's replay began, and now wants that of its end, as for a leader.

An iteration of the control loop also handles at least one Output, however long it takes to send what waits.

--- a/internal/shell/replica/core.go
+++ b/internal/shell/replica/core.go
@@ -71,7 +71,7 @@
 	StartLeading(now time.Time)
 	StopLeading()
 	// Applied is called after commands were applied or a snapshot was installed, also while the replica doesn't lead. Then
-	// there is one call for all commands that became committed together, with the time at which applying them began.
+	// there is one call for all commands that became committed together, after the last one.
 	Applied(now time.Time, changes *controlstate.Changes)
 	HandleResult(now time.Time, command *controlpb.Command, result *controlpb.Result)
 	Serve(now time.Time, r *controlpb.LeaderRequest) (reply *controlpb.LeaderReply, deferred bool)
@@ -174,13 +174,12 @@
 	nextProposalAt time.Time // earliest time of the coordinator's next proposal
 	applied        uint64    // index of the last applied entry
 	appliedTerm    uint64
-	applying       bool      // entries that became committed with the last applied one are left for the next Outputs
-	applyingSince  time.Time // start of applying entries that became committed together
-	compacted      uint64    // index of the last snapshot
-	compacting     bool      // a local snapshot isn't durable yet
-	logBytes       int       // of entries applied since the last snapshot
-	stateBytes     int       // of the last snapshot
-	retain         uint64    // number of entries to retain before the snapshot that isn't durable yet
+	applying       bool   // entries that became committed with the last applied one are left for the next Outputs
+	compacted      uint64 // index of the last snapshot
+	compacting     bool   // a local snapshot isn't durable yet
+	logBytes       int    // of entries applied since the last snapshot
+	stateBytes     int    // of the last snapshot
+	retain         uint64 // number of entries to retain before the snapshot that isn't durable yet
 	book           addressBook
 }
 
@@ -322,9 +321,6 @@
 	if len(output.Committed) == 0 && output.Snapshot == nil {
 		return
 	}
-	if !c.applying {
-		c.applyingSince = c.now
-	}
 	c.applying = output.CommittedLeft
 	resolvers := make([]func(), 0, len(output.Committed))
 	for _, entry := range output.Committed {
@@ -338,24 +334,17 @@
 	}
 }
 
-// notifyApplied informs the coordinator about changes. While it is active, its state follows each Output. Before that it is
-// informed once about all entries that became committed together. The time is then that of the first one, because the
-// coordinator estimates from it until when the last leader led.
+// notifyApplied informs the coordinator about the changes. While it is active, its state follows each Output. Otherwise it
+// learns of all entries that became committed together at once: how much time has passed since an entry shows only in the
+// later ones.
 func (c *Core) notifyApplied() {
-	if c.coordinator == nil {
-		c.stateMachine.TakeChanges()
+	if c.applying && !c.leading {
 		return
 	}
-	now := c.now
-	if !c.leading {
-		if c.applying {
-			return
-		}
-		if !c.mayLead() {
-			now = c.applyingSince
-		}
+	changes := c.stateMachine.TakeChanges()
+	if c.coordinator != nil {
+		c.coordinator.Applied(c.now, changes)
 	}
-	c.coordinator.Applied(now, c.stateMachine.TakeChanges())
 }
 
 // apply applies one entry. It returns a function that resolves the entry's proposal, to be called after the coordinator has
@@ -433,19 +422,14 @@
 	c.answer(p.requestID, reply(code, message))
 }
 
-// mayLead reports whether this replica leads, doesn't transfer its leadership, and has applied an entry of its own term.
-func (c *Core) mayLead() bool {
-	status := c.node.Status()
-	return status.Role == consensus.Leader && !status.Transferring && c.appliedTerm == status.Term
-}
-
 // updateCoordinator starts the coordinator once a leader has applied an entry of its own term and those committed with it, and
 // stops it when the replica loses or transfers its leadership.
 func (c *Core) updateCoordinator() {
 	if c.coordinator == nil {
 		return
 	}
-	leading := c.mayLead()
+	status := c.node.Status()
+	leading := status.Role == consensus.Leader && !status.Transferring && c.appliedTerm == status.Term
 	if leading == c.leading || leading && c.applying {
 		return
 	}
--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -383,8 +383,8 @@
 	if r.unsynced < maxUnsynced {
 		r.logHeldOutputs()
 	}
-	for r.unsynced < maxUnsynced && r.failure == nil {
-		if r.options.Clock.Since(start) >= maxOutputTime {
+	for outputs := 0; r.unsynced < maxUnsynced && r.failure == nil; outputs++ {
+		if outputs > 0 && r.options.Clock.Since(start) >= maxOutputTime {
 			r.outputsLeft = true
 			break
 		}
