dispatch: bound the search for hosts to hold

TestHoldSearchesAreBounded failed without the limit: "a pass rates 1200 hosts, expected at most 360".

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -146,6 +146,7 @@
 	dirty           bool // something has changed since the last pass
 	keepsEmptyHosts bool // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
 	ratingBudget    int  // hosts that the current pass may still rate
+	holdSearches    int  // steps for which the current pass may still search for hosts to hold
 	nextPass        time.Time
 	nextScan        time.Time // of all workers and runs
 	nextSpeculation time.Time
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -19,6 +19,10 @@
 	// others.
 	maxHeldShare = 0.125
 
+	// maxHoldSearches bounds the steps for which one pass searches for hosts, the most urgent first, so that a pass stays short when
+	// many steps wait for room that no host will have.
+	maxHoldSearches = 8
+
 	// maxHoldWait is the longest expected time until a held host has room.
 	maxHoldWait = 2 * time.Second
 
@@ -50,20 +54,20 @@
 	return count
 }
 
-// updateHolds holds room for the tasks of a lasting step that fit on no host, and ends holds that it no longer needs. Searching
-// for hosts takes long, so it happens only if search is set.
-func (d *Dispatcher) updateHolds(c candidate, hosts []host, missing int, search bool) {
+// updateHolds holds room for the tasks of a lasting step that fit on no host, and ends holds that it no longer needs.
+func (d *Dispatcher) updateHolds(c candidate, hosts []host, missing int) {
 	if !isLasting(c.step) {
 		return
 	}
 	for held := d.holds[c.step]; len(held) > missing; held = d.holds[c.step] {
 		d.endHold(held[len(held)-1], "its task was placed elsewhere")
 	}
-	for search && len(d.holds[c.step]) < missing {
-		chosen, wait := d.soonestHost(c, hosts)
-		if chosen == nil {
-			return
-		}
+	needed := missing - len(d.holds[c.step])
+	if needed <= 0 || d.holdSearches <= 0 || d.ratingBudget <= 0 {
+		return
+	}
+	d.holdSearches--
+	for _, chosen := range d.soonestHosts(c, hosts, needed) {
 		w := chosen.worker
 		if w.hold != nil {
 			d.endHold(w, "a more urgent task needs the room")
@@ -72,7 +76,7 @@
 		d.holds[c.step] = append(d.holds[c.step], w)
 		d.config.Count("HoldsStarted")
 		d.config.Log.Info("holding room", "Worker", w.incarnation.GetId(), "Step", c.step.Name(), "Free", chosen.Free.Processors,
-			"Needed", c.step.GetProcessors(), "ExpectedWait", wait.String(), "Missing", missing)
+			"Needed", c.step.GetProcessors(), "ExpectedWait", chosen.wait.String(), "Missing", missing)
 	}
 }
 
@@ -90,9 +94,16 @@
 	return w.hold != nil && w.hold.step != c.step && w.hold.priority <= c.queue.GetPriority()
 }
 
-// soonestHost returns the host that is expected to have room for a task of a step first, and when. It returns nil if none has within
-// maxHoldWait, or if room is held on maxHeldShare of the hosts that the step may use.
-func (d *Dispatcher) soonestHost(c candidate, hosts []host) (soonest *host, wait time.Duration) {
+// expectedRoom is a host that is expected to have room for a task after a wait.
+type expectedRoom struct {
+	*host
+	wait time.Duration
+}
+
+// soonestHosts returns up to count hosts that are expected to have room for a task of a step within maxHoldWait, the soonest first. With
+// them, room is held on at most maxHeldShare of the hosts that the step may use.
+func (d *Dispatcher) soonestHosts(c candidate, hosts []host, count int) []expectedRoom {
+	var found []expectedRoom
 	allowed, held := 0, 0
 	for i := range hosts {
 		h := &hosts[i]
@@ -100,7 +111,7 @@
 			continue
 		}
 		allowed++
-		if h.worker.isHeldFrom(c) || h.worker.hold != nil && h.worker.hold.step == c.step {
+		if h.worker.hold != nil && (h.worker.hold.step == c.step || h.worker.isHeldFrom(c)) {
 			held++
 			continue
 		}
@@ -108,14 +119,13 @@
 			continue
 		}
 		d.ratingBudget--
-		if after, ok := d.timeToFit(h, c.step.Demand(), c.queue.GetPriority()); ok && after <= maxHoldWait && (soonest == nil || after < wait) {
-			soonest, wait = h, after
+		if wait, ok := d.timeToFit(h, c.step.Demand(), c.queue.GetPriority()); ok && wait <= maxHoldWait {
+			found = append(found, expectedRoom{h, wait})
 		}
 	}
-	if held >= max(1, int(maxHeldShare*float64(allowed))) {
-		return nil, 0
-	}
-	return soonest, wait
+	slices.SortStableFunc(found, func(a, b expectedRoom) int { return cmp.Compare(a.wait, b.wait) })
+	limit := max(1, int(maxHeldShare*float64(allowed)))
+	return found[:min(len(found), count, max(0, limit-held))]
 }
 
 // timeToFit returns the expected time until a host has room for a demand, as its finite runs end or, if they are less urgent, are
--- a/internal/decision/dispatch/hold_priority_test.go
+++ b/internal/decision/dispatch/hold_priority_test.go
@@ -90,3 +90,25 @@
 		t.Errorf("room is held on %d of the 4 hosts that may run the finite tasks", most)
 	}
 }
+
+// Many lasting steps that find no room must not make a pass search all hosts for each of them.
+func TestHoldSearchesAreBounded(t *testing.T) {
+	const workers, steps = 40, 30
+	sim := newLabelledFleet(t, workers, workers)
+	for i := range steps {
+		step := lasting(1, fmt.Sprintf("image-%d", i))
+		step.Processors = 40_000
+		sim.request(submission("urgent", fmt.Sprintf("waiting-%d", i), step))
+	}
+	most := 0
+	for range 100 {
+		sim.run(10 * time.Millisecond)
+		most = max(most, maxRatingsPerPass-sim.dispatcher.ratingBudget)
+	}
+	if sim.waitingLasting() < steps {
+		t.Fatalf("%d lasting tasks wait", sim.waitingLasting())
+	}
+	if limit := (maxHoldSearches + 1) * workers; most > limit {
+		t.Errorf("a pass rates %d hosts, expected at most %d", most, limit)
+	}
+}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -57,9 +57,10 @@
 	d.endStaleHolds(candidates)
 	d.report(candidates, hosts)
 	budget := maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
-	searchesHolds := !d.now.Before(d.nextSpeculation)
-	if searchesHolds {
+	d.holdSearches = 0
+	if !d.now.Before(d.nextSpeculation) {
 		d.nextSpeculation = d.now.Add(speculationInterval)
+		d.holdSearches = maxHoldSearches
 		d.speculate(hosts)
 		d.countTrials()
 		d.findLeastUrgent()
@@ -74,7 +75,7 @@
 		needed := need(c.step)
 		isExhausted := slices.ContainsFunc(exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
 		if isExhausted && len(d.holds[c.step]) == 0 {
-			d.updateHolds(c, hosts, d.countPlaceable(c.step), searchesHolds)
+			d.updateHolds(c, hosts, d.countPlaceable(c.step))
 			if fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
@@ -89,7 +90,7 @@
 			placedSuspects, missingSuspects := d.placeSuspects(c, hosts)
 			placed, missing := d.placeTasks(c, hosts)
 			budget -= placedSuspects + placed
-			d.updateHolds(c, hosts, missing, searchesHolds)
+			d.updateHolds(c, hosts, missing)
 			if missing > 0 && fleet.allowsThrottled(c) {
 				budget -= d.placeThrottled(c, hosts)
 			}
