dispatch: count recent crashes across changes of leader

Whether a further crash under a suspect task shows that it is to blame depends on how many workers have crashed within 12 s. Only the leader knew that. In the log, the new leader had counted 57 crashes when it paused the task, which are few among 350 workers (fewer than 87.5), and 234 workers had crashed under the one before.

The end of an incarnation now says whether the worker ran something that could have crashed it, also if no task is suspect because of a common cause. The state keeps the crashes of the last 12 s of the elapsed time of the log, at most 16,384, and a new leader counts them. Leaders tell the time until the crashes that they know have expired, as the log of an idle site would show none. The time between two leaders isn't in it, so that inherited crashes count somewhat longer.

Inherited crashes don't count in the search for a common cause: their leader has judged them, and the last answers of the workers aren't known. Losses that are shown to be crashes only later still aren't counted, by any leader.

TestInheritedCrashesAreCounted failed before for one and three changes of leader with all five seeds: "the task has 0 runs after 1 pauses". Without the telling of the time, TestInheritedCrashesExpire fails: "1 crashes are recent 12s later".

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -40,7 +40,7 @@
 	maxPollInterval = pollWait + maxPollDelay + 150*time.Millisecond
 
 	// crashWindow is the time within which crashes are counted to tell how rare they are.
-	crashWindow = 12 * time.Second
+	crashWindow = workload.CrashWindow
 
 	// rareCrashes is the number of crashes within crashWindow, per worker, below which a second crash right after the start of
 	// a task is unlikely to be a coincidence. Each further crash under the task multiplies the limit by rarityFactor.
@@ -64,6 +64,7 @@
 	at         time.Time
 	crashed    bool
 	explained  bool // it ran something that could have crashed it
+	inherited  bool // an earlier leader has recorded its crash; only at, crashed and explained are known
 	address    string
 }
 
@@ -276,7 +277,7 @@
 		add(other.incarnation.GetZone(), rackOf(other.incarnation), isLost, len(other.unproven) > 0)
 	}
 	for _, l := range d.losses {
-		if isNear(l.lastAnswer, w.lastAnswer) {
+		if !l.inherited && isNear(l.lastAnswer, w.lastAnswer) {
 			add(l.zone, l.rack, true, l.explained)
 		}
 	}
@@ -314,6 +315,19 @@
 		zone: w.incarnation.GetZone(), rack: rackOf(w.incarnation), lastAnswer: w.lastAnswer, at: d.now, crashed: w.crashed, explained: len(w.unproven) > 0,
 		address: w.incarnation.GetAddress(),
 	})
+	if w.crashed {
+		d.tellTimeUntil(d.now.Add(crashWindow))
+	}
+}
+
+// inheritCrashes counts the recent crashes that earlier leaders have recorded. Their common causes don't matter any more, as those leaders
+// have judged them, and the last answers of the workers aren't known.
+func (d *Dispatcher) inheritCrashes() {
+	for _, crash := range d.state.Crashes() {
+		at := d.recordedAt(crash.GetElapsedMs())
+		d.losses = append(d.losses, loss{at: at, crashed: true, explained: crash.GetExplained(), inherited: true})
+		d.tellTimeUntil(at.Add(crashWindow))
+	}
 }
 
 func suspectName(suspect *controlpb.CrashSuspect) string {
--- a/internal/decision/dispatch/crash_test.go
+++ b/internal/decision/dispatch/crash_test.go
@@ -163,3 +163,38 @@
 		t.Errorf("%d losses are remembered, expected both", n)
 	}
 }
+
+// Crashes must not count as recent under the next leader because nobody told the time on an idle site.
+func TestInheritedCrashesExpire(t *testing.T) {
+	for _, leaderChanges := range []int{1, 2} {
+		sim := newSimulationWithWorkers(t, 1, 4)
+		sim.run(30 * time.Second) // no record of a lease matters any more
+		sim.workers[0].fail(time.Second, false)
+		sim.run(3 * time.Second)
+		for range leaderChanges {
+			if n := len(sim.state.Crashes()); n != 1 {
+				t.Fatalf("%d crashes are recorded, expected 1", n)
+			}
+			sim.changeLeader()
+			sim.run(time.Second)
+		}
+		sim.run(crashWindow)
+		if n := len(sim.state.Crashes()); n > 0 {
+			t.Errorf("%d crashes are recent %v later", n, crashWindow)
+		}
+	}
+}
+
+// Crashes of which only the time is known must not seem to have a common cause with that of a worker that never answered this leader.
+func TestInheritedCrashesHaveNoCommonCause(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 4)
+	d := sim.dispatcher
+	for range minUnexplained * 4 {
+		d.losses = append(d.losses, loss{at: d.now, crashed: true, inherited: true})
+	}
+	w := d.orderedWorkers[0]
+	w.incarnation.Zone, w.lastAnswer = "", time.Time{}
+	if d.hasFailedWithOthers(w) {
+		t.Error("the worker counts as failed together with inherited crashes")
+	}
+}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -231,6 +231,7 @@
 func (d *Dispatcher) beginEpoch(epoch uint64) {
 	d.epoch, d.nextScan = epoch, d.now
 	d.observeAssignments()
+	d.inheritCrashes()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
 		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String())
 	for _, incarnation := range d.state.Workers() {
--- a/internal/decision/dispatch/flapping_test.go
+++ b/internal/decision/dispatch/flapping_test.go
@@ -206,6 +206,45 @@
 	}
 }
 
+// TestInheritedCrashesAreCounted guards against pausing a task because its leader doesn't know of a wave of crashes under an earlier one.
+func TestInheritedCrashesAreCounted(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, leaderChanges := range []int{0, 1, 3} {
+			t.Run(fmt.Sprintf("seed=%d/leader changes=%d", seed, leaderChanges), func(t *testing.T) {
+				sim := newSimulationWithWorkers(t, seed, 24)
+				sim.replaceRouting(2, 2)
+				sim.submit("urgent", "a", serving(1, "web"))
+				task, first := sim.state.Job("a").Occurrences[0][0].Tasks[0], sim.workerOf("a")
+				for i, worker := range sim.workers {
+					if i/4%2 == 0 && worker != first {
+						worker.fail(time.Second, false)
+					}
+				}
+				first.fail(1500*time.Millisecond, false)
+				for range 400 {
+					if sim.run(10 * time.Millisecond); task.IsSuspect() {
+						break
+					}
+				}
+				for range leaderChanges {
+					sim.changeLeader()
+					sim.run(sim.commitTime + 10*time.Millisecond)
+				}
+				second := sim.workerOf("a")
+				if !task.IsSuspect() {
+					t.Fatal("the task isn't suspect")
+				}
+				sim.run(50 * time.Millisecond)
+				second.fail(time.Second, false)
+				sim.run(8 * time.Second)
+				if running := sim.servingRuns("a"); running != 1 || task.Pauses > 0 {
+					t.Errorf("the task has %d runs after %d pauses", running, task.Pauses)
+				}
+			})
+		}
+	}
+}
+
 func crashAcrossLeaders(t *testing.T, interval time.Duration, seed uint64) {
 	const tasks = 24
 	sim := newSimulationWithWorkers(t, seed, 12)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -214,7 +214,7 @@
 	d.config.Log.Info("worker lost", "Worker", w.incarnation.GetId(), "Reason", reason, "Crashed", w.crashed, "SinceLastReply", d.silenceOf(w).String(), "Replied", !w.lastAnswer.IsZero(), "Runs", len(w.incarnation.Runs),
 		"Suspects", suspectNames(suspects))
 	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_EndLife{EndLife: &controlpb.EndLife{
-		Number: w.incarnation.GetNumber(), Ends: ends, Suspects: suspects, Crashed: w.crashed,
+		Number: w.incarnation.GetNumber(), Ends: ends, Suspects: suspects, Crashed: w.crashed, Explained: len(w.unproven) > 0,
 	}}}
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
--- a/internal/decision/workload/crash.go
+++ b/internal/decision/workload/crash.go
@@ -23,6 +23,25 @@
 	maxPauseDoublings = 3
 )
 
+const (
+	// CrashWindow is the time within which crashes of workers are counted to tell how rare they are.
+	CrashWindow = 12 * time.Second
+
+	// maxCrashes bounds the recent crashes. The oldest ones are dropped when the limit is reached.
+	maxCrashes = 1 << 14
+)
+
+// Crashes returns the crashes of workers within CrashWindow of Elapsed, oldest first. The result must not be changed.
+func (s *State) Crashes() []*controlpb.WorkerCrash { return s.crashes }
+
+// pruneCrashes forgets the crashes that aren't recent any more.
+func (s *State) pruneCrashes() {
+	oldest := s.elapsedMs - CrashWindow.Milliseconds()
+	for len(s.crashes) > maxCrashes || len(s.crashes) > 0 && s.crashes[0].GetElapsedMs() < oldest {
+		s.crashes = s.crashes[1:]
+	}
+}
+
 // recordCrash counts a crash of a worker for the tasks that may have caused it, and gives up those that are to blame.
 func (s *State) recordCrash(suspects []*controlpb.CrashSuspect) {
 	for _, suspect := range suspects {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -26,6 +26,7 @@
 		Assignments: s.assignments,
 		ElapsedMs:   s.elapsedMs,
 		LedMs:       s.ledMs,
+		Crashes:     slices.Clone(s.crashes),
 	}
 	for _, e := range s.epochs {
 		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
@@ -82,6 +83,7 @@
 	s.leaseChanges = leaseChanges
 	s.epoch, s.newestEpoch, s.lastWorkerNumber = snapshot.GetEpoch(), snapshot.GetNewestEpoch(), snapshot.GetLastWorker()
 	s.elapsedMs, s.ledMs = snapshot.GetElapsedMs(), snapshot.GetLedMs()
+	s.crashes = slices.Clone(snapshot.GetCrashes())
 	s.restoreAssignments(snapshot)
 	if routing := snapshot.GetRouting(); routing != nil {
 		s.replaceRouting(routing)
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -49,6 +49,7 @@
 	epochs      []*controlpb.EpochAssignments // of which assignments may matter to a new leader, oldest first
 
 	unsettled map[string]*controlpb.UnsettledLoss // by address; lost workers that may have crashed
+	crashes   []*controlpb.WorkerCrash            // within CrashWindow, oldest first
 
 	jobs          map[string]*Job
 	jobOrder      []*Job // in order of submission
@@ -89,6 +90,7 @@
 		results[i] = s.apply(change)
 	}
 	s.settle(batch.GetSettledAssignments())
+	s.pruneCrashes()
 	s.pruneFinished()
 	return &controlpb.Result{Results: results}
 }
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -88,6 +88,9 @@
 			}
 		}
 		s.removeWorker(w)
+		if end.GetCrashed() {
+			s.crashes = append(s.crashes, &controlpb.WorkerCrash{ElapsedMs: s.elapsedMs, Explained: end.GetExplained()})
+		}
 		switch {
 		case len(end.GetSuspects()) == 0:
 		case end.GetCrashed():
