dispatch: log what a new leader inherits

"worker lost" told when a worker was declared lost, but not why its runs had to wait: "runs inherited" tells how many of them wait for the longest lease, and for how long, and "leading" how many recent crashes are known.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -234,13 +234,14 @@
 	d.observeAssignments()
 	d.inheritCrashes()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
-		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String())
+		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String(), "RecentCrashes", len(d.losses))
 	for _, incarnation := range d.state.Workers() {
 		d.addWorker(incarnation)
 		d.lastAnnouncements[incarnation.GetId()] = announcementVersion{
 			incarnationStartMs: incarnation.GetBornMs(), sequence: incarnation.GetSequence(), receivedAt: d.now,
 		}
 	}
+	d.logInherited()
 	for _, pair := range d.state.ImagePairs() {
 		d.interference.Restore(d.now, imagepair.Pair{Victim: pair.GetVictim(), Aggressor: pair.GetAggressor(), LogOdds: pair.GetOdds()})
 	}
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -57,6 +57,20 @@
 	return until
 }
 
+// logInherited logs how many runs this leader has inherited, and until when the recent ones wait for the longest lease.
+func (d *Dispatcher) logInherited() {
+	recent, until := 0, d.now
+	for _, r := range d.runs {
+		if r.recentUntil.After(d.now) {
+			recent++
+		}
+		if r.recentUntil.After(until) {
+			until = r.recentUntil
+		}
+	}
+	d.config.Log.Info("runs inherited", "Epoch", d.epoch, "Runs", len(d.runs), "Recent", recent, "RecentFor", until.Sub(d.now).String())
+}
+
 // awaitsRecentStart reports whether a later incarnation may run what was ordered by an earlier leader and has no answer.
 func (d *Dispatcher) awaitsRecentStart(r *run) bool {
 	return r.worker.lastPoll.IsZero() && d.now.Before(r.recentUntil)
