consensus: a transferee doesn't give up its campaign while votes are stored

A leader that stopped while syncs took some 60 ms or longer left the group with a failed transfer: the next leader had a term one higher than that of the transfer, after a second election. The transferee started the timer of a first election attempt, 100 to 200 ms, but its own vote and then those of the others have to be stored. When the timer expired it became a pre-candidate, ignored the votes that arrived, and its retry wasn't part of the transfer any more, so that voters which had heard from the last leader recently refused it. The doubling of the timer for slow disks doesn't help, as a transfer is one attempt.

The campaign of a transfer now has a whole election timeout, 400 to 800 ms. If its messages are lost, the other voters' timers are as before.

--- a/internal/decision/consensus/election.go
+++ b/internal/decision/consensus/election.go
@@ -90,7 +90,13 @@
 	n.votes = map[uint64]bool{}
 	n.verified, n.ackedRound, n.outOfOrder = n.commit, 0, nil
 	n.replyPending, n.pendingReject = false, nil
-	n.startRetryTimer()
+	if n.transferCampaign {
+		// A retry discards the votes of this term, which slow disks may still be storing, and no longer is part of the
+		// transfer: voters that have heard from the last leader recently refuse it.
+		n.resetElectionTimer()
+	} else {
+		n.startRetryTimer()
+	}
 	for _, member := range n.Membership().Members {
 		if member.Voter && member.Id != n.config.ID {
 			n.sendAfterSync(&Message{
--- a/internal/decision/consensus/node_test.go
+++ b/internal/decision/consensus/node_test.go
@@ -150,3 +150,26 @@
 		t.Errorf("at index %d of %d: %s%s", lagging.applied, leader.applied, s.failure, s.describe())
 	}
 }
+
+// TestTransferWithSlowDisks guards against a transferee that gives up its campaign while the votes are stored, so that another
+// election follows.
+func TestTransferWithSlowDisks(t *testing.T) {
+	const syncDelay = 150 * time.Millisecond
+	for seed := uint64(1); seed <= 20; seed++ {
+		s := newSim(seed, 3, 3, network{delay: time.Millisecond}, injectedFaults{}, Config{})
+		s.run(2 * time.Second)
+		leader := s.leader()
+		term, to := leader.node.term, s.hosts[(leader.number+1)%3]
+		for _, h := range s.hosts {
+			h.syncDelay = syncDelay
+		}
+		if err := leader.node.TransferLeadership(leader.local(), to.id); err != nil {
+			t.Fatal(err)
+		}
+		leader.processOutputs()
+		s.run(2*syncDelay + 20*time.Millisecond)
+		if s.leader() != to || to.node.term != term+1 || s.failure != "" {
+			t.Errorf("seed %d: not transferred in one election: %s%s", seed, s.failure, s.describe())
+		}
+	}
+}
--- a/internal/shell/replica/slow_disk_test.go
+++ b/internal/shell/replica/slow_disk_test.go
@@ -206,6 +206,27 @@
 	}
 }
 
+// TestStopWithSlowDisks guards against a leader that stops with slow disks and leaves the group with a failed transfer, so that
+// another election follows.
+func TestStopWithSlowDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := startSlowDiskCluster(ctx, t, 3)
+		defer c.running.Wait()
+		defer cancel()
+		time.Sleep(3 * time.Second)
+		leader, _ := leaderOfReplicas(t, c.replicas)
+		term := leader.View().Term
+		for _, store := range c.stores {
+			store.delay.Store(int64(150 * time.Millisecond))
+		}
+		leader.Stop(ctx)
+		if view := leader.View(); view.Leading || view.Leader == 0 || view.Term != term+1 {
+			t.Errorf("after the stop: leading %v, leader %d in term %d; want another leader in term %d", view.Leading, view.Leader, view.Term, term+1)
+		}
+	})
+}
+
 // leaderOfReplicas returns the leader and one of the followers.
 func leaderOfReplicas(t *testing.T, replicas []*Replica) (leader, follower *Replica) {
 	t.Helper()
