dispatch: keep headroom only where dedicated tasks arrive

The share is kept while the need is being learned, which begins with the first arrival, and only once workers are known. TestServingOnlySiteKeepsNoHeadroom failed before: "outcome WORK_OVERLOADED for a job that fits".

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -45,7 +45,7 @@
 }
 
 // headroomFor returns the milli-cores that would be available to dedicated tasks if a job's serving tasks ran, and those that
-// dedicated tasks need. Both are 0 if the job has no serving tasks.
+// dedicated tasks need. Both are 0 if the job has no serving tasks, or if it isn't known yet that there are dedicated tasks.
 func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
 	wanted := int64(0)
 	for _, step := range job.GetSteps() {
@@ -53,10 +53,10 @@
 			wanted += int64(step.GetCount()) * step.GetProcessors()
 		}
 	}
-	if wanted == 0 {
+	total, serving := d.stayingProcessors()
+	if _, learned := d.headroom.Processors(d.now); wanted == 0 || !learned && (total == 0 || !d.headroom.HasArrivals()) {
 		return 0, 0
 	}
-	total, serving := d.stayingProcessors()
 	available = total - serving - wanted
 	for step := range d.waitingSteps(d.config.Wall()) {
 		if kindOf(step) == colocation.Serving {
--- a/internal/decision/headroom/estimator.go
+++ b/internal/decision/headroom/estimator.go
@@ -36,6 +36,9 @@
 	e.arrived += work
 }
 
+// HasArrivals reports whether any work has arrived.
+func (e *Estimator) HasArrivals() bool { return !e.began.IsZero() }
+
 // Processors returns the milli-cores that arriving work needs at a time. It returns false until enough has been learned.
 func (e *Estimator) Processors(now time.Time) (processors int64, ok bool) {
 	e.advance(now)
