dispatch: a leader that repeats an inherited start renews its assignment

The third leader counted the longest lease from the fall of the first.

Before a leader orders the start of an inherited run, it commits that the assignment counts as one of its own epoch, and sends the order then. A later leader counts from the fall of the one that has ordered the start last. Runs that a second leader doesn't order keep the wait that has begun, so it still doesn't start again for workers that no leader reaches.

TestStartRepeatedBySecondLeader failed before: "1 tasks ran twice".

--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those whose own leader
@@ -57,6 +61,27 @@
 	return until
 }
 
+// renewAssignment proposes to count the assignment of an inherited run as one of this leader, and orders its start then: a later leader
+// must count the longest lease from the fall of the one that ordered it last.
+func (d *Dispatcher) renewAssignment(r *run) {
+	r.nextStart = d.now.Add(callRetryDelay)
+	if r.renewing {
+		return
+	}
+	r.renewing = true
+	change := &controlpb.RenewAssignment{Task: r.key.Task.Ref(), Run: r.key.Run}
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_RenewAssignment{RenewAssignment: change}}, func(result *controlpb.Result) {
+		r.renewing = false
+		if result.GetCode() != controlpb.ResultCode_RESULT_OK || result == nil || d.runs[r.key] != r {
+			return
+		}
+		r.renewed = true
+		if !r.seen && !r.ended && !r.withdrawn && !r.stopRequested && !r.startPending {
+			d.start(r)
+		}
+	})
+}
+
 // logInherited logs how many runs this leader has inherited, and until when the recent ones wait for the longest lease.
 func (d *Dispatcher) logInherited() {
 	recent, until := 0, d.now
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -54,6 +54,49 @@
 	}
 }
 
+// A start that the first leader ordered in vain and a second one repeated may be carried out by a later incarnation just before the second
+// one falls: a third one must not start the task again while that runs it.
+func TestStartRepeatedBySecondLeader(t *testing.T) {
+	for _, maxLease := range []time.Duration{6 * time.Second, 10 * time.Second} {
+		for _, led := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
+			for _, gap := range []time.Duration{0, 500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("maxLease=%v/led=%v/gap=%v", maxLease, led, gap), func(t *testing.T) {
+					c := newCluster(t, 1, 2)
+					c.setMaxLease(maxLease)
+					c.run(12 * time.Second)
+					c.deliver = func(e *exchange, _ *strictWorker) delivery {
+						return delivery{lost: e.call.Kind == order.Start, unanswered: e.call.Kind == order.Start}
+					}
+					c.submit("batch", "a", dedicated(4, 20*time.Second))
+					w := c.assigned()
+					w.setClockRate(slowestClock)
+					c.run(30 * time.Millisecond)
+					c.changeLeader(0, gap)
+					c.run(gap + led)
+					started := false
+					c.deliver = func(e *exchange, to *strictWorker) delivery {
+						switch {
+						case to != w || e.call.Kind != order.Start && !started:
+							return delivery{delay: time.Millisecond}
+						case started:
+							return delivery{lost: true, unanswered: true}
+						}
+						started = true
+						w.restart(0)
+						return delivery{unanswered: true}
+					}
+					c.runUntil(func() bool { return started })
+					w.partition(18 * time.Second)
+					c.run(20 * time.Millisecond)
+					c.changeLeader(0, 0)
+					c.run(20 * time.Second)
+					c.expectNoViolation()
+				})
+			}
+		}
+	}
+}
+
 // The next leader must await a lease that the last one has granted, by the slowest clock, whether or not it is recorded as withheld. That
 // also holds for a replica that has just read its state from its disk.
 func TestGrantedLeaseIsAwaited(t *testing.T) {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -26,6 +26,8 @@
 	checkpoint      string        // sent with the start calls; the same in every retry
 	started         bool          // the worker has confirmed the start
 	inherited       bool          // assigned by an earlier leader, whose start calls may still be carried out
+	renewed         bool          // its assignment counts as one of this leader, which may order its start
+	renewing        bool          // that is proposed and not yet decided
 	recentUntil     time.Time     // until then a later incarnation may run it, of which only its leader knew (see recent.go); zero if it was settled
 	startUnanswered bool          // a start call got no answer and may still be carried out
 	ignoredStarts   int           // start calls without an answer while the worker answered polls
@@ -170,6 +172,10 @@
 		r.nextStart = d.now.Add(callRetryDelay)
 		return
 	}
+	if r.inherited && !r.renewed {
+		d.renewAssignment(r)
+		return
+	}
 	leaseExpiry := d.extendLease(r.worker)
 	if leaseExpiry == 0 || r.worker.ending {
 		r.nextStart = d.now.Add(callRetryDelay)
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// renewAssignment numbers the assignment of a live run anew.
+func (s *State) renewAssignment(change *controlpb.RenewAssignment) *controlpb.Result {
+	if t := s.Task(TaskKeyFromRef(change.GetTask())); t != nil {
+		if r := t.liveRun(change.GetRun()); r != nil {
+			s.assignments++
+			r.Assignment = s.assignments
+			return &controlpb.Result{}
+		}
+	}
+	return errorResult(controlpb.ResultCode_RESULT_REJECTED, "the run isn't live")
+}
+
 // settle records what the leader of the latest epoch has told.
 func (s *State) settle(number uint64) {
 	if n := len(s.epochs); n > 0 && number>>assignmentBits == s.epochs[n-1].GetEpoch() {
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -145,6 +145,8 @@
 		return s.withholdLease(kind.WithholdLease)
 	case *controlpb.WorkChange_ResumeLease:
 		return s.resumeLease(kind.ResumeLease)
+	case *controlpb.WorkChange_RenewAssignment:
+		return s.renewAssignment(kind.RenewAssignment)
 	case *controlpb.WorkChange_ForgetCrashes:
 		return s.forgetCrashes(kind.ForgetCrashes)
 	}
