dispatch: steps that fit nowhere leave searches for held hosts to the others

A step is searched for again a second after a search in vain. TestHoldSearchesReachLaterSteps failed before: "no room is held".

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -126,7 +126,8 @@
 	isolationWaits map[workload.TaskKey]time.Time // since when suspect tasks wait for a quiet worker; by unitKey
 	reservations   map[*workload.Step]time.Time   // until when a worker is reserved for the suspect tasks of a step
 
-	holds map[*workload.Step][]*worker // workers on which room is held for waiting tasks of a step
+	holds       map[*workload.Step][]*worker // workers on which room is held for waiting tasks of a step
+	holdRetries map[*workload.Step]time.Time // earliest next search of a step for which no host was found
 
 	trials               map[trial]int // number of hosts on which each trial is under way
 	leastUrgent          int32         // priority of the least urgent preemptible run
@@ -174,7 +175,7 @@
 	d.losses = nil
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
-	d.holds = map[*workload.Step][]*worker{}
+	d.holds, d.holdRetries = map[*workload.Step][]*worker{}, map[*workload.Step]time.Time{}
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,10 @@
 	// many steps wait for room that no host will have.
 	maxHoldSearches = 8
 
+	// holdRetryDelay is the time between two searches for a step that found no host, so that steps which fit nowhere leave searches
+	// to the others.
+	holdRetryDelay = time.Second
+
 	// maxHoldWait is the longest expected time until a held host has room.
 	maxHoldWait = 2 * time.Second
 
@@ -63,11 +68,15 @@
 		d.endHold(held[len(held)-1], "its task was placed elsewhere")
 	}
 	needed := missing - len(d.holds[c.step])
-	if needed <= 0 || d.holdSearches <= 0 || d.ratingBudget <= 0 {
+	if needed <= 0 || d.holdSearches <= 0 || d.ratingBudget <= 0 || d.now.Before(d.holdRetries[c.step]) {
 		return
 	}
 	d.holdSearches--
-	for _, chosen := range d.soonestHosts(c, hosts, needed) {
+	found := d.soonestHosts(c, hosts, needed)
+	if len(found) == 0 {
+		d.holdRetries[c.step] = d.now.Add(holdRetryDelay)
+	}
+	for _, chosen := range found {
 		w := chosen.worker
 		if w.hold != nil {
 			d.endHold(w, "a more urgent task needs the room")
@@ -190,13 +199,14 @@
 
 // endStaleHolds ends the holds that have timed out, those on workers that may get no runs, and those for steps of which no task waits.
 func (d *Dispatcher) endStaleHolds(candidates []candidate) {
-	if len(d.holds) == 0 {
+	if len(d.holds)+len(d.holdRetries) == 0 {
 		return
 	}
 	waiting := map[*workload.Step]bool{}
 	for _, c := range candidates {
 		waiting[c.step] = true
 	}
+	maps.DeleteFunc(d.holdRetries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
 	for step, held := range d.holds {
 		for _, w := range slices.Clone(held) {
 			switch {
--- a/internal/decision/dispatch/hold_priority_test.go
+++ b/internal/decision/dispatch/hold_priority_test.go
@@ -112,3 +112,15 @@
 		t.Errorf("a pass rates %d hosts, expected at most %d", most, limit)
 	}
 }
+
+// Steps that no host will have room for must leave searches to the others.
+func TestHoldSearchesReachLaterSteps(t *testing.T) {
+	sim := newLabelledFleet(t, 16, 16)
+	for i := range maxHoldSearches + 1 {
+		step := lasting(1, fmt.Sprintf("image-%d", i))
+		step.Processors = 26_000 // of 25 that each host has free
+		sim.request(submission("batch", fmt.Sprintf("large-%d", i), step))
+	}
+	sim.run(200 * time.Millisecond)
+	sim.holdForLessUrgent()
+}
