--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -85,7 +85,7 @@
 		workers++
 		total += w.incarnation.GetProcessors()
 		serving += w.servingProcessors
-		if d.silenceOf(w) > unresponsiveAfter {
+		if d.silenceOf(w) > unresponsiveAfter || w.leaseWithheld && w.lastAnswer.IsZero() {
 			unresponsive++
 			lost += w.incarnation.GetProcessors()
 		}
--- a/internal/decision/dispatch/headroom_test.go
+++ b/internal/decision/dispatch/headroom_test.go
@@ -26,29 +26,41 @@
 }
 
 // TestLostServingTasksKeepTheirRoom guards against accepting serving jobs into the room that the tasks of silent workers need once
-// these are declared lost.
+// these are declared lost, also by a leader that knows of their silence from the log.
 func TestLostServingTasksKeepTheirRoom(t *testing.T) {
-	sim := newSimulationWithWorkers(t, 1, 10)
-	for i := range 16 {
-		sim.submit("urgent", fmt.Sprintf("urgent-%d", i), dedicated(2, 800*time.Millisecond))
-		sim.run(500 * time.Millisecond)
-	}
-	step := serving(32, "image")
-	step.Processors = 8000
-	sim.submit("urgent", "serving", step)
-	sim.run(2 * time.Second)
-	sim.crashWorkers(3)
-	for range 3 {
-		sim.addWorker("zone-0", "r-0")
-	}
-	sim.run(unresponsiveAfter + pollWait)
-	if lost := len(sim.dispatcher.losses); lost > 0 {
-		t.Fatalf("%d workers are declared lost already", lost)
-	}
-	further := serving(8, "image")
-	further.Processors = 8000
-	if got := sim.submit("urgent", "further", further); got == controlpb.WorkOutcome_WORK_OK {
-		t.Error("a serving job is accepted into the room of the tasks of silent workers")
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprint("leaderChanges=", leaderChanges), func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 10)
+			submitFinite := func(count int) {
+				for range count {
+					sim.submit("urgent", fmt.Sprint("urgent-", sim.now.UnixNano()), dedicated(2, 800*time.Millisecond))
+					sim.run(500 * time.Millisecond)
+				}
+			}
+			submitFinite(16)
+			step := serving(32, "image")
+			step.Processors = 8000
+			sim.submit("urgent", "serving", step)
+			sim.run(2 * time.Second)
+			sim.crashWorkers(3)
+			for range 3 {
+				sim.addWorker("zone-0", "r-0")
+			}
+			sim.run(unresponsiveAfter + pollWait)
+			if leaderChanges {
+				sim.changeLeader()
+				sim.run(100 * time.Millisecond)
+				submitFinite(1)
+			}
+			if lost := len(sim.dispatcher.losses); lost > 0 {
+				t.Fatalf("%d workers are declared lost already", lost)
+			}
+			further := serving(8, "image")
+			further.Processors = 8000
+			if got := sim.submit("urgent", "further", further); got == controlpb.WorkOutcome_WORK_OK {
+				t.Error("a serving job is accepted into the room of the tasks of silent workers")
+			}
+		})
 	}
 }
 
