dispatch: jobs without serving tasks need no count of the workers

headroomFor summed up all workers before it looked whether a job has serving tasks, so that each submission of finite jobs scanned the fleet. The decisions are the same.

Two tests of recent runs share the cluster in which a worker restarts as its start is ordered; their checks are unchanged.

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -53,8 +53,11 @@
 			wanted += int64(step.GetCount()) * step.GetProcessors()
 		}
 	}
+	if wanted == 0 {
+		return 0, 0
+	}
 	total, serving := d.stayingProcessors()
-	if _, learned := d.headroom.Processors(d.now); wanted == 0 || !learned && (total == 0 || !d.headroom.HasArrivals()) {
+	if _, learned := d.headroom.Processors(d.now); !learned && (total == 0 || !d.headroom.HasArrivals()) {
 		return 0, 0
 	}
 	available = total - serving - wanted
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -72,7 +72,7 @@
 	change := &controlpb.RenewAssignment{Task: r.key.Task.Ref(), Run: r.key.Run}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_RenewAssignment{RenewAssignment: change}}, func(result *controlpb.Result) {
 		r.renewing = false
-		if result.GetCode() != controlpb.ResultCode_RESULT_OK || result == nil || d.runs[r.key] != r {
+		if result == nil || result.GetCode() != controlpb.ResultCode_RESULT_OK || d.runs[r.key] != r {
 			return
 		}
 		r.renewed = true
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -10,6 +10,23 @@
 	"galenamoor/internal/decision/workload"
 )
 
+// restartAfterAssignment returns a cluster with a worker of the slowest clock that has restarted as its start was ordered. While it is
+// partitioned, starts still reach it.
+func restartAfterAssignment(t *testing.T) (*cluster, *strictWorker) {
+	t.Helper()
+	c := newCluster(t, 1, 2)
+	c.deliver = func(e *exchange, w *strictWorker) delivery {
+		return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
+	}
+	c.setMaxLease(10 * time.Second)
+	c.run(12 * time.Second)
+	c.submit("batch", "a", dedicated(4, 20*time.Second))
+	w := c.assigned()
+	w.setClockRate(slowestClock)
+	w.restart(0)
+	return c, w
+}
+
 // A task must not start elsewhere while a later incarnation of its worker runs it, which carried out the start shortly before the leader
 // fell and is partitioned since: the next leader knows nothing of it.
 func TestStartCarriedOutBeforeLeaderChange(t *testing.T) {
@@ -28,16 +45,7 @@
 	}
 	for _, o := range combinations {
 		t.Run(fmt.Sprintf("responses=%d/age=%v/gap=%v/restarted=%v", o.responses, o.age, o.gap, o.restarted), func(t *testing.T) {
-			c := newCluster(t, 1, 2)
-			c.deliver = func(e *exchange, w *strictWorker) delivery {
-				return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
-			}
-			c.setMaxLease(10 * time.Second)
-			c.run(12 * time.Second)
-			c.submit("batch", "a", dedicated(4, 20*time.Second))
-			w := c.assigned()
-			w.setClockRate(slowestClock)
-			w.restart(0)
+			c, w := restartAfterAssignment(t)
 			if o.responses > 0 {
 				w.responsesLeft, w.partitionTime = o.responses, 18*time.Second
 			} else {
@@ -276,16 +284,7 @@
 	for _, led := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2200 * time.Millisecond, 3 * time.Second, 4 * time.Second} {
 		for _, restarts := range []bool{false, true} {
 			t.Run(fmt.Sprintf("led=%v/restarts=%v", led, restarts), func(t *testing.T) {
-				c := newCluster(t, 1, 2)
-				c.deliver = func(e *exchange, w *strictWorker) delivery {
-					return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
-				}
-				c.setMaxLease(10 * time.Second)
-				c.run(12 * time.Second)
-				c.submit("batch", "a", dedicated(4, 20*time.Second))
-				w := c.assigned()
-				w.setClockRate(slowestClock)
-				w.restart(0)
+				c, w := restartAfterAssignment(t)
 				w.responsesLeft, w.partitionTime = 1, 18*time.Second
 				c.run(30 * time.Millisecond)
 				c.changeLeader(0, time.Second)
