workload: an incarnation reuses its ID also if another one was at its address in between

Late calls for the first incarnation may reach a later one under its ID at the same address, and grant it a lease that the leader doesn't count.

Cause: putWorker removed the incarnation at the address without remembering its ID, as endIncarnation does. The new section of workers.txtar failed before: "3 ends 0 runs 0" without reuses-id.

--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -53,6 +53,7 @@
 		if incarnation.GetBornMs() < other.GetBornMs() {
 			return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later life at this address is known")
 		}
+		s.rememberLost(other)
 		s.removeWorker(other)
 	}
 	s.lastWorkerNumber++
@@ -78,10 +79,7 @@
 // with the incarnation, and their tasks may start again elsewhere.
 func (s *State) endIncarnation(end *controlpb.EndLife) *controlpb.Result {
 	if w := s.workers[end.GetNumber()]; w != nil {
-		if len(s.lostIncarnations) >= maxLost {
-			clear(s.lostIncarnations)
-		}
-		s.lostIncarnations[w.GetId()] = w.GetBornMs()
+		s.rememberLost(w)
 		for _, ended := range end.GetEnds() {
 			if t := s.Task(TaskKeyFromRef(ended.GetTask())); t != nil {
 				s.recordRunEnd(w, t, ended)
@@ -105,6 +103,14 @@
 	return &controlpb.Result{}
 }
 
+// rememberLost remembers an incarnation that has ended, so that a later one is known to reuse its ID.
+func (s *State) rememberLost(w *Worker) {
+	if len(s.lostIncarnations) >= maxLost {
+		clear(s.lostIncarnations)
+	}
+	s.lostIncarnations[w.GetId()] = w.GetBornMs()
+}
+
 func (s *State) removeWorker(w *Worker) {
 	affected := map[*Job]bool{}
 	for key, t := range w.Runs {
