dispatch: a worker that has just been registered holds no lease

Cause: initLease counted the longest lease from the registration of an incarnation without a record. No leader can have granted it one: a later leader has applied all registrations of earlier ones before it leads, so that an incarnation which is registered while it leads is known to it alone. IDs that are reused go on counting calls for earlier incarnations.

Change: such a worker is given as long to answer as one with a lease that was just granted, so that it isn't declared lost sooner than others.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -67,6 +67,14 @@
 	return w.fenced || w.rejectedPolls > 0 && d.now.Sub(w.lastPoll) > unresponsiveAfter
 }
 
+// awaitFirstAnswer gives a worker that has been registered under this leader as long to answer as one with a lease that was just granted. It
+// holds none: an earlier leader would have known its incarnation.
+func (d *Dispatcher) awaitFirstAnswer(w *worker) {
+	if until := d.now.Add(untilExpired(d.grantedLease())); until.After(w.leaseExpires) {
+		w.leaseExpires = until
+	}
+}
+
 // countForeignLeases counts the leases that calls for earlier incarnations under its ID may have granted a worker. They end by a
 // clock that isn't its own, so they may be as long as it accepts.
 func (d *Dispatcher) countForeignLeases(w *worker) {
@@ -93,9 +101,6 @@
 		w.recordedExpiry = w.leaseExpires
 		d.tellTimeUntil(w.leaseExpires)
 	}
-	if record == nil && d.now.After(w.leaseExpires) {
-		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
-	}
 }
 
 // withholdLease stops extending the lease of a worker that hasn't accepted a poll, and records when it expires. It is repeated after
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -164,8 +164,12 @@
 	if incarnation == nil {
 		return
 	}
+	isNew := d.workers[number] == nil
 	d.addWorker(incarnation)
 	w := d.workers[number]
+	if w != nil && isNew {
+		d.awaitFirstAnswer(w)
+	}
 	if w != nil && incarnation.GetLeaving() {
 		w.leavesAt = leavesAt
 	}
