workload: a lost worker that comes back is still known to reuse its ID

A task could run twice: a late call for an earlier incarnation grants the worker a lease by another clock, which its leader doesn't count.

Cause: an incarnation that reuses its ID, is declared lost and announces itself again was registered as resumed, and without reuses_id: only its start was remembered. All lost workers were forgotten at once when there were 4,096, by which the same knowledge could be lost.

--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -18,7 +18,6 @@
 		Epoch:      s.epoch,
 		LastWorker: s.lastWorkerNumber,
 		Finished:   slices.Clone(s.finishedOrder),
-		GivenUp:    maps.Clone(s.lostIncarnations),
 		Pairs:      s.ImagePairs(),
 
 		NewestEpoch: s.newestEpoch,
@@ -27,6 +26,7 @@
 		ElapsedMs:   s.elapsedMs,
 		LedMs:       s.ledMs,
 		Crashes:     slices.Clone(s.crashes),
+		LostWorkers: s.lostByID(),
 	}
 	for _, e := range s.epochs {
 		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
@@ -92,9 +92,7 @@
 		s.queues[queue.GetName()] = queue
 	}
 	s.learnPairs(&controlpb.LearnPairs{Pairs: snapshot.GetPairs()})
-	if lost := snapshot.GetGivenUp(); lost != nil {
-		s.lostIncarnations = maps.Clone(lost)
-	}
+	s.restoreLost(snapshot)
 	for _, loss := range snapshot.GetUnsettled() {
 		s.unsettled[loss.GetAddress()] = loss
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -24,8 +24,7 @@
 	// maxFinished bounds the retained outcomes: four times the jobs that finish in 180 s at 28 jobs per second.
 	maxFinished = 20_000
 
-	// maxLost bounds the remembered lost incarnations, most of which never come back. They are cleared when the limit is
-	// reached.
+	// maxLost bounds the remembered lost workers, most of which never come back.
 	maxLost = 4096
 
 	// maxPairs bounds the learned image pairs, which are cleared when the limit is reached.
@@ -42,8 +41,8 @@
 	workers          map[uint32]*Worker
 	workersByID      map[string]*Worker
 	lastWorkerNumber uint32
-	lostIncarnations map[string]int64 // by worker ID: start of the latest incarnation declared lost, in Unix milliseconds
-	leaseChanges     uint64           // number of changes of withheld leases; not replicated
+	lostWorkers      map[string]*controlpb.LostWorker // by ID
+	leaseChanges     uint64                           // number of changes of withheld leases; not replicated
 
 	assignments uint64                        // number of the newest assignment of a run, see assignmentBits
 	epochs      []*controlpb.EpochAssignments // of which assignments may matter to a new leader, oldest first
@@ -67,17 +66,17 @@
 // New returns an empty state.
 func New() *State {
 	return &State{
-		queues:           map[string]*controlpb.WorkQueue{},
-		pools:            map[string]*controlpb.WorkPool{},
-		zonesOut:         map[string]bool{},
-		workers:          map[uint32]*Worker{},
-		workersByID:      map[string]*Worker{},
-		lostIncarnations: map[string]int64{},
-		unsettled:        map[string]*controlpb.UnsettledLoss{},
-		jobs:             map[string]*Job{},
-		finished:         map[string]*controlpb.FinishedWork{},
-		maintenance:      map[uint64]*controlpb.Maintenance{},
-		pairs:            map[imagePair]float64{},
+		queues:      map[string]*controlpb.WorkQueue{},
+		pools:       map[string]*controlpb.WorkPool{},
+		zonesOut:    map[string]bool{},
+		workers:     map[uint32]*Worker{},
+		workersByID: map[string]*Worker{},
+		lostWorkers: map[string]*controlpb.LostWorker{},
+		unsettled:   map[string]*controlpb.UnsettledLoss{},
+		jobs:        map[string]*Job{},
+		finished:    map[string]*controlpb.FinishedWork{},
+		maintenance: map[uint64]*controlpb.Maintenance{},
+		pairs:       map[imagePair]float64{},
 	}
 }
 
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -53,15 +53,15 @@
 		if incarnation.GetBornMs() < other.GetBornMs() {
 			return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later life at this address is known")
 		}
-		s.rememberLost(other)
 		s.removeWorker(other)
+		s.rememberLost(other)
 	}
 	s.lastWorkerNumber++
 	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease = s.lastWorkerNumber, 0, nil
-	if startMs, ok := s.lostIncarnations[incarnation.GetId()]; ok {
-		incarnation.Resumed = startMs == incarnation.GetBornMs()
-		incarnation.ReusesId = incarnation.GetReusesId() || !incarnation.GetResumed()
-		delete(s.lostIncarnations, incarnation.GetId())
+	if lost := s.lostWorkers[incarnation.GetId()]; lost != nil {
+		incarnation.Resumed = lost.GetBornMs() == incarnation.GetBornMs()
+		incarnation.ReusesId = incarnation.GetReusesId() || lost.GetReusesId() || !incarnation.GetResumed()
+		delete(s.lostWorkers, incarnation.GetId())
 	}
 	s.insertWorker(incarnation)
 	s.settleLosses(incarnation)
@@ -103,14 +103,6 @@
 	return &controlpb.Result{}
 }
 
-// rememberLost remembers an incarnation that has ended, so that a later one is known to reuse its ID.
-func (s *State) rememberLost(w *Worker) {
-	if len(s.lostIncarnations) >= maxLost {
-		clear(s.lostIncarnations)
-	}
-	s.lostIncarnations[w.GetId()] = w.GetBornMs()
-}
-
 func (s *State) removeWorker(w *Worker) {
 	affected := map[*Job]bool{}
 	for key, t := range w.Runs {
