dispatch: a new leader doesn't stop runs on draining workers before it has heard how long they stay

Callers saw finite tasks on draining workers start again elsewhere after a change of leader, though the workers stayed long enough: of 8 runs with 20 s left, a new leader stopped 8 at its first polls, and the last one none.

Cause: the time at which a leaving worker terminates isn't replicated, and was taken only from announcements that change the incarnation. A new leader got no such announcement, and acted as if the worker terminated at once.

Change: each announcement that says that the worker leaves tells the time. The earliest one counts, as a late announcement gives too late a time; it counts from the receipt, no longer from the commit. Until a new leader has heard one, finite runs continue for at most three announcement intervals. A worker that terminates meanwhile sends notice, which stops its runs before it is acknowledged.

Evidence: TestRunsOnLeavingWorkersContinueUnderSuccessor failed with 8 of 8 runs stopped, after one change and after three, and TestLateAnnouncementDoesNotExtendLeave with no time at all; both pass now. The other tests of the file passed before, as everything was stopped. TestRunsStopOnSilentlyLeavingWorkerUnderSuccessor fails without the bound, TestRunsStopBeforeWorkerLeavesUnderSuccessor if announcements without changes are ignored again.

--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -230,7 +230,11 @@
 	earlier, isKnown := d.lastAnnouncements[incarnation.GetId()]
 	incarnation.ReusesId = isKnown && earlier.incarnationStartMs != incarnation.GetBornMs()
 	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
+	leavesAt := d.leavesAt(a)
 	if unchanged {
+		if w := d.workers[current.GetNumber()]; w != nil {
+			w.observeLeavesAt(leavesAt)
+		}
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
 	if current == nil || current.GetBornMs() < incarnation.GetBornMs() {
@@ -240,7 +244,7 @@
 	d.proposeAndReply(r, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: incarnation}}, func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_OK {
 			d.logGivenUp(suspects)
-			d.incarnationChanged(uint32(result.GetFence()), d.leavesAt(a))
+			d.incarnationChanged(uint32(result.GetFence()), leavesAt)
 		}
 		return outcome(controlpb.WorkOutcome_WORK_OK)
 	})
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -36,6 +36,9 @@
 
 	// maxMigrations is how often a task is moved for being slow. One that is slow on two workers is just long.
 	maxMigrations = 1
+
+	// leavesAtTimeout is how long a new leader waits to hear how much time a leaving worker has left: three announcements.
+	leavesAtTimeout = 4500 * time.Millisecond
 )
 
 // checkStraggler marks a slow or stalled run for a speculative copy, or stops it so that it restarts elsewhere.
@@ -126,12 +129,22 @@
 		if r == nil || r.stopRequested || !r.seen || r.task.Step.GetGang() {
 			continue
 		}
-		if r.task.Step.GetPerpetual() || d.now.Add(d.remainingTime(r)).After(w.leavesAt) {
+		if r.task.Step.GetPerpetual() || !d.endsInTime(r) {
 			d.requestStop(r, "its worker leaves")
 		}
 	}
 }
 
+// endsInTime reports whether a run is expected to end before its leaving worker terminates. While a new leader doesn't know that time,
+// runs continue: a worker that terminates earlier sends notice, at which its runs are stopped.
+func (d *Dispatcher) endsInTime(r *run) bool {
+	w := r.worker
+	if w.leavesAt.IsZero() {
+		return d.now.Sub(w.addedAt) < leavesAtTimeout
+	}
+	return !d.now.Add(d.remainingTime(r)).After(w.leavesAt)
+}
+
 // remainingTime estimates the time until a run ends.
 func (d *Dispatcher) remainingTime(r *run) time.Duration {
 	if r.progress <= r.firstProgress {
@@ -147,7 +160,10 @@
 	delete(d.isolationWaits, key)
 }
 
-// leavesAt returns the earliest time at which an announced worker terminates, if it is leaving.
+// leavesAt returns the earliest time at which an announced worker terminates, or zero if it isn't leaving.
 func (d *Dispatcher) leavesAt(a *controlpb.AnnounceLife) time.Time {
+	if !a.GetLife().GetLeaving() {
+		return time.Time{}
+	}
 	return d.now.Add(time.Duration(a.GetLeavesInMs()) * time.Millisecond)
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -112,7 +112,7 @@
 	ignoresUntil        time.Time // until then it is avoided because it has answered no starts
 	quarantinedUntil    time.Time
 	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
-	leavesAt            time.Time // earliest time at which a leaving worker terminates
+	leavesAt            time.Time // earliest time at which a leaving worker terminates; zero until this leader has heard it
 	terminating         bool      // it has sent notice that it terminates, and no announcement since
 	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
@@ -157,7 +157,7 @@
 }
 
 // incarnationChanged updates the soft state after a committed change of an incarnation. leavesAt is the earliest time at
-// which a leaving worker terminates.
+// which a leaving worker terminates, or zero.
 func (d *Dispatcher) incarnationChanged(number uint32, leavesAt time.Time) {
 	d.dropEnded()
 	incarnation := d.state.Worker(number)
@@ -171,7 +171,7 @@
 		d.awaitFirstAnswer(w)
 	}
 	if w != nil && incarnation.GetLeaving() {
-		w.leavesAt = leavesAt
+		w.observeLeavesAt(leavesAt)
 	}
 	if w != nil && incarnation.GetReusesId() && !w.reusesID {
 		w.reusesID = true
@@ -181,6 +181,14 @@
 		"Leaving", incarnation.GetLeaving(), "Processors", incarnation.GetProcessors())
 }
 
+// observeLeavesAt notes when an announced worker terminates, if it is leaving. A late announcement gives too late a time, so that
+// the earliest one counts.
+func (w *worker) observeLeavesAt(at time.Time) {
+	if !at.IsZero() && (w.leavesAt.IsZero() || at.Before(w.leavesAt)) {
+		w.leavesAt = at
+	}
+}
+
 // dropEnded removes the workers whose incarnation has ended in the replicated state.
 func (d *Dispatcher) dropEnded() {
 	d.dirty = true
