dispatch: a new leader asks for a ticket before it repeats an inherited start

Callers saw the first tasks of a step on an advised queue start later after a change of leader, with one more run, and the starts counted as refused: 4 of 4 unanswered starts, the tasks running 1.08 s after the change.

Cause: tickets aren't replicated. The new leader repeated the starts without one, the workers rejected them, and the tasks had to be placed again.

Change: such a start waits for the ticket of its worker, for at most 2 s. If the service issues none, it is ordered without one, as before: the worker's rejection and the next poll show that the run doesn't exist. Nothing is dropped while it waits, so that an earlier order which is carried out late is still this run. The wait precedes the renewal of the assignment, after which the order must follow soon.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"galenamoor/internal/decision/order"
@@ -21,6 +22,8 @@
 	adviceRetryDelay = 300 * time.Millisecond
 	// ticketMargin is subtracted from a ticket's validity, for the commit and the start order.
 	ticketMargin = 250 * time.Millisecond
+	// ticketTimeout bounds the time for which an inherited start waits for a ticket.
+	ticketTimeout = 2 * time.Second
 )
 
 // advice holds the service's answers about a step. The set of workers that may run a step doesn't change, so an incarnation
@@ -72,7 +75,7 @@
 // tickets are renewed before other workers are asked about.
 func (d *Dispatcher) requestAdvice(c candidate, hosts []host) {
 	cached := d.adviceOn(c.step)
-	if cached.asking != nil || d.now.Before(cached.retryAt) || d.adviceCalls >= maxAdviceCalls {
+	if !d.mayAsk(cached) {
 		return
 	}
 	usable := 0
@@ -105,6 +108,58 @@
 	}
 }
 
+// awaitsTicket reports whether the start of an inherited run has to wait for a ticket, as those of earlier leaders aren't known, and
+// asks the service for it. It precedes the renewal of the assignment, after which the start must be ordered soon (see recentAssignment).
+func (d *Dispatcher) awaitsTicket(r *run) bool {
+	if !d.lacksTicket(r) {
+		return false
+	}
+	if r.ticketDeadline.IsZero() {
+		r.ticketDeadline = d.now.Add(ticketTimeout)
+	}
+	if !d.now.Before(r.ticketDeadline) {
+		return false
+	}
+	d.requestTickets(r.task.Step)
+	return true
+}
+
+// lacksTicket reports whether a run of an advised queue has no valid ticket, unless its worker may not run the step.
+func (d *Dispatcher) lacksTicket(r *run) bool {
+	step := r.task.Step
+	if !d.state.Queue(step.Job.Spec.GetQueue()).GetAdvised() {
+		return false
+	}
+	t, answered := d.adviceOn(step).tickets[r.worker.incarnation.GetNumber()]
+	return !answered || t.text != "" && !d.now.Before(t.expires)
+}
+
+// requestTickets asks the service about the workers of a step's inherited runs that have to be started, unless it is being asked about
+// the step.
+func (d *Dispatcher) requestTickets(step *workload.Step) {
+	cached := d.adviceOn(step)
+	if !d.mayAsk(cached) {
+		return
+	}
+	var workers []*worker
+	for _, task := range step.Tasks {
+		for _, assigned := range task.Runs {
+			r := d.runs[workload.RunKey{Task: task.Key(), Run: assigned.Number}]
+			if r != nil && r.inherited && !r.renewed && !r.stopRequested && !r.nextStart.IsZero() && d.lacksTicket(r) && !slices.Contains(workers, r.worker) {
+				workers = append(workers, r.worker)
+			}
+		}
+	}
+	if len(workers) > 0 {
+		d.sendAdviceCall(step, cached, workers[:min(len(workers), maxAdviceWorkers)])
+	}
+}
+
+// mayAsk reports whether the service may be asked about a step now.
+func (d *Dispatcher) mayAsk(cached *advice) bool {
+	return cached.asking == nil && !d.now.Before(cached.retryAt) && d.adviceCalls < maxAdviceCalls
+}
+
 func (d *Dispatcher) sendAdviceCall(step *workload.Step, cached *advice, workers []*worker) {
 	cached.asking = workers
 	d.adviceCalls++
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -28,6 +28,7 @@
 	inherited       bool          // assigned by an earlier leader, whose start calls may still be carried out
 	renewed         bool          // its assignment counts as one of this leader, which may order its start
 	renewing        bool          // that is proposed and not yet decided
+	ticketDeadline  time.Time     // until then its start waits for a ticket; zero unless it has waited
 	recentUntil     time.Time     // until then a later incarnation may run it, of which only its leader knew (see recent.go); zero if it was settled
 	startUnanswered bool          // a start call got no answer and may still be carried out
 	ignoredStarts   int           // start calls without an answer while the worker answered polls
@@ -173,7 +174,9 @@
 		return
 	}
 	if r.inherited && !r.renewed {
-		d.renewAssignment(r)
+		if !d.awaitsTicket(r) {
+			d.renewAssignment(r)
+		}
 		return
 	}
 	leaseExpiry := d.extendLease(r.worker)
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -99,6 +99,7 @@
 	failing         bool
 	stalled         bool          // its tasks make no progress
 	rejectsStarts   bool          // it rejects starts without any effect
+	unadvised       bool          // the advice service issues no tickets for it
 	rejectionRate   float64       // share of the starts that it rejects without any effect
 	slowdown        float64       // factor by which its tasks take longer; 0 for 1
 	slowTail        float64       // added to the latency ratio of its serving tasks
@@ -279,7 +280,7 @@
 		answer := &order.Answer{Status: order.OK, Tickets: map[string]string{}, ValidFor: ticketValidity}
 		for _, worker := range sim.workers {
 			id := worker.incarnation.GetId()
-			if n := id[len(id)-1]; n%2 == 0 && worker.up && slices.Contains(call.WorkerIDs, id) {
+			if n := id[len(id)-1]; n%2 == 0 && worker.up && !worker.unadvised && slices.Contains(call.WorkerIDs, id) {
 				text := fmt.Sprintf("ticket-%d", len(sim.tickets))
 				sim.tickets[text] = simTicket{call.Step.Name(), worker, worker.incarnation.GetBornMs(), sim.now.Add(ticketValidity)}
 				answer.Tickets[id] = text
