dispatch: record which starts are open when a worker may have restarted

Callers saw lasting tasks without a run for 12 to 15 s: a worker announces a restart under its ID and address, answers no call, and the leader changes.

The log said only that it may have restarted. The next leader counted the longest lease from its own start, and so did each one after it. It also took no notice of starts that the last leader had ordered and that a later incarnation could still carry out, so that a task could run twice.

A leader that gets no answer now withholds the lease and records for how long the leases by the worker's own clock last, which starts are open, and until when these may run. It grants nothing and orders no start until ResumeLease is committed, and neither does a leader that inherits the record, so that the record holds under all of them: runs without an open start are settled once the lease has expired. The later leaders check again for the incarnation, as the one before did. The unanswered check itself is enough to withhold the lease; before, the poll had to fail, which may be held open for longer. A superseded incarnation uses the same record: neither it nor its successor is granted a lease meanwhile.

If the leader falls before that, the longest lease counts from its fall, which the log tells, instead of from the start of each later leader. For a worker that reuses its ID it still counts from the start: calls for its predecessors may be carried out later.

TestLaterIncarnationVoidsLeaseRecord required the longest lease for all runs of a worker with a sign of a restart, also for those that can't run in the later incarnation, which was the fault. It still requires it where the open starts aren't recorded. TestOpenStartsOfLaterIncarnation requires it for the open starts, with and without an earlier record, and for the other runs the bound of the leader that made the record.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -80,18 +80,16 @@
 	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeasesExpire
 	w.reusesID = w.incarnation.GetReusesId()
 	record := w.incarnation.GetWithheldLease()
-	w.leaseWithheld = record != nil && !record.GetMayHaveRestarted()
+	w.leaseWithheld = isLeaseBound(record)
 	switch {
-	case record.GetMayHaveRestarted(), record == nil && w.reusesID:
+	case record == nil && w.reusesID:
 		w.leaseExpires = d.now.Add(d.longestLease())
-	case record != nil:
-		recordedAt, ok := d.withheldAt[record]
-		if !ok {
-			recordedAt = d.recordedAt(record.GetElapsedMs())
-		}
-		w.leaseExpires = recordedAt.Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
+	case w.leaseWithheld:
+		w.leaseExpires = d.withheldLeaseRecordedAt(record).Add(time.Duration(record.GetExpiresInMs()) * time.Millisecond)
 		w.recordedExpiry = w.leaseExpires
 		d.tellTimeUntil(w.leaseExpires)
+	case record != nil:
+		d.initUnboundedLease(w, record)
 	}
 	if record == nil && d.now.After(w.leaseExpires) {
 		w.leaseExpires = d.now.Add(d.config.Limits.MaxLease) // a new incarnation, to which no leader has granted a lease
@@ -99,10 +97,11 @@
 }
 
 // withholdLease stops extending the lease of a worker that hasn't accepted a poll, and records when it expires. It is repeated after
-// the next poll if the outcome is unknown. No bound is recorded while a later incarnation may exist.
+// the next poll if the outcome is unknown. If a later incarnation may exist, it records also which starts that may carry out.
 func (d *Dispatcher) withholdLease(w *worker) {
 	switch {
 	case w.superseded || w.mayHaveRestarted:
+		w.leaseWithheld = true
 		d.recordRestart(w)
 		return
 	case w.leaseWithheld && !w.leaseExpires.After(w.recordedExpiry) || !d.canRecordLease(w):
@@ -112,16 +111,6 @@
 	d.recordLease(w, &controlpb.WithholdLease{ExpiresInMs: milliseconds(w.leaseExpires.Sub(d.now))})
 }
 
-// recordRestart records that a later incarnation of a worker may hold a longer lease than this leader counts. The lease is still
-// extended, as the next leader can't count on this record.
-func (d *Dispatcher) recordRestart(w *worker) {
-	if w.incarnation.GetWithheldLease().GetMayHaveRestarted() || !d.canRecordLease(w) {
-		return
-	}
-	expiresIn := max(d.longestLease(), w.leaseExpires.Sub(d.now)) // an earlier version takes it for a bound
-	d.recordLease(w, &controlpb.WithholdLease{ExpiresInMs: milliseconds(expiresIn), MayHaveRestarted: true})
-}
-
 // canRecordLease reports whether the lease of a worker matters to the next leader, and no record of it is undecided.
 func (d *Dispatcher) canRecordLease(w *worker) bool {
 	return len(w.incarnation.Runs) > 0 && !w.recordingLease && !w.ending
@@ -136,9 +125,10 @@
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_WithholdLease{WithholdLease: record}}, func(result *controlpb.Result) {
 		w.recordingLease = false
 		if result != nil {
-			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String(), "MayHaveRestarted", record.GetMayHaveRestarted())
+			d.config.Log.Info("lease withheld", "Worker", w.incarnation.GetId(), "ExpiresIn", expires.Sub(d.now).String(), "MayHaveRestarted", record.GetMayHaveRestarted(),
+				"KnowsOpenStarts", record.GetKnowsOpenStarts(), "OpenStarts", len(record.GetOpenStarts()))
 		}
-		if result != nil && !record.GetMayHaveRestarted() {
+		if result != nil && isLeaseBound(record) {
 			w.recordedExpiry = expires
 		}
 		if w.missedCalls == 0 && !d.rejectsPolls(w) {
@@ -183,6 +173,14 @@
 	})
 }
 
+// withheldLeaseRecordedAt returns by when a record of a withheld lease was proposed at the latest.
+func (d *Dispatcher) withheldLeaseRecordedAt(record *controlpb.WithholdLease) time.Time {
+	if at, ok := d.withheldAt[record]; ok {
+		return at
+	}
+	return d.recordedAt(record.GetElapsedMs())
+}
+
 // observeEpoch notes until when leases of earlier epochs last once this replica has applied the start of an epoch: they were all granted
 // before that was proposed.
 func (d *Dispatcher) observeEpoch() {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -22,7 +22,7 @@
 	nextStart       time.Time     // of the next start call; zero when none is needed
 	startPending    bool          // a start call is in flight
 	orderedAt       time.Time     // of the first start call
-	lastOrderedAt   time.Time     // of the newest start call; of an inherited run, when this leader took over
+	lastOrderedAt   time.Time     // of the newest start call; of an inherited run, when this leader took over, or what the record of open starts tells
 	checkpoint      string        // sent with the start calls; the same in every retry
 	started         bool          // the worker has confirmed the start
 	inherited       bool          // assigned by an earlier leader, whose start calls may still be carried out
@@ -351,8 +351,11 @@
 // handlePoll handles a worker's report of running and ended runs.
 func (d *Dispatcher) handlePoll(w *worker, a *order.Answer) {
 	if a.Call != w.pendingPoll { // sent by pollIncarnation
-		if a.Status == order.OK && !w.superseded {
+		switch {
+		case a.Status == order.OK && !w.superseded:
 			d.handleIncarnationCheck(w, a)
+		case a.Status == order.NoAnswer && w.mayHaveRestarted && !a.Call.Sent.Before(w.checkedSince):
+			d.withholdLease(w)
 		}
 		return
 	}
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -89,7 +89,7 @@
 	if w.superseded || w.ending {
 		return
 	}
-	w.superseded, w.nextPoll = true, d.now
+	w.superseded, w.leaseWithheld, w.nextPoll = true, true, d.now
 	d.config.Log.Info("worker incarnation superseded", "Worker", w.incarnation.GetId(), "Runs", len(w.incarnation.Runs))
 }
 
@@ -119,8 +119,16 @@
 	case r.worker.lastPoll.After(lastStart):
 		return false // no order for the run was on its way any more
 	}
-	lastGrant := r.worker.grantedAt.Add(maxCallDelay)
-	return d.now.Before(lastStart.Add(d.longestLease())) || d.now.Before(lastGrant.Add(d.longestLease()))
+	return d.now.Before(d.openStartUntil(r))
+}
+
+// openStartUntil returns until when what an open start of a run has started may run: the newest grant may be carried out as late as the start.
+func (d *Dispatcher) openStartUntil(r *run) time.Time {
+	newest := r.lastOrderedAt
+	if r.worker.grantedAt.After(newest) {
+		newest = r.worker.grantedAt
+	}
+	return newest.Add(maxCallDelay + d.longestLease())
 }
 
 // dropSettled drops the runs of a silent worker that no later incarnation can have, so that their tasks don't wait until the worker
--- a/internal/decision/dispatch/withheld_lease_test.go
+++ b/internal/decision/dispatch/withheld_lease_test.go
@@ -117,25 +117,70 @@
 	}
 }
 
-// The next leader must count the longest lease for a worker with a sign of a later incarnation, whether or not the lease is recorded as
-// withheld: neither the record nor the leases that leaders grant cover those that late calls grant that incarnation.
+// undecidedCalls gets neither an answer nor a failure for any call.
+type undecidedCalls struct{ *simulation }
+
+func (undecidedCalls) Send(*order.Call) {}
+
+// The next leader must count the longest lease for a worker with a sign of a later incarnation whose open starts aren't recorded: the leases
+// that leaders grant don't cover those that late calls grant that incarnation.
 func TestLaterIncarnationVoidsLeaseRecord(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	sim.submit("urgent", "a", serving(1, "image"))
+	sim.run(5 * time.Second)
+	sim.dispatcher.config.WorkerCalls = undecidedCalls{sim}
+	sim.dispatcher.checkRestart(sim.dispatcher.workers[1])
+	sim.run(restartRecordDelay + 100*time.Millisecond)
+	if record := sim.state.Worker(1).GetWithheldLease(); !record.GetMayHaveRestarted() || record.GetKnowsOpenStarts() {
+		t.Fatalf("recorded: %v", record)
+	}
+	sim.changeLeader()
+	longest := sim.now.Add(sim.dispatcher.longestLease())
+	sim.run(100 * time.Millisecond)
+	if expires := sim.dispatcher.workers[1].leaseExpires; expires.Before(longest) {
+		t.Errorf("the next leader counts a lease that ends %v too early", longest.Sub(expires))
+	}
+}
+
+// The next leader must count the longest lease for an open start of a worker with a sign of a later incarnation, whether or not the lease
+// was recorded as withheld before the sign, and the lease that its predecessor has counted for the other runs.
+func TestOpenStartsOfLaterIncarnation(t *testing.T) {
 	for _, withheld := range []bool{false, true} {
 		t.Run(fmt.Sprintf("withheld=%v", withheld), func(t *testing.T) {
 			sim := newSimulationWithWorkers(t, 1, 1)
-			sim.submit("urgent", "a", serving(1, "image"))
+			sim.submit("urgent", "settled", serving(1, "image"))
 			sim.run(5 * time.Second)
 			sim.workers[0].answersLost = true
+			sim.submit("urgent", "open", serving(1, "image"))
 			for withheld && sim.state.Worker(1).GetWithheldLease() == nil {
 				sim.run(10 * time.Millisecond)
 			}
+			sim.run(100 * time.Millisecond)
 			sim.dispatcher.checkRestart(sim.dispatcher.workers[1])
-			sim.run(restartRecordDelay + 100*time.Millisecond)
+			for range 300 {
+				if !sim.state.Worker(1).GetWithheldLease().GetKnowsOpenStarts() {
+					sim.run(10 * time.Millisecond)
+				}
+			}
+			expires := sim.dispatcher.workers[1].leaseExpires
 			sim.changeLeader()
 			longest := sim.now.Add(sim.dispatcher.longestLease())
 			sim.run(100 * time.Millisecond)
-			if expires := sim.dispatcher.workers[1].leaseExpires; expires.Before(longest) {
-				t.Errorf("the next leader counts a lease that ends %v too early", longest.Sub(expires))
+			d := sim.dispatcher
+			if inherited := d.workers[1].leaseExpires; inherited.Before(expires) {
+				t.Errorf("the next leader counts a lease that ends %v too early", expires.Sub(inherited))
+			}
+			for key, r := range d.runs {
+				isOpen := key.Task.Job == "open"
+				if d.mayRunLater(r) != isOpen {
+					t.Errorf("%v has an open start: %v, expected %v", key.Task, !isOpen, isOpen)
+				}
+				if until := d.openStartUntil(r); isOpen && until.Before(longest) {
+					t.Errorf("the next leader counts the start of %v for %v too short a time", key.Task, longest.Sub(until))
+				}
+			}
+			if len(d.runs) != 2 {
+				t.Errorf("%d runs, expected 2", len(d.runs))
 			}
 		})
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -64,10 +64,10 @@
 	workerClock       time.Duration // worker's clock when it sent its newest answer
 	clockReadAt       time.Time     // when that answer was received; zero before the first one
 	leaseExpires      time.Time     // every lease granted to this incarnation has expired by then
-	leaseWithheld     bool          // no lease is granted: a poll got no answer, and no resumption is committed since
+	leaseWithheld     bool          // no lease is granted and no start ordered: a poll got no answer, and no resumption is committed since
 	recordedExpiry    time.Time     // leaseExpires as last recorded; zero if that is unknown
 	recordingLease    bool          // a change of the withheld lease is proposed and not yet decided
-	grantedAt         time.Time     // of the newest call that extends the lease; when this leader took over, if there is none
+	grantedAt         time.Time     // of the newest call that extends the lease; if there is none, when this leader took over, or zero if the record of its open starts covers it
 	lastAnswer        time.Time     // when the newest answer was received
 	lastPoll          time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
 	listedAt          time.Time     // when that poll was sent
@@ -154,6 +154,7 @@
 		r.inherited, r.lastOrderedAt, r.speed = true, d.leadingSince, unknownSpeed
 		r.recentUntil = d.recentUntil(r)
 	}
+	d.inheritOpenStarts(w)
 }
 
 // incarnationChanged updates the soft state after a committed change of an incarnation. leavesAt is the earliest time at
@@ -254,7 +255,7 @@
 			d.acknowledgeLeave(w)
 		}
 		if w.superseded || w.mayHaveRestarted && (w.leaseWithheld || w.restartSeen || d.now.Sub(w.checkedSince) > restartRecordDelay) {
-			d.recordRestart(w) // a later incarnation may have been granted a lease that a bound doesn't cover
+			d.recordRestart(w) // a later incarnation may hold a lease that a record of this one doesn't cover
 		}
 		if w.pendingPoll != nil || w.recordingEnds || w.ending || isLost || d.now.Before(w.nextPoll) {
 			continue
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -43,6 +43,15 @@
 	return time.Duration(s.epochs[i+1].GetElapsedMs()) * time.Millisecond, true
 }
 
+// EpochEnd returns what Elapsed was when the epoch after the given one had begun, if that is known.
+func (s *State) EpochEnd(epoch uint64) (elapsed time.Duration, ok bool) {
+	i := slices.IndexFunc(s.epochs, func(e *controlpb.EpochAssignments) bool { return e.GetEpoch() == epoch })
+	if i < 0 || i+1 == len(s.epochs) {
+		return 0, false
+	}
+	return time.Duration(s.epochs[i+1].GetElapsedMs()) * time.Millisecond, true
+}
+
 // beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
 func (s *State) beginAssignments() {
 	s.assignments = s.epoch << assignmentBits
--- a/internal/decision/workload/lease.go
+++ b/internal/decision/workload/lease.go
@@ -5,7 +5,7 @@
 // withholdLease records that the lease of a worker isn't extended. A worker that has ended meanwhile is ignored.
 func (s *State) withholdLease(change *controlpb.WithholdLease) *controlpb.Result {
 	if w := s.workers[change.GetWorker()]; w != nil {
-		change.ElapsedMs = s.elapsedMs
+		change.ElapsedMs, change.Epoch = s.elapsedMs, s.epoch
 		w.WithheldLease = change
 		s.leaseChanges++
 	}
