dispatch: answered starts aren't recent for the next leader

Lasting tasks waited for the longest lease, 10.45 s where that is 10 s, if they had been assigned within 1.8 s before the leader fell and their workers were lost with it. An assignment was settled for the next leader by its age alone, also if its start had been answered and the run worked.

Only a start without an answer is a danger: a later incarnation under the same ID may carry it out and hold the longest lease. So a run is settled once the known incarnation has carried out its start: by an answer with a clock that has run since before the newest list was asked for, or by a list of its runs. It stays open if an earlier copy of the start got no answer, or if an earlier leader ordered it, until it is settled by age as before. A settled run gets no further order.

Batches tell the number up to which assignments of the epoch are settled by answers, with those still open as exceptions: at most 64, beyond which the number stays back. Without the fields, only age counts, as before.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -105,9 +105,15 @@
 	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
-	assignmentMarks []assignmentMark // of this leader's epoch, oldest first, without those that don't matter any more
+	assignmentMarks  []assignmentMark               // of this leader's epoch, oldest first, without those that don't matter any more
+	openAssignments  []uint64                       // numbers of those of this leader's epoch that aren't settled, oldest first
+	newestAssignment uint64                         // as of openAssignments
+	newestAnswered   uint64                         // number of the newest assignment that an answer has settled
+	toldAnswers      *controlpb.AnsweredAssignments // as last proposed
+	answersToldAt    time.Time                      // when that was proposed
 
 	toldAt             time.Time // of the newest batch
+	untoldSince        time.Time // since when there are answered assignments to tell; zero if there are none
 	recordsMatterUntil time.Time // until when this leader tells the time, as the leases that it or an earlier one has recorded expire by then
 
 	workers           map[uint32]*worker
@@ -187,6 +193,8 @@
 	d.pendingRequests = map[*controlpb.LeaderRequest]bool{}
 	d.epoch, d.epochPending = 0, false
 	d.assignmentMarks, d.toldAt, d.recordsMatterUntil = nil, time.Time{}, time.Time{}
+	d.openAssignments, d.newestAssignment, d.newestAnswered = nil, 0, 0
+	d.toldAnswers, d.answersToldAt, d.untoldSince = nil, time.Time{}, time.Time{}
 }
 
 // StartLeading starts leading from the applied state. It proposes a new epoch; workers are called once that is committed.
@@ -232,6 +240,7 @@
 // beginEpoch starts calling workers, and restores the learned interference between images.
 func (d *Dispatcher) beginEpoch(epoch uint64) {
 	d.epoch, d.nextScan = epoch, d.now
+	d.newestAssignment = workload.AssignmentsBefore(epoch)
 	d.observeAssignments()
 	d.inheritCrashes()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
@@ -291,7 +300,7 @@
 		}
 		p.onDecided(changeResult)
 	}
-	d.dirty = true
+	d.dirty = d.dirty || len(proposals) > 0 // a batch without changes gives no reason for a pass
 }
 
 // Tick handles the answers of workers and the timers, and returns the commands to propose.
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -1,19 +1,24 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
 )
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
 // have noticed by the missing answer. Its lease may be the longest one. A new leader counts this for recent runs: those whose own leader
-// hasn't told in the log that they were assigned some time before. When a replica applied an assignment doesn't show its age, as one that
-// restarts applies its whole log at once.
+// hasn't told in the log that they are settled, because the known incarnation has carried out their only start, or because they were
+// assigned some time before. When a replica applied an assignment doesn't show its age, as one that restarts applies its whole log at once.
 
 // recentAssignment is the time after its assignment within which a run is listed by its worker, or its worker is known to be silent.
 const recentAssignment = unresponsiveAfter
 
+// maxToldOpen bounds the open assignments among answered ones that a leader tells. Beyond that it tells only of older ones.
+const maxToldOpen = 64
+
 // assignmentMark is the number of the newest assignment that this leader had applied at a time.
 type assignmentMark struct {
 	at          time.Time
@@ -30,6 +35,69 @@
 	if n := len(d.assignmentMarks); n == 0 || d.assignmentMarks[n-1].assignments != assignments {
 		d.assignmentMarks = append(d.assignmentMarks, assignmentMark{d.now, assignments})
 	}
+	if d.config.State().Epoch() != d.epoch {
+		return // another leader has begun
+	}
+	for d.newestAssignment < assignments {
+		d.newestAssignment++
+		d.openAssignments = append(d.openAssignments, d.newestAssignment)
+	}
+}
+
+// settleAnswered settles a run of which the known incarnation of its worker has carried out a start, unless another start may still be
+// carried out: an earlier one that got no answer, or one of an earlier leader.
+func (d *Dispatcher) settleAnswered(r *run) {
+	if r.settled || r.inherited || r.orderedAt.IsZero() || r.startUnanswered && !r.lastOrderedAt.Equal(r.orderedAt) {
+		return
+	}
+	r.settled = true
+	number := r.task.Assignment(r.key.Run)
+	if i, isOpen := slices.BinarySearch(d.openAssignments, number); isOpen {
+		d.openAssignments = slices.Delete(d.openAssignments, i, i+1)
+		d.newestAnswered = max(d.newestAnswered, number)
+	}
+}
+
+// isFromKnownIncarnation reports whether an answer certainly isn't from a later incarnation of the worker: it shows a clock that has run
+// since before the newest list of runs was asked for.
+func (w *worker) isFromKnownIncarnation(a *order.Answer) bool {
+	longest := time.Duration(float64(a.Received.Sub(w.listedAt)) * (1 + maxClockDrift))
+	return !w.mayHaveRestarted && !w.listedAt.IsZero() && a.Clock > longest+clockResolution
+}
+
+// answeredAssignments returns the number up to which all assignments of this leader's epoch are settled, and the exceptions, as far as the
+// next leader has to know them.
+func (d *Dispatcher) answeredAssignments() (through uint64, open []uint64) {
+	first, _ := slices.BinarySearch(d.openAssignments, d.config.State().SettledAssignments()+1)
+	d.openAssignments = d.openAssignments[first:]
+	count, _ := slices.BinarySearch(d.openAssignments, d.newestAnswered)
+	if count > maxToldOpen {
+		return d.openAssignments[maxToldOpen] - 1, d.openAssignments[:maxToldOpen]
+	}
+	return d.newestAnswered, d.openAssignments[:count]
+}
+
+// untoldAnswers returns the answered assignments if the next leader doesn't know all of them, or nil. What was told lately may still be
+// committed.
+func (d *Dispatcher) untoldAnswers() *controlpb.AnsweredAssignments {
+	state := d.config.State()
+	if d.epoch == 0 || state.Epoch() != d.epoch {
+		return nil
+	}
+	through, open := d.answeredAssignments()
+	told := state.AnsweredAssignments()
+	if d.now.Before(d.answersToldAt.Add(tellInterval)) {
+		told = d.toldAnswers
+	}
+	isTold := through < told.GetThrough() || through == told.GetThrough() && len(open) >= len(told.GetOpen())
+	if isTold || through <= state.SettledAssignments() {
+		return nil
+	}
+	answered := &controlpb.AnsweredAssignments{Through: through}
+	for _, number := range open {
+		answered.Open = append(answered.Open, uint32(through-number))
+	}
+	return answered
 }
 
 // settledAssignments returns the highest number of which all assignments up to it were applied here at least recentAssignment ago, or 0.
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -29,6 +29,7 @@
 	renewed         bool          // its assignment counts as one of this leader, which may order its start
 	renewing        bool          // that is proposed and not yet decided
 	recentUntil     time.Time     // until then a later incarnation may run it, of which only its leader knew (see recent.go); zero if it was settled
+	settled         bool          // no start that was ordered may still be carried out by a later incarnation, and no further one is ordered
 	startUnanswered bool          // a start call got no answer and may still be carried out
 	ignoredStarts   int           // start calls without an answer while the worker answered polls
 	startExpiry     time.Duration // by the worker's clock, from when on it carries out no start call any more
@@ -172,6 +173,10 @@
 		r.nextStart = d.now.Add(callRetryDelay)
 		return
 	}
+	if r.settled {
+		r.nextStart = time.Time{} // a later leader wouldn't await the order
+		return
+	}
 	if r.inherited && !r.renewed {
 		d.renewAssignment(r)
 		return
@@ -242,6 +247,9 @@
 		r.nextStart = time.Time{}
 		r.acknowledgedAt = a.Received
 		r.started = r.started || a.Status == order.OK
+		if a.Status == order.OK && r.worker.isFromKnownIncarnation(a) {
+			d.settleAnswered(r)
+		}
 		d.observeStart(r, a)
 	case order.NoAnswer:
 		r.startUnanswered = true
@@ -412,6 +420,7 @@
 	}
 	if !r.seen {
 		r.seen, r.began, r.progressAt, r.firstProgress = true, d.now, d.now, running.Percent
+		d.settleAnswered(r)
 	}
 	r.missingPolls = 0
 	r.nextStart, r.refusedAt = time.Time{}, time.Time{}
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -33,19 +33,40 @@
 	return 0
 }
 
+// AnsweredAssignments returns which assignments the leader of the latest epoch has told to be settled because their starts were answered.
+// The result must not be changed.
+func (s *State) AnsweredAssignments() *controlpb.AnsweredAssignments {
+	if n := len(s.epochs); n > 0 {
+		return s.epochs[n-1].GetAnswered()
+	}
+	return nil
+}
+
+// AssignmentsBefore returns a number that is below those of all assignments of an epoch, and above those of earlier ones.
+func AssignmentsBefore(epoch uint64) uint64 { return epoch << assignmentBits }
+
 // UnsettledSince reports whether the leader that made an assignment fell before the assignment was settled. It returns what Elapsed was
 // when the next leader had begun.
 func (s *State) UnsettledSince(assignment uint64) (elapsed time.Duration, unsettled bool) {
 	i := slices.IndexFunc(s.epochs, func(e *controlpb.EpochAssignments) bool { return e.GetEpoch() == assignment>>assignmentBits })
-	if i < 0 || i+1 == len(s.epochs) || assignment <= s.epochs[i].GetSettled() {
+	if i < 0 || i+1 == len(s.epochs) || isSettled(s.epochs[i], assignment) {
 		return 0, false
 	}
 	return time.Duration(s.epochs[i+1].GetElapsedMs()) * time.Millisecond, true
 }
 
+// isSettled reports whether an assignment of an epoch is settled.
+func isSettled(epoch *controlpb.EpochAssignments, assignment uint64) bool {
+	if assignment <= epoch.GetSettled() {
+		return true
+	}
+	answered := epoch.GetAnswered()
+	return assignment <= answered.GetThrough() && !slices.Contains(answered.GetOpen(), uint32(answered.GetThrough()-assignment))
+}
+
 // beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
 func (s *State) beginAssignments() {
-	s.assignments = s.epoch << assignmentBits
+	s.assignments = AssignmentsBefore(s.epoch)
 	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs})
 	for len(s.epochs) > maxEpochs || len(s.epochs) > 1 && s.epochs[1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs {
 		s.epochs = s.epochs[1:]
@@ -65,10 +86,31 @@
 }
 
 // settle records what the leader of the latest epoch has told.
-func (s *State) settle(number uint64) {
-	if n := len(s.epochs); n > 0 && number>>assignmentBits == s.epochs[n-1].GetEpoch() {
-		s.epochs[n-1].Settled = max(s.epochs[n-1].GetSettled(), number)
+func (s *State) settle(batch *controlpb.WorkBatch) {
+	if len(s.epochs) == 0 {
+		return
+	}
+	e := s.epochs[len(s.epochs)-1]
+	if number := batch.GetSettledAssignments(); number>>assignmentBits == e.GetEpoch() {
+		e.Settled = max(e.GetSettled(), number)
+	}
+	if told := batch.GetAnsweredAssignments(); told.GetThrough()>>assignmentBits == e.GetEpoch() && tellsMore(told, e.GetAnswered()) {
+		e.Answered = proto.CloneOf(told)
+	}
+	if answered := e.GetAnswered(); answered != nil {
+		for len(answered.GetOpen()) > 0 && answered.GetThrough()-uint64(answered.GetOpen()[0]) <= e.GetSettled() {
+			answered.Open = answered.GetOpen()[1:]
+		}
+	}
+}
+
+// tellsMore reports whether a leader has told something after something else. What is settled stays so: the number grows, and for the same
+// one, fewer assignments are open.
+func tellsMore(told, before *controlpb.AnsweredAssignments) bool {
+	if told.GetThrough() != before.GetThrough() {
+		return told.GetThrough() > before.GetThrough()
 	}
+	return len(told.GetOpen()) < len(before.GetOpen())
 }
 
 // restoreAssignments restores the numbers of a snapshot. No assignment of one of an earlier version is settled.
--- a/internal/decision/workload/assignment_test.go
+++ b/internal/decision/workload/assignment_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,67 @@
 		}
 	}
 }
+
+// tellAnswered applies a batch that tells of answered assignments, by their count in the first epoch.
+func (s *State) tellAnswered(through uint64, settled uint64, open ...uint32) {
+	s.Apply(time.Unix(1_000_000, 0), &controlpb.WorkBatch{
+		AnsweredAssignments: &controlpb.AnsweredAssignments{Through: AssignmentsBefore(1) + through, Open: open}, SettledAssignments: settled,
+	})
+}
+
+// expectUnsettled begins an epoch, and fails the test unless exactly the given tasks of the first job are unsettled.
+func (s *State) expectUnsettled(t *testing.T, expected ...uint32) {
+	t.Helper()
+	s.applyAll(t, 0, beginEpoch())
+	var unsettled []uint32
+	for _, task := range s.Job("a").Occurrences[0][0].Tasks {
+		if _, isUnsettled := s.UnsettledSince(task.Assignment(1)); isUnsettled {
+			unsettled = append(unsettled, task.Index)
+		}
+	}
+	if !slices.Equal(unsettled, expected) {
+		t.Errorf("unsettled tasks: %v, expected %v", unsettled, expected)
+	}
+}
+
+// Runs without an answer, and those beyond what was told, must stay unsettled, whether a replica has applied the log or a snapshot.
+func TestAnsweredAssignments(t *testing.T) {
+	for name, test := range map[string]struct {
+		tell     func(s *State)
+		expected []uint32
+	}{
+		"nothing":         {func(*State) {}, []uint32{0, 1, 2, 3, 4}},
+		"some":            {func(s *State) { s.tellAnswered(4, 0, 2) }, []uint32{1, 4}},
+		"older":           {func(s *State) { s.tellAnswered(4, 0, 2); s.tellAnswered(3, 0) }, []uint32{1, 4}},
+		"older, same":     {func(s *State) { s.tellAnswered(4, 0, 2); s.tellAnswered(4, 0, 3, 2) }, []uint32{1, 4}},
+		"newer":           {func(s *State) { s.tellAnswered(4, 0, 2); s.tellAnswered(5, 0, 2) }, []uint32{2}},
+		"newer, same":     {func(s *State) { s.tellAnswered(4, 0, 3, 2); s.tellAnswered(4, 0, 2) }, []uint32{1, 4}},
+		"settled by age":  {func(s *State) { s.tellAnswered(4, AssignmentsBefore(1)+2, 3, 1) }, []uint32{2, 4}},
+		"of another one":  {func(s *State) { s.tellAnswered(1<<assignmentBits+4, 0) }, []uint32{0, 1, 2, 3, 4}},
+		"all of them old": {func(s *State) { s.tellAnswered(3, AssignmentsBefore(1)+5, 1) }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			applied := assigned(t, 5)
+			test.tell(applied)
+			other := restored(t, applied, false)
+			earlier := restored(t, applied, true)
+			for _, s := range []*State{applied, other} {
+				s.expectUnsettled(t, test.expected...)
+			}
+			if !proto.Equal(applied.Snapshot(), other.Snapshot()) {
+				t.Error("the states differ")
+			}
+			earlier.expectUnsettled(t, 0, 1, 2, 3, 4)
+		})
+	}
+}
+
+// What the next leader needn't know any more must not stay in the state.
+func TestOpenAssignmentsAreForgotten(t *testing.T) {
+	s := assigned(t, 5)
+	s.tellAnswered(5, 0, 4, 3, 1)
+	s.applyAll(t, AssignmentsBefore(1)+2)
+	if open := s.AnsweredAssignments().GetOpen(); !slices.Equal(open, []uint32{1}) {
+		t.Errorf("open below the newest answered one: %v, expected 1", open)
+	}
+}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -89,7 +89,7 @@
 	for i, change := range batch.GetChanges() {
 		results[i] = s.apply(change)
 	}
-	s.settle(batch.GetSettledAssignments())
+	s.settle(batch)
 	s.pruneCrashes()
 	s.pruneFinished()
 	return &controlpb.Result{Results: results}
