dispatch: count foreign leases from the first run of a worker that reuses its ID

A worker that had restarted under its ID, however long ago, and was lost near a change of leader was declared lost only after the longest lease: with one of 10 s, its tasks ran again after 10.5 s instead of some 5 s. Late calls for its earlier incarnation may have granted it such a lease. Each leader counted it from its own start and again from the first answer that it got itself.

These calls can't grant anything any more once the worker has answered a call with its own fencing token, whichever leader sent that. A leader assigns no run to it before such an answer, and calls for earlier incarnations have lower tokens also under later epochs. So the state now keeps its elapsed time as of the first assignment, and later leaders count from there. It stays with the incarnation through updates of its announcement, also if they show only then that the ID is reused. The leader that assigns the first run tells the time in the log while the bound matters.

TestLossOfReusedIDNearLeaderChange failed in all 12 combinations before: 10.54 s for a loss at the change, 6.54 s for one 4 s later, at most 5.085 s expected. Without the time in the log it fails in 9. TestLateLeaseOfEarlierIncarnationAcrossLeaders passed before, too: it guards the bound, and fails in 20 of its 180 combinations if that is dropped.

--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -67,14 +67,28 @@
 	return w.fenced || w.rejectedPolls > 0 && d.now.Sub(w.lastPoll) > unresponsiveAfter
 }
 
-// countForeignLeases counts the leases that calls for earlier incarnations under its ID may have granted a worker. They end by a
-// clock that isn't its own, so they may be as long as it accepts.
+// countForeignLeases counts the leases that calls for earlier incarnations under its ID may have granted a worker.
 func (d *Dispatcher) countForeignLeases(w *worker) {
-	if until := d.now.Add(d.longestLease()); w.reusesID && until.After(w.leaseExpires) {
+	if until := d.foreignLeasesExpire(w); until.After(w.leaseExpires) {
 		w.leaseExpires = until
 	}
 }
 
+// foreignLeasesExpire returns until when leases by calls for earlier incarnations under a worker's ID last, or the zero time if there was
+// none. They end by a clock that isn't its own, so they may be as long as it accepts. Once it has answered a call with its own fencing
+// token, of whichever leader, it rejects those calls.
+func (d *Dispatcher) foreignLeasesExpire(w *worker) time.Time {
+	switch {
+	case !w.reusesID:
+		return time.Time{}
+	case w.incarnation.AnsweredByMs == nil:
+		return d.now.Add(d.longestLease())
+	}
+	until := d.recordedAt(w.incarnation.GetAnsweredByMs()).Add(d.longestLease())
+	d.tellTimeUntil(until)
+	return until
+}
+
 // initLease sets until when a worker that this leader starts to track may hold a lease.
 func (d *Dispatcher) initLease(w *worker) {
 	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeasesExpire
@@ -82,9 +96,11 @@
 	record := w.incarnation.GetWithheldLease()
 	w.leaseWithheld = record != nil && !record.GetMayHaveRestarted()
 	switch {
-	case record.GetMayHaveRestarted(), record == nil && w.reusesID:
+	case record.GetMayHaveRestarted():
 		w.leaseExpires = d.now.Add(d.longestLease())
-	case record != nil:
+	case record == nil:
+		d.countForeignLeases(w)
+	default:
 		recordedAt, ok := d.withheldAt[record]
 		if !ok {
 			recordedAt = d.recordedAt(record.GetElapsedMs())
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -394,6 +394,7 @@
 		if d.workers[w.incarnation.GetNumber()] != w {
 			return // its incarnation ended in the same batch, which also removed the run from the state
 		}
+		d.tellTimeUntil(d.foreignLeasesExpire(w)) // the next leader counts from the first assignment
 		r := d.addRun(key, task, w)
 		r.throttled = throttled
 		d.config.Count("RunsStarted")
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -287,6 +287,7 @@
 	s.assignments++
 	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time, Assignment: s.assignments})
 	w.Runs[RunKey{Task: t.Key(), Run: start.GetRun()}] = t
+	s.noteAnswered(w)
 	t.Step.Job.liveRuns++
 	t.Step.Job.Started = true
 	return &controlpb.Result{}
--- a/internal/decision/workload/lease.go
+++ b/internal/decision/workload/lease.go
@@ -1,6 +1,10 @@
 package workload
 
-import "galenamoor/internal/controlpb"
+import (
+	"google.golang.org/protobuf/proto"
+
+	"galenamoor/internal/controlpb"
+)
 
 // withholdLease records that the lease of a worker isn't extended. A worker that has ended meanwhile is ignored.
 func (s *State) withholdLease(change *controlpb.WithholdLease) *controlpb.Result {
@@ -21,6 +25,14 @@
 	return &controlpb.Result{}
 }
 
+// noteAnswered notes at the first assignment of a run that a worker has answered a call with its own fencing token: only then does a
+// leader assign runs to it.
+func (s *State) noteAnswered(w *Worker) {
+	if w.AnsweredByMs == nil {
+		w.AnsweredByMs = proto.Int64(s.elapsedMs)
+	}
+}
+
 // LeaseChanges returns a number that differs once a lease was withheld or resumed, or the state was restored.
 func (s *State) LeaseChanges() uint64 { return s.leaseChanges }
 
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -39,7 +39,7 @@
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			incarnation.ReusesId = incarnation.GetReusesId() || current.GetReusesId()
-			incarnation.WithheldLease = current.GetWithheldLease()
+			incarnation.WithheldLease, incarnation.AnsweredByMs = current.GetWithheldLease(), current.AnsweredByMs
 			current.WorkerLife = incarnation
 			return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 		}
@@ -56,7 +56,7 @@
 		s.removeWorker(other)
 	}
 	s.lastWorkerNumber++
-	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease = s.lastWorkerNumber, 0, nil
+	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease, incarnation.AnsweredByMs = s.lastWorkerNumber, 0, nil, nil
 	if startMs, ok := s.lostIncarnations[incarnation.GetId()]; ok {
 		incarnation.Resumed = startMs == incarnation.GetBornMs()
 		incarnation.ReusesId = incarnation.GetReusesId() || !incarnation.GetResumed()
