--- a/internal/decision/dispatch/restartrecord.go
+++ b/internal/decision/dispatch/restartrecord.go
@@ -75,10 +75,10 @@
 
 // initUnboundedLease sets until when a worker may hold a lease of which only a possible restart is recorded. Leaders after the one that
 // recorded it have granted none but those that this one awaits anyway, so the longest lease counts from the fall of that leader. Calls for
-// incarnations before this one may have been carried out later.
+// incarnations before this one count apart, as they may have been carried out later.
 func (d *Dispatcher) initUnboundedLease(w *worker, record *controlpb.WithholdLease) {
 	elapsed, isKnown := d.state.EpochEnd(record.GetEpoch())
-	if !isKnown || w.reusesID {
+	if !isKnown {
 		w.leaseExpires = d.now.Add(d.longestLease())
 		return
 	}
@@ -89,6 +89,7 @@
 	if expires := fell.Add(d.longestLease()); expires.After(w.leaseExpires) {
 		w.leaseExpires = expires
 	}
+	d.countForeignLeases(w)
 	d.tellTimeUntil(w.leaseExpires)
 }
 
