dispatch: steps that fit nowhere leave a pass to the steps behind them

Callers saw finite jobs stand still for seconds beside free processors while many lasting tasks waited for room after a loss of workers.

Cause: each pass searched all hosts for runs to preempt for each lasting step that fits nowhere, and each search counted against the bound of ratings that placements need too. With some 80 such steps on 490 workers, passes ended before they reached the finite steps, and the next pass paid for the same searches again. Gangs that don't fit used up the bound in the same way. Preemptions behind 400 such steps didn't happen either.

* Searches for runs to preempt have a share of their own, a quarter of the former bound; placements and holds keep the rest.
A step for which nothing could be preempted isn't searched for again for 300 ms, nor before the others have had their turn.
A step needs no search where only best-effort runs could be preempted and no host has the processors free, as those runs reserve none.
* A pass that ends at the bound is continued by the next one: steps that were rated in vain are left out until a pass has reached the last step.
Lasting and other single tasks with reserved processors are still tried in each pass, as finding that they don't fit takes no ratings.
A negative verdict on the others lasts no longer than the passes that it takes to reach all steps.

Weighed and dropped: a larger bound (longer passes, and the same fault with more steps); a retry delay alone (with enough steps, the first are due again before the last had a turn); verdicts that end with changes of a host (runs end 600 times a second, and tickets, suspicions and holds change with time as well).

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"galenamoor/internal/decision/coordinator"
 	"galenamoor/internal/decision/headroom"
 	"galenamoor/internal/decision/imagepair"
+	"galenamoor/internal/decision/occupancy"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
@@ -129,6 +130,13 @@
 	holds       map[*workload.Step][]*worker // workers on which room is held for waiting tasks of a step
 	holdRetries map[*workload.Step]time.Time // earliest next search of a step for which no host was found
 
+	fruitless      map[*workload.Step]bool // steps for which hosts were rated in vain since a pass last reached all steps
+	unreached      []candidate             // the steps that the last pass didn't reach
+	unreachedCause occupancy.Cause
+
+	victimless      map[*workload.Step]bool // steps for which no run could be preempted since nextVictimRound was set
+	nextVictimRound time.Time               // when steps without victims may be searched for again
+
 	trials               map[trial]int // number of hosts on which each trial is under way
 	leastUrgent          int32         // priority of the least urgent preemptible run
 	leastUrgentDedicated int32         // the same among runs with dedicated processors
@@ -144,10 +152,12 @@
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
 	pendingRequests map[*controlpb.LeaderRequest]bool     // requests that wait for a deferred reply
 
-	dirty           bool // something has changed since the last pass
-	keepsEmptyHosts bool // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
-	ratingBudget    int  // hosts that the current pass may still rate
-	holdSearches    int  // steps for which the current pass may still search for hosts to hold
+	dirty           bool  // something has changed since the last pass
+	keepsEmptyHosts bool  // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
+	ratingBudget    int   // hosts that the current pass may still rate for placements and holds
+	victimBudget    int   // hosts that the current pass may still rate for preemptions
+	mostProcessors  int64 // that a host had free when the current pass began
+	holdSearches    int   // steps for which the current pass may still search for hosts to hold
 	nextPass        time.Time
 	nextScan        time.Time // of all workers and runs
 	nextSpeculation time.Time
@@ -176,6 +186,8 @@
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
 	d.holds, d.holdRetries = map[*workload.Step][]*worker{}, map[*workload.Step]time.Time{}
+	d.fruitless, d.victimless, d.nextVictimRound = map[*workload.Step]bool{}, map[*workload.Step]bool{}, time.Time{}
+	d.unreached, d.unreachedCause = nil, ""
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -9,6 +9,7 @@
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/colocation"
 	"galenamoor/internal/decision/imagepair"
+	"galenamoor/internal/decision/occupancy"
 	"galenamoor/internal/decision/workload"
 	"galenamoor/pkg/resource"
 )
@@ -23,9 +24,9 @@
 	// interval, and calls from timing out before they are sent after many workers were lost.
 	maxOpenStarts = 300
 
-	// maxRatingsPerPass bounds the hosts that one pass rates, so that a pass stays short when thousands of waiting tasks
-	// fit on no host. Rating a host takes about 200 ns.
-	maxRatingsPerPass = 40_000
+	// maxRatingsPerPass bounds the hosts that one pass rates for placements and holds, so that a pass stays short when thousands
+	// of waiting tasks fit on no host. Rating a host takes about 200 ns.
+	maxRatingsPerPass = 30_000
 )
 
 // Timeliness of a job, best first. Jobs that can still meet their objective go before late ones, and both before those
@@ -65,42 +66,86 @@
 		d.countTrials()
 		d.findLeastUrgent()
 	}
-	preemptions, fleet := maxPreemptionsPerPass, vacancyOf(hosts)
-	exhausted := map[placementClass][]resource.Vector{}
 	d.ratingBudget = maxRatingsPerPass
-	for _, c := range candidates {
-		if budget <= 0 || d.ratingBudget <= 0 {
+	d.beginVictimSearches(hosts)
+	p := &placement{hosts: hosts, fleet: vacancyOf(hosts), starts: budget, preemptions: maxPreemptionsPerPass, exhausted: map[placementClass][]resource.Vector{}}
+	d.unreached, d.unreachedCause = nil, ""
+	for i, c := range candidates {
+		switch {
+		case p.starts <= 0:
+			d.unreached, d.unreachedCause = candidates[i:], occupancy.StartLimit
+			clear(d.fruitless)
 			return
+		case d.ratingBudget <= 0:
+			d.unreached, d.unreachedCause = candidates[i:], occupancy.RatingLimit
+			return // the next pass goes on from here
 		}
-		needed := need(c.step)
-		isExhausted := slices.ContainsFunc(exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
-		if isExhausted && len(d.holds[c.step]) == 0 {
-			d.updateHolds(c, hosts, d.countPlaceable(c.step))
-			if fleet.allowsThrottled(c) {
-				budget -= d.placeThrottled(c, hosts)
-			}
-			continue // no host had room for a demand of the same class that is no larger
-		}
-		if c.queue.GetAdvised() {
-			d.requestAdvice(c, hosts)
+		if !d.fruitless[c.step] {
+			d.place(c, p)
 		}
-		if c.step.GetGang() {
-			budget -= d.placeGang(c, hosts)
-		} else {
-			placedSuspects, missingSuspects := d.placeSuspects(c, hosts)
-			placed, missing := d.placeTasks(c, hosts)
-			budget -= placedSuspects + placed
-			d.updateHolds(c, hosts, missing)
-			if missing > 0 && fleet.allowsThrottled(c) {
-				budget -= d.placeThrottled(c, hosts)
-			}
-			if missing > 0 && c.step.GetMaxPerWorker() == 0 { // otherwise the limit per worker may be the reason, not a lack of room
-				exhausted[placementClassOf(c)] = append(exhausted[placementClassOf(c)], needed)
-			}
-			if kindOf(c.step) != colocation.BestEffort {
-				preemptions -= d.preempt(c, hosts, missing+missingSuspects, preemptions)
-			}
+	}
+	clear(d.fruitless)
+}
+
+// placement is the progress of a pass.
+type placement struct {
+	hosts       []host
+	fleet       vacancy
+	starts      int                                  // runs that may still be assigned
+	preemptions int                                  // hosts on which runs may still be preempted
+	exhausted   map[placementClass][]resource.Vector // demands for which no host had room
+}
+
+// isExhausted reports whether no host had room for a demand of the same class that is no larger.
+func (p *placement) isExhausted(c candidate, needed resource.Vector) bool {
+	return slices.ContainsFunc(p.exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
+}
+
+// place assigns the waiting tasks of a step to workers as far as possible. A step for which hosts were rated in vain is noted as
+// fruitless, unless it lasts: whether a lasting task fits is found without ratings.
+func (d *Dispatcher) place(c candidate, p *placement) {
+	starts, ratings := p.starts, d.ratingBudget
+	needed := need(c.step)
+	switch {
+	case p.isExhausted(c, needed) && len(d.holds[c.step]) == 0:
+		d.updateHolds(c, p.hosts, d.countPlaceable(c.step))
+		if p.fleet.allowsThrottled(c) {
+			p.starts -= d.placeThrottled(c, p.hosts)
 		}
+	case c.step.GetGang():
+		d.renewAdvice(c, p.hosts)
+		p.starts -= d.placeGang(c, p.hosts)
+	default:
+		d.renewAdvice(c, p.hosts)
+		d.placeSingly(c, p, needed)
+	}
+	if p.starts == starts && d.ratingBudget < ratings && !isLasting(c.step) {
+		d.fruitless[c.step] = true
+	}
+}
+
+// placeSingly assigns the waiting tasks of a step that isn't a gang to workers, and makes room for those that fit on none.
+func (d *Dispatcher) placeSingly(c candidate, p *placement, needed resource.Vector) {
+	placedSuspects, missingSuspects := d.placeSuspects(c, p.hosts)
+	placed, missing := d.placeTasks(c, p.hosts)
+	p.starts -= placedSuspects + placed
+	d.updateHolds(c, p.hosts, missing)
+	if missing > 0 && p.fleet.allowsThrottled(c) {
+		p.starts -= d.placeThrottled(c, p.hosts)
+	}
+	if missing > 0 && c.step.GetMaxPerWorker() == 0 { // otherwise the limit per worker may be the reason, not a lack of room
+		class := placementClassOf(c)
+		p.exhausted[class] = append(p.exhausted[class], needed)
+	}
+	if kindOf(c.step) != colocation.BestEffort {
+		p.preemptions -= d.preempt(c, p.hosts, missing+missingSuspects, p.preemptions)
+	}
+}
+
+// renewAdvice asks the advice service about a step of an advised queue.
+func (d *Dispatcher) renewAdvice(c candidate, hosts []host) {
+	if c.queue.GetAdvised() {
+		d.requestAdvice(c, hosts)
 	}
 }
 
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"galenamoor/internal/decision/workload"
 	"galenamoor/pkg/resource"
@@ -11,23 +12,57 @@
 // Less urgent runs may hold all the capacity that urgent serving and dedicated tasks need. The runs whose preemption loses
 // the least processor time are preempted.
 
-// maxPreemptionsPerPass bounds the hosts on which one pass preempts runs.
-const maxPreemptionsPerPass = 8
+const (
+	// maxPreemptionsPerPass bounds the hosts on which one pass preempts runs.
+	maxPreemptionsPerPass = 8
+
+	// maxVictimRatingsPerPass bounds the hosts that one pass rates for preemptions. It is apart from maxRatingsPerPass, so that
+	// urgent steps for which nothing can be preempted leave those ratings to the steps behind them.
+	maxVictimRatingsPerPass = 10_000
+
+	// victimRetryDelay is the shortest time between two searches for a step for which nothing could be preempted.
+	victimRetryDelay = 300 * time.Millisecond
+)
+
+// beginVictimSearches prepares the searches of a pass. A step for which nothing could be preempted is searched for again once all
+// others have had their turn.
+func (d *Dispatcher) beginVictimSearches(hosts []host) {
+	hadTurn := d.victimBudget > 0
+	d.victimBudget, d.mostProcessors = maxVictimRatingsPerPass, 0
+	for i := range hosts {
+		d.mostProcessors = max(d.mostProcessors, hosts[i].Free.Processors)
+	}
+	if hadTurn && !d.now.Before(d.nextVictimRound) {
+		clear(d.victimless)
+		d.nextVictimRound = d.now.Add(victimRetryDelay)
+	}
+}
+
+// mayHaveVictims reports whether a search for runs to preempt for a step could find any.
+func (d *Dispatcher) mayHaveVictims(c candidate) bool {
+	priority := c.queue.GetPriority()
+	if priority >= d.leastUrgent || d.victimless[c.step] {
+		return false
+	}
+	// Best-effort runs reserve no processors.
+	return priority < d.leastUrgentDedicated || c.step.Demand().Processors <= d.mostProcessors
+}
 
 // preempt stops less urgent runs to free room for the unplaced tasks of a step, on at most one host per task. It returns
 // the number of hosts freed.
 func (d *Dispatcher) preempt(c candidate, hosts []host, missing, budget int) int {
-	if c.queue.GetPriority() >= d.leastUrgent {
+	if !d.mayHaveVictims(c) {
 		return 0
 	}
 	freed := 0
-	for freed < min(missing, budget) {
+	for freed < min(missing, budget) && d.victimBudget > 0 {
 		victims, pending := d.cheapestVictims(c, hosts)
 		if pending {
 			freed++ // runs that are already being stopped free enough room
 			continue
 		}
 		if len(victims) == 0 {
+			d.victimless[c.step] = freed == 0
 			break
 		}
 		for _, victim := range victims {
@@ -44,7 +79,7 @@
 	demand := c.step.Demand()
 	lowestCost := -1.0
 	for i := range hosts {
-		d.ratingBudget--
+		d.victimBudget--
 		w := hosts[i].worker
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"iter"
 	"time"
 
 	"galenamoor/internal/decision/imagepair"
 	"galenamoor/internal/decision/occupancy"
+	"galenamoor/internal/decision/workload"
 )
 
 const (
@@ -34,10 +36,9 @@
 		account.AddHost(h.Host, h.worker.servingProcessors)
 	}
 	causes := map[string]int{}
-	for _, c := range candidates[:min(len(candidates), maxExplainedSteps)] {
-		cause := string(d.waitCause(c, hosts))
-		causes[c.queue.GetName()+" "+cause] += c.step.Waiting
-		d.config.Count("StepsWaiting." + cause)
+	for c, cause := range d.waitCauses(candidates, hosts) {
+		causes[c.queue.GetName()+" "+string(cause)] += c.step.Waiting
+		d.config.Count("StepsWaiting." + string(cause))
 	}
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", account.ServingHosts, "SpareBesideServing", account.SpareBesideServing,
 		"SpareElsewhere", account.SpareElsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
@@ -49,6 +50,28 @@
 // timelinessNames are the log names of timeliness values.
 var timelinessNames = [...]string{onTime: "in time", late: "late", tooLate: "too late"}
 
+// waitCauses returns what keeps the most urgent steps from starting, and all steps that the last pass didn't reach.
+func (d *Dispatcher) waitCauses(candidates []candidate, hosts []host) iter.Seq2[candidate, occupancy.Cause] {
+	unreached := make(map[*workload.Step]bool, len(d.unreached))
+	for _, c := range d.unreached {
+		unreached[c.step] = true
+	}
+	return func(yield func(candidate, occupancy.Cause) bool) {
+		for i, c := range candidates {
+			switch {
+			case unreached[c.step]:
+				if !yield(c, d.unreachedCause) {
+					return
+				}
+			case i < maxExplainedSteps:
+				if !yield(c, d.waitCause(c, hosts)) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // waitCause returns what keeps the waiting tasks of a step from starting.
 func (d *Dispatcher) waitCause(c candidate, hosts []host) occupancy.Cause {
 	search := occupancy.Search{Demand: d.demand(c)}
--- a/internal/decision/occupancy/account.go
+++ b/internal/decision/occupancy/account.go
@@ -7,7 +7,7 @@
 // Cause is what keeps the waiting tasks of a step from starting.
 type Cause string
 
-// The causes, in the order in which they are looked for.
+// The causes that a Search finds, in the order in which they are looked for, and those that limit a scheduling pass.
 const (
 	Processors    Cause = "Processors"    // the hosts together have too few free processors
 	Fragmentation Cause = "Fragmentation" // they have enough together, but no single one has
@@ -15,6 +15,9 @@
 	Limits        Cause = "Limits"        // the hosts with room are excluded by a label, a limit per worker, a ticket or a hold
 	Interference  Cause = "Interference"  // the hosts with room run tasks that this one would disturb
 	Pending       Cause = "Pending"       // a host accepts it; the assignment is in progress or comes with the next pass
+
+	StartLimit  Cause = "StartLimit"  // the last pass didn't reach it, as many starts are in progress
+	RatingLimit Cause = "RatingLimit" // the last pass didn't reach it, as it rated many hosts for more urgent steps
 )
 
 // Account sums up the usable hosts of a fleet. Processors are in milli-cores.
