dispatch: searches for preemptions take their ratings from the bound of a pass

With a separate share, passes without such searches rated a quarter fewer hosts than before. The share is now a part of the whole, so that it is left to placements when nothing is to be preempted. What a step is charged for preemptions doesn't count when it is judged fruitless.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -154,8 +154,8 @@
 
 	dirty           bool  // something has changed since the last pass
 	keepsEmptyHosts bool  // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
-	ratingBudget    int   // hosts that the current pass may still rate for placements and holds
-	victimBudget    int   // hosts that the current pass may still rate for preemptions
+	ratingBudget    int   // hosts that the current pass may still rate
+	victimBudget    int   // of ratingBudget, those that it may still rate for preemptions
 	mostProcessors  int64 // that a host had free when the current pass began
 	holdSearches    int   // steps for which the current pass may still search for hosts to hold
 	nextPass        time.Time
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -24,9 +24,9 @@
 	// interval, and calls from timing out before they are sent after many workers were lost.
 	maxOpenStarts = 300
 
-	// maxRatingsPerPass bounds the hosts that one pass rates for placements and holds, so that a pass stays short when thousands
-	// of waiting tasks fit on no host. Rating a host takes about 200 ns.
-	maxRatingsPerPass = 30_000
+	// maxRatingsPerPass bounds the hosts that one pass rates, so that a pass stays short when thousands of waiting tasks
+	// fit on no host. Rating a host takes about 200 ns.
+	maxRatingsPerPass = 40_000
 )
 
 // Timeliness of a job, best first. Jobs that can still meet their objective go before late ones, and both before those
@@ -101,10 +101,10 @@
 	return slices.ContainsFunc(p.exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
 }
 
-// place assigns the waiting tasks of a step to workers as far as possible. A step for which hosts were rated in vain is noted as
-// fruitless, unless it lasts: whether a lasting task fits is found without ratings.
+// place assigns the waiting tasks of a step to workers as far as possible. A step for which hosts were rated in vain, other than for
+// preemptions, is noted as fruitless, unless it lasts: whether a lasting task fits is found without ratings.
 func (d *Dispatcher) place(c candidate, p *placement) {
-	starts, ratings := p.starts, d.ratingBudget
+	starts, ratings := p.starts, d.ratingBudget-d.victimBudget
 	needed := need(c.step)
 	switch {
 	case p.isExhausted(c, needed) && len(d.holds[c.step]) == 0:
@@ -119,7 +119,7 @@
 		d.renewAdvice(c, p.hosts)
 		d.placeSingly(c, p, needed)
 	}
-	if p.starts == starts && d.ratingBudget < ratings && !isLasting(c.step) {
+	if p.starts == starts && d.ratingBudget-d.victimBudget < ratings && !isLasting(c.step) {
 		d.fruitless[c.step] = true
 	}
 }
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -16,9 +16,9 @@
 	// maxPreemptionsPerPass bounds the hosts on which one pass preempts runs.
 	maxPreemptionsPerPass = 8
 
-	// maxVictimRatingsPerPass bounds the hosts that one pass rates for preemptions. It is apart from maxRatingsPerPass, so that
-	// urgent steps for which nothing can be preempted leave those ratings to the steps behind them.
-	maxVictimRatingsPerPass = 10_000
+	// maxVictimRatingsPerPass bounds the hosts that one pass rates for preemptions, so that urgent steps for which nothing can be
+	// preempted leave most of maxRatingsPerPass to the steps behind them.
+	maxVictimRatingsPerPass = maxRatingsPerPass / 4
 
 	// victimRetryDelay is the shortest time between two searches for a step for which nothing could be preempted.
 	victimRetryDelay = 300 * time.Millisecond
@@ -79,6 +79,7 @@
 	demand := c.step.Demand()
 	lowestCost := -1.0
 	for i := range hosts {
+		d.ratingBudget--
 		d.victimBudget--
 		w := hosts[i].worker
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
