dispatch: only lasting steps wait for a further search for preemptions

A finite urgent step for which nothing could be preempted waited 300 ms for the next search, as long as its job is meant to take. It is now searched for by the next pass, unless the last one couldn't search for all steps.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -134,8 +134,7 @@
 	unreached      []candidate             // the steps that the last pass didn't reach
 	unreachedCause occupancy.Cause
 
-	victimless      map[*workload.Step]bool // steps for which no run could be preempted since nextVictimRound was set
-	nextVictimRound time.Time               // when steps without victims may be searched for again
+	victimless map[*workload.Step]time.Time // earliest next search for steps for which no run could be preempted
 
 	trials               map[trial]int // number of hosts on which each trial is under way
 	leastUrgent          int32         // priority of the least urgent preemptible run
@@ -186,7 +185,7 @@
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
 	d.holds, d.holdRetries = map[*workload.Step][]*worker{}, map[*workload.Step]time.Time{}
-	d.fruitless, d.victimless, d.nextVictimRound = map[*workload.Step]bool{}, map[*workload.Step]bool{}, time.Time{}
+	d.fruitless, d.victimless = map[*workload.Step]bool{}, map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,28 +21,35 @@
 	// preempted leave most of maxRatingsPerPass to the steps behind them.
 	maxVictimRatingsPerPass = maxRatingsPerPass / 4
 
-	// victimRetryDelay is the shortest time between two searches for a step for which nothing could be preempted.
+	// victimRetryDelay is the time between two searches for a lasting step for which nothing could be preempted. Finite steps, which
+	// may have to be done sooner, are searched for again by the next pass.
 	victimRetryDelay = 300 * time.Millisecond
 )
 
-// beginVictimSearches prepares the searches of a pass. A step for which nothing could be preempted is searched for again once all
-// others have had their turn.
+// beginVictimSearches prepares the searches of a pass. If the last pass couldn't search for all steps, those for which nothing could
+// be preempted wait until the others have had their turn.
 func (d *Dispatcher) beginVictimSearches(hosts []host) {
-	hadTurn := d.victimBudget > 0
+	if d.victimBudget > 0 {
+		maps.DeleteFunc(d.victimless, func(_ *workload.Step, retryAt time.Time) bool { return !d.now.Before(retryAt) })
+	}
 	d.victimBudget, d.mostProcessors = maxVictimRatingsPerPass, 0
 	for i := range hosts {
 		d.mostProcessors = max(d.mostProcessors, hosts[i].Free.Processors)
 	}
-	if hadTurn && !d.now.Before(d.nextVictimRound) {
-		clear(d.victimless)
-		d.nextVictimRound = d.now.Add(victimRetryDelay)
+}
+
+// noteVictimless records that nothing could be preempted for a step.
+func (d *Dispatcher) noteVictimless(step *workload.Step) {
+	d.victimless[step] = d.now
+	if isLasting(step) {
+		d.victimless[step] = d.now.Add(victimRetryDelay)
 	}
 }
 
 // mayHaveVictims reports whether a search for runs to preempt for a step could find any.
 func (d *Dispatcher) mayHaveVictims(c candidate) bool {
 	priority := c.queue.GetPriority()
-	if priority >= d.leastUrgent || d.victimless[c.step] {
+	if _, isVictimless := d.victimless[c.step]; isVictimless || priority >= d.leastUrgent {
 		return false
 	}
 	// Best-effort runs reserve no processors.
@@ -62,7 +70,9 @@
 			continue
 		}
 		if len(victims) == 0 {
-			d.victimless[c.step] = freed == 0
+			if freed == 0 {
+				d.noteVictimless(c.step)
+			}
 			break
 		}
 		for _, victim := range victims {
