--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"galenamoor/internal/decision/workload"
 	"galenamoor/pkg/resource"
@@ -11,23 +13,66 @@
 // Less urgent runs may hold all the capacity that urgent serving and dedicated tasks need. The runs whose preemption loses
 // the least processor time are preempted.
 
-// maxPreemptionsPerPass bounds the hosts on which one pass preempts runs.
-const maxPreemptionsPerPass = 8
+const (
+	// maxPreemptionsPerPass bounds the hosts on which one pass preempts runs.
+	maxPreemptionsPerPass = 8
+
+	// maxVictimRatingsPerPass bounds the hosts that one pass rates for preemptions, so that urgent steps for which nothing can be
+	// preempted leave most of maxRatingsPerPass to the steps behind them.
+	maxVictimRatingsPerPass = maxRatingsPerPass / 4
+
+	// victimRetryDelay is the time between two searches for a lasting step for which nothing could be preempted. Finite steps, which
+	// may have to be done sooner, are searched for again by the next pass.
+	victimRetryDelay = 300 * time.Millisecond
+)
+
+// beginVictimSearches prepares the searches of a pass. If the last pass couldn't search for all steps, those for which nothing could
+// be preempted wait until the others have had their turn.
+func (d *Dispatcher) beginVictimSearches(hosts []host) {
+	if d.victimBudget > 0 {
+		maps.DeleteFunc(d.victimless, func(_ *workload.Step, retryAt time.Time) bool { return !d.now.Before(retryAt) })
+	}
+	d.victimBudget, d.mostProcessors = maxVictimRatingsPerPass, 0
+	for i := range hosts {
+		d.mostProcessors = max(d.mostProcessors, hosts[i].Free.Processors)
+	}
+}
+
+// noteVictimless records that nothing could be preempted for a step.
+func (d *Dispatcher) noteVictimless(step *workload.Step) {
+	d.victimless[step] = d.now
+	if isLasting(step) {
+		d.victimless[step] = d.now.Add(victimRetryDelay)
+	}
+}
+
+// mayHaveVictims reports whether a search for runs to preempt for a step could find any.
+func (d *Dispatcher) mayHaveVictims(c candidate) bool {
+	priority := c.queue.GetPriority()
+	if _, isVictimless := d.victimless[c.step]; isVictimless || priority >= d.leastUrgent {
+		return false
+	}
+	// Best-effort runs reserve no processors.
+	return priority < d.leastUrgentDedicated || c.step.Demand().Processors <= d.mostProcessors
+}
 
 // preempt stops less urgent runs to free room for the unplaced tasks of a step, on at most one host per task. It returns
 // the number of hosts freed.
 func (d *Dispatcher) preempt(c candidate, hosts []host, missing, budget int) int {
-	if c.queue.GetPriority() >= d.leastUrgent {
+	if !d.mayHaveVictims(c) {
 		return 0
 	}
 	freed := 0
-	for freed < min(missing, budget) {
+	for freed < min(missing, budget) && d.victimBudget > 0 {
 		victims, pending := d.cheapestVictims(c, hosts)
 		if pending {
 			freed++ // runs that are already being stopped free enough room
 			continue
 		}
 		if len(victims) == 0 {
+			if freed == 0 {
+				d.noteVictimless(c.step)
+			}
 			break
 		}
 		for _, victim := range victims {
@@ -45,6 +90,7 @@
 	lowestCost := -1.0
 	for i := range hosts {
 		d.ratingBudget--
+		d.victimBudget--
 		w := hosts[i].worker
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
