Revert "dispatch: reject serving jobs that would wait behind others for room"

It fits all waiting tasks to all hosts for each submission, of which the cost at 970 workers isn't measured, and it leaves memory out.

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -5,6 +5,7 @@
 
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/workload"
 )
 
 // Serving tasks reserve their processors for minutes, finite tasks with dedicated processors for a second. Where serving
@@ -47,8 +48,10 @@
 // dedicated tasks need. Both are 0 if the job has no serving tasks, or if it isn't known yet that there are dedicated tasks.
 func (d *Dispatcher) headroomFor(job *controlpb.WorkJob) (available, needed int64) {
 	wanted := int64(0)
-	for _, step := range servingSteps(job) {
-		wanted += int64(step.GetCount()) * step.GetProcessors()
+	for _, step := range job.GetSteps() {
+		if (&workload.Step{WorkStep: step}).IsServing() {
+			wanted += int64(step.GetCount()) * step.GetProcessors()
+		}
 	}
 	if wanted == 0 {
 		return 0, 0
@@ -77,38 +80,21 @@
 // stayingProcessors returns the milli-cores of the workers that stay, and those that serving tasks reserve there or will need there
 // once unresponsive workers are declared lost. Unless most workers answer, the cause may lie with this leader, and all count as staying.
 func (d *Dispatcher) stayingProcessors() (total, serving int64) {
-	lost := int64(0)
+	workers, unresponsive, lost := 0, 0, int64(0)
 	for _, w := range d.orderedWorkers {
 		if !d.isStaying(w) {
 			continue
 		}
+		workers++
 		total += w.incarnation.GetProcessors()
 		serving += w.servingProcessors
-		if d.isUnresponsive(w) {
+		if d.silenceOf(w) > unresponsiveAfter || w.leaseWithheld && w.lastAnswer.IsZero() {
+			unresponsive++
 			lost += w.incarnation.GetProcessors()
 		}
 	}
-	if d.mostAnswer() {
+	if 2*unresponsive < workers {
 		total -= lost
 	}
 	return total, serving
 }
-
-// isUnresponsive reports whether a worker hasn't answered for so long that it may be declared lost soon.
-func (d *Dispatcher) isUnresponsive(w *worker) bool {
-	return d.silenceOf(w) > unresponsiveAfter || w.leaseWithheld && w.lastAnswer.IsZero()
-}
-
-// mostAnswer reports whether most of the workers that stay answer.
-func (d *Dispatcher) mostAnswer() bool {
-	workers, unresponsive := 0, 0
-	for _, w := range d.orderedWorkers {
-		if d.isStaying(w) {
-			workers++
-			if d.isUnresponsive(w) {
-				unresponsive++
-			}
-		}
-	}
-	return 2*unresponsive < workers
-}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -128,8 +128,8 @@
 	return outcome(controlpb.WorkOutcome_WORK_INVALID), false
 }
 
-// submit accepts a job, or rejects it if the job limit of its queue is reached, or if its serving tasks would take processors
-// that dedicated tasks need or would wait behind others. A repeated submission is acknowledged without effect.
+// submit accepts a job, or rejects it if the job limit of its queue is reached or if its serving tasks would take processors
+// that dedicated tasks need. A repeated submission is acknowledged without effect.
 func (d *Dispatcher) submit(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob) (*controlpb.LeaderReply, bool) {
 	if id == "" {
 		return outcome(controlpb.WorkOutcome_WORK_INVALID), false
@@ -148,9 +148,6 @@
 	if available, needed := d.headroomFor(job); available < needed {
 		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay, "Available", available, "Needed", needed), false
 	}
-	if before := d.tasksBefore(queue, job); before > 0 {
-		return d.refuse(queue, id, "NoRoom", servingRetryDelay, "WaitingBefore", before), false
-	}
 	d.pendingRequests[r] = true
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
