dispatch: what a restarted replica reads of its log doesn't date leases anew

Cause: a replica dates an epoch, and a record of a withheld lease, as it applies them, by the time that the state says has passed since. A restarted one applies its log in parts, so that at this point nothing has passed: the longest lease that the first leader of the cluster had to await counted from the restart, however long ago that leader had begun.

Change: what is applied later shows that more time has passed, so the date becomes earlier with it: for the epoch with each application, for records when a leader needs them.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -103,7 +103,7 @@
 	observed     *workload.State                        // to which withheldAt belongs
 
 	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
-	earlierLeasesExpire   time.Time             // every lease of an epoch before newestEpoch has expired by then
+	newestEpochAt         time.Time             // by when it was proposed at the latest
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 
 	assignmentMarks  []assignmentMark               // of this leader's epoch, oldest first, without those that don't matter any more
@@ -215,8 +215,8 @@
 	d.state = d.config.State()
 	d.observeLeases()
 	d.inheritedLeasesExpire = now.Add(d.recordedLease(d.newestEpoch.GetLeaseMs()))
-	if d.earlierLeasesExpire.After(d.inheritedLeasesExpire) {
-		d.inheritedLeasesExpire = d.earlierLeasesExpire
+	if earlier := d.earlierLeasesExpire(); earlier.After(d.inheritedLeasesExpire) {
+		d.inheritedLeasesExpire = earlier
 	}
 	d.tellTimeUntil(d.inheritedLeasesExpire)
 	d.proposeEpoch()
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -192,23 +192,30 @@
 	})
 }
 
-// withheldLeaseRecordedAt returns by when a record of a withheld lease was proposed at the latest.
+// withheldLeaseRecordedAt returns by when a record of a withheld lease was proposed at the latest. A replica that reads its log applies a
+// record before what shows its age.
 func (d *Dispatcher) withheldLeaseRecordedAt(record *controlpb.WithholdLease) time.Time {
-	if at, ok := d.withheldAt[record]; ok {
-		return at
+	recordedAt := d.recordedAt(record.GetElapsedMs())
+	if observed, ok := d.withheldAt[record]; ok && observed.Before(recordedAt) {
+		return observed
 	}
-	return d.recordedAt(record.GetElapsedMs())
+	return recordedAt
 }
 
-// observeEpoch notes until when leases of earlier epochs last once this replica has applied the start of an epoch: they were all granted
-// before that was proposed.
+// observeEpoch notes by when the newest epoch was proposed at the latest, which what is applied later may show to be earlier.
 func (d *Dispatcher) observeEpoch() {
-	if newest := d.config.State().NewestEpoch(); newest != d.newestEpoch {
-		d.newestEpoch = newest
-		d.earlierLeasesExpire = d.recordedAt(newest.GetElapsedMs()).Add(d.recordedLease(newest.GetEarlierLeaseMs()))
+	newest := d.config.State().NewestEpoch()
+	recordedAt := d.recordedAt(newest.GetElapsedMs())
+	if newest != d.newestEpoch || recordedAt.Before(d.newestEpochAt) {
+		d.newestEpoch, d.newestEpochAt = newest, recordedAt
 	}
 }
 
+// earlierLeasesExpire returns until when leases of epochs before the newest one last: they were all granted before that was proposed.
+func (d *Dispatcher) earlierLeasesExpire() time.Time {
+	return d.newestEpochAt.Add(d.recordedLease(d.newestEpoch.GetEarlierLeaseMs()))
+}
+
 // recordedLease returns the duration of a record of the epoch. A leader of an earlier version has left it 0.
 func (d *Dispatcher) recordedLease(ms int64) time.Duration {
 	if ms == 0 {
--- a/internal/decision/dispatch/lease_across_leaders_test.go
+++ b/internal/decision/dispatch/lease_across_leaders_test.go
@@ -168,7 +168,7 @@
 					disk.compact()
 				}
 				sim.restartControllers(disk, 0)
-				earlier := sim.dispatcher.earlierLeasesExpire.Sub(sim.now)
+				earlier := sim.dispatcher.earlierLeasesExpire().Sub(sim.now)
 				if earliest := sim.dispatcher.longestLease() - led; earlier < earliest || earlier > max(expected, 0)+margin {
 					t.Errorf("earlier leases are counted for %v, expected %v to %v", earlier, earliest, expected+margin)
 				}
--- a/internal/decision/dispatch/restart_test.go
+++ b/internal/decision/dispatch/restart_test.go
@@ -64,6 +64,21 @@
 	sim.dispatcher.StartLeading(sim.now)
 }
 
+// restartControllersByReplay does the same with replicas that apply their log command by command.
+func (sim *simulation) restartControllersByReplay(d *disk) {
+	config := sim.dispatcher.config
+	sim.changeLeader()
+	sim.mailbox = nil
+	sim.restore(d.snapshot)
+	sim.dispatcher, sim.standby = New(config), New(config)
+	for _, command := range d.log {
+		sim.state.Apply(sim.now, proto.CloneOf(command.GetWork()))
+		sim.dispatcher.Applied(sim.now, nil)
+		sim.standby.Applied(sim.now, nil)
+	}
+	sim.dispatcher.StartLeading(sim.now)
+}
+
 // expectRecent waits until the leader tracks the workers, and fails the test unless the runs of exactly the given jobs count as recent.
 func (sim *simulation) expectRecent(jobs map[string]bool) {
 	sim.t.Helper()
