dispatch: a start that was never sent is withdrawn at once

Cause: a call that found no connection counted as one without an answer, which may be carried out until its worker is declared lost, or by a later incarnation.

Change: the caller of workers tells if no connection was made. If all starts of a run that this leader has assigned were such, its assignment is withdrawn at once, and it counts as settled for a next leader. After a start that may have been sent, the run is awaited as before.

TestUnsentStartIsWithdrawn failed before: 0 of 4 tasks run a second later. TestUnansweredStartIsAwaitedBesideUnsentOnes fails if an earlier unanswered start is ignored: two runs of one task (trial).

--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// settleAnswered settles a run of which the known incarnation of its worker has carried out a start, unless another start may still be
-// carried out: an earlier one that got no answer, or one of an earlier leader.
+// settleAnswered settles a run of which the known incarnation of its worker has carried out a start, or no start was sent, unless another
+// start may still be carried out: an earlier one that got no answer, or one of an earlier leader.
 func (d *Dispatcher) settleAnswered(r *run) {
 	if r.settled || r.inherited || r.orderedAt.IsZero() || r.startUnanswered && !r.lastOrderedAt.Equal(r.orderedAt) {
 		return
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -255,7 +255,11 @@
 		}
 		d.observeStart(r, a)
 	case order.NoAnswer:
-		r.startUnanswered = true
+		if a.NotSent && !r.startUnanswered && !r.inherited && !r.seen && !r.ended {
+			d.withdrawUnsent(r)
+			return
+		}
+		r.startUnanswered = r.startUnanswered || !a.NotSent
 		if r.seen || r.ended {
 			return
 		}
@@ -292,6 +296,16 @@
 	}
 }
 
+// withdrawUnsent withdraws a run of which no start has left this host, so that its task needn't wait until its worker is declared lost.
+func (d *Dispatcher) withdrawUnsent(r *run) {
+	d.config.Count("StartsNotSent")
+	d.config.Log.Info("start not sent", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId())
+	r.nextStart = time.Time{}
+	d.settleAnswered(r)
+	d.stopGang(r)
+	d.drop(r)
+}
+
 // observeStart records the time from the start order to its answer and, for the first task of a job, also the time since
 // the job was accepted.
 func (d *Dispatcher) observeStart(r *run, a *order.Answer) {
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -97,6 +97,7 @@
 	ValidFor           time.Duration        // of Advise: validity of the tickets, from when they were issued
 	Hosts              map[string]HostState // of ListHosts: by host name
 	HostsIncomplete    bool                 // of ListHosts: entries of the list can't be read, and may be of any host that isn't in Hosts
+	NotSent            bool                 // of NoAnswer: the call hasn't left this host, and won't be carried out
 	Err                error                // cause of NoAnswer
 }
 
