dispatch: count no open start of runs that an earlier leader saw answered

Lasting tasks of a worker that restarted under its ID within 12 s after a change of leader, announced that once and was silent then, waited 22 s. Without a change of leader they run again after 4 to 6 s.

A new leader counted each inherited run as one with an open start, ordered as it began: a later incarnation might carry that out 12 s later and hold the longest lease. Only a start without an answer is such a danger. Leaders told which assignments are settled by answers, but once an assignment was 1.8 s old it was settled by its age, and whether its start was answered was lost.

Now a batch that settles assignments by their age lists those among them that no answer has settled. As the next epoch begins, each live run of the ended one is marked if its start was answered. An inherited run with the mark has no open start. This is safe as a leader settles a run by an answer only if no other copy of its start is on its way, and orders no further one.

Up to 1,024 unanswered assignments are kept per epoch. Those of runs that aren't live are dropped first. Runs with an open start still wait from the start of each leader: a call of a later leader may extend the lease of what the start has started. `runs inherited` logs their number as `OpenStarts`.

TestUnansweredStartCarriedOutUnderLaterLeader passed before.

--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -6,6 +6,7 @@
 
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
 )
 
 // The start of a run may be carried out by a later incarnation of its worker, of which only the last leader knew, or which it would
@@ -113,6 +114,17 @@
 	return marks[0].assignments
 }
 
+// unansweredAssignments returns the assignments that become settled by their age alone with those up to a number, or nil if there are too many
+// to tell.
+func (d *Dispatcher) unansweredAssignments(settled uint64) *controlpb.UnansweredAssignments {
+	first, _ := slices.BinarySearch(d.openAssignments, d.config.State().SettledAssignments()+1)
+	end, _ := slices.BinarySearch(d.openAssignments, settled+1)
+	if end-first > workload.MaxUnanswered {
+		return nil
+	}
+	return &controlpb.UnansweredAssignments{Numbers: slices.Clone(d.openAssignments[first:end])}
+}
+
 // recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled. The longest lease is counted from
 // the fall of the leader that assigned it, whatever leaders came since, so that the wait doesn't start again under each of them.
 func (d *Dispatcher) recentUntil(r *run) time.Time {
@@ -150,10 +162,14 @@
 	})
 }
 
-// logInherited logs how many runs this leader has inherited, and until when the recent ones wait for the longest lease.
+// logInherited logs how many runs this leader has inherited, how many of them have starts that may still be carried out, and until when the
+// recent ones wait for the longest lease.
 func (d *Dispatcher) logInherited() {
-	recent, until := 0, d.now
+	recent, open, until := 0, 0, d.now
 	for _, r := range d.runs {
+		if d.hasOpenStart(r) {
+			open++
+		}
 		if r.recentUntil.After(d.now) {
 			recent++
 		}
@@ -161,7 +177,7 @@
 			until = r.recentUntil
 		}
 	}
-	d.config.Log.Info("runs inherited", "Epoch", d.epoch, "Runs", len(d.runs), "Recent", recent, "RecentFor", until.Sub(d.now).String())
+	d.config.Log.Info("runs inherited", "Epoch", d.epoch, "Runs", len(d.runs), "OpenStarts", open, "Recent", recent, "RecentFor", until.Sub(d.now).String())
 }
 
 // awaitsRecentStart reports whether a later incarnation may run what was ordered by an earlier leader and has no answer.
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -22,7 +22,7 @@
 	nextStart       time.Time     // of the next start call; zero when none is needed
 	startPending    bool          // a start call is in flight
 	orderedAt       time.Time     // of the first start call
-	lastOrderedAt   time.Time     // of the newest start call; of an inherited run, when this leader took over, or what the record of open starts tells
+	lastOrderedAt   time.Time     // of the newest start call; of an inherited run, when this leader took over, or what the record of open starts tells, or zero if its start was answered
 	checkpoint      string        // sent with the start calls; the same in every retry
 	started         bool          // the worker has confirmed the start
 	inherited       bool          // assigned by an earlier leader, whose start calls may still be carried out
--- a/internal/decision/dispatch/tell.go
+++ b/internal/decision/dispatch/tell.go
@@ -31,6 +31,7 @@
 	}
 	if isUntold {
 		batches[len(batches)-1].SettledAssignments = settled
+		batches[len(batches)-1].UnansweredAssignments = d.unansweredAssignments(settled)
 	}
 	batches[len(batches)-1].AnsweredAssignments = answered
 	return batches
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -151,7 +151,10 @@
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
 	for key, task := range incarnation.Runs {
 		r := d.addRun(key, task, w)
-		r.inherited, r.lastOrderedAt, r.speed = true, d.leadingSince, unknownSpeed
+		r.inherited, r.speed = true, unknownSpeed
+		if !task.IsStartAnswered(key.Run) {
+			r.lastOrderedAt = d.leadingSince
+		}
 		r.recentUntil = d.recentUntil(r)
 	}
 	d.inheritOpenStarts(w)
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -20,6 +20,9 @@
 
 	// maxEpochs bounds the epochs whose unsettled assignments are known.
 	maxEpochs = 256
+
+	// MaxUnanswered bounds the unanswered assignments of an epoch that are known. Beyond that none of its assignments counts as answered.
+	MaxUnanswered = 1024
 )
 
 // Assignments returns the number of the newest assignment of a run. It grows with each assignment and each epoch.
@@ -81,6 +84,7 @@
 
 // beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
 func (s *State) beginAssignments() {
+	s.noteAnsweredStarts()
 	s.assignments = AssignmentsBefore(s.epoch)
 	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs})
 	for len(s.epochs) > maxEpochs || len(s.epochs) > 1 && s.epochs[1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs {
@@ -93,7 +97,7 @@
 	if t := s.Task(TaskKeyFromRef(change.GetTask())); t != nil {
 		if r := t.liveRun(change.GetRun()); r != nil {
 			s.assignments++
-			r.Assignment = s.assignments
+			r.Assignment, r.startAnswered = s.assignments, false
 			return &controlpb.Result{}
 		}
 	}
@@ -107,7 +111,7 @@
 	}
 	e := s.epochs[len(s.epochs)-1]
 	if number := batch.GetSettledAssignments(); number>>assignmentBits == e.GetEpoch() {
-		e.Settled = max(e.GetSettled(), number)
+		s.settleByAge(e, number, batch.GetUnansweredAssignments())
 	}
 	if told := batch.GetAnsweredAssignments(); told.GetThrough()>>assignmentBits == e.GetEpoch() && tellsMore(told, e.GetAnswered()) {
 		e.Answered = proto.CloneOf(told)
@@ -119,6 +123,74 @@
 	}
 }
 
+// settleByAge settles the assignments of an epoch up to a number. A leader tells the unanswered ones above the number of its state as of the
+// proposal, which may have grown since.
+func (s *State) settleByAge(e *controlpb.EpochAssignments, number uint64, unanswered *controlpb.UnansweredAssignments) {
+	if number <= e.GetSettled() {
+		return
+	}
+	if unanswered != nil && e.GetUnansweredThrough() == e.GetSettled() {
+		for _, u := range unanswered.GetNumbers() {
+			if u > e.GetSettled() && u <= number {
+				e.Unanswered = append(e.Unanswered, u)
+			}
+		}
+		s.pruneUnanswered(e)
+		if len(e.GetUnanswered()) <= MaxUnanswered {
+			e.UnansweredThrough = number
+		}
+	}
+	e.Settled = number
+	if e.GetUnansweredThrough() != number {
+		e.Unanswered = nil
+	}
+}
+
+// pruneUnanswered forgets the unanswered assignments of runs that aren't live if there are too many.
+func (s *State) pruneUnanswered(e *controlpb.EpochAssignments) {
+	if len(e.GetUnanswered()) <= MaxUnanswered {
+		return
+	}
+	live := map[uint64]bool{}
+	s.forEachLiveRun(func(r *Run) { live[r.Assignment] = true })
+	e.Unanswered = slices.DeleteFunc(e.GetUnanswered(), func(number uint64) bool { return !live[number] })
+}
+
+// forEachLiveRun calls visit for every live run, in no particular order.
+func (s *State) forEachLiveRun(visit func(*Run)) {
+	for _, w := range s.workers {
+		for key, t := range w.Runs {
+			if r := t.liveRun(key.Run); r != nil {
+				visit(r)
+			}
+		}
+	}
+}
+
+// noteAnsweredStarts notes which runs of the latest epoch have an answered start as the epoch ends.
+func (s *State) noteAnsweredStarts() {
+	if len(s.epochs) == 0 {
+		return
+	}
+	e := s.epochs[len(s.epochs)-1]
+	s.forEachLiveRun(func(r *Run) {
+		if r.Assignment>>assignmentBits == e.GetEpoch() {
+			r.startAnswered = isAnswered(e, r.Assignment)
+		}
+	})
+	e.Unanswered = nil
+}
+
+// isAnswered reports whether an answer has settled an assignment of an epoch. Of those that are settled by age, only the list of unanswered
+// ones tells this: the open ones among answered ones are forgotten then.
+func isAnswered(epoch *controlpb.EpochAssignments, assignment uint64) bool {
+	if assignment > epoch.GetSettled() {
+		return isSettled(epoch, assignment)
+	}
+	_, isUnanswered := slices.BinarySearch(epoch.GetUnanswered(), assignment)
+	return epoch.GetUnansweredThrough() == epoch.GetSettled() && !isUnanswered
+}
+
 // tellsMore reports whether a leader has told something after something else. What is settled stays so: the number grows, and for the same
 // one, fewer assignments are open.
 func tellsMore(told, before *controlpb.AnsweredAssignments) bool {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -94,6 +94,8 @@
 	AssignedMs int64 // by the leaders' clocks, Unix milliseconds
 
 	Assignment uint64 // number of the assignment, see State.Assignments
+
+	startAnswered bool // see Task.IsStartAnswered
 }
 
 // Demand returns the capacity that a task of the step reserves on its worker. A best-effort task reserves no processors.
@@ -153,6 +155,13 @@
 	return nil
 }
 
+// IsStartAnswered reports whether the leader that made the assignment of the numbered run has told, before its epoch ended, that an answer
+// settled the assignment: none of its start orders can be carried out any more.
+func (t *Task) IsStartAnswered(number uint32) bool {
+	r := t.liveRun(number)
+	return r != nil && r.startAnswered
+}
+
 // Assignment returns the number of the assignment of the numbered run of the task, or 0 if it isn't live.
 func (t *Task) Assignment(number uint32) uint64 {
 	if r := t.liveRun(number); r != nil {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -57,7 +57,7 @@
 			Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs,
 		}
 		for _, r := range t.Runs {
-			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment})
+			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment, StartAnswered: r.startAnswered})
 		}
 		record.Tasks = append(record.Tasks, task)
 	})
@@ -156,7 +156,7 @@
 		if assignment == 0 {
 			assignment = s.assignments
 		}
-		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: assignment})
+		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: assignment, startAnswered: r.GetStartAnswered()})
 		t.Step.Job.liveRuns++
 		w.Runs[RunKey{Task: t.Key(), Run: r.GetRun()}] = t
 	}
