--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -67,8 +67,8 @@
 	return w.fenced || w.rejectedPolls > 0 && d.now.Sub(w.lastPoll) > unresponsiveAfter
 }
 
-// awaitFirstAnswer gives a worker that has been registered under this leader as long to answer as one with a lease that was just granted. It
-// holds none: an earlier leader would have known its incarnation.
+// awaitFirstAnswer gives a worker that is registered while this leader leads as long to answer as one with a lease that was just granted. No
+// earlier leader has granted it one, as none knew its incarnation.
 func (d *Dispatcher) awaitFirstAnswer(w *worker) {
 	if until := d.now.Add(untilExpired(d.grantedLease())); until.After(w.leaseExpires) {
 		w.leaseExpires = until
--- a/internal/decision/dispatch/pause_test.go
+++ b/internal/decision/dispatch/pause_test.go
@@ -8,16 +8,22 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A best-effort task that a leader has paused must go on under the next leader, which doesn't know its speed.
-func TestPausedTaskResumesUnderNextLeader(t *testing.T) {
-	sim := newSimulationWithWorkers(t, 1, 2)
+// newHarmlessPair returns a simulation with serving tasks, and a best-effort image that is known to be harmless beside them.
+func newHarmlessPair(t *testing.T, seed uint64) *simulation {
+	sim := newSimulationWithWorkers(t, seed, 2)
 	sim.interference = func(string, string) float64 { return 0.04 }
 	sim.submit("urgent", "serving", serving(8, "image"))
 	sim.run(2 * time.Second)
-	for i := range 12 { // until the pair is known to be harmless
+	for i := range 12 {
 		sim.submit("batch", fmt.Sprintf("warm-%d", i), bestEffort(8, "fill", time.Second))
 		sim.run(1500 * time.Millisecond)
 	}
+	return sim
+}
+
+// A best-effort task that a leader has paused must go on under the next leader, which doesn't know its speed.
+func TestPausedTaskResumesUnderNextLeader(t *testing.T) {
+	sim := newHarmlessPair(t, 1)
 	load := 0.0
 	sim.ownLoad = func(time.Time) float64 { return load }
 	sim.submit("batch", "a", bestEffort(2, "fill", 8*time.Second))
@@ -53,14 +59,7 @@
 // A serving task over its latency target must not wait for the next answer of its worker until best-effort tasks beside it are paused.
 func TestBestEffortTasksArePausedBetweenPolls(t *testing.T) {
 	for seed := range uint64(8) {
-		sim := newSimulationWithWorkers(t, seed, 2)
-		sim.interference = func(string, string) float64 { return 0.04 }
-		sim.submit("urgent", "serving", serving(8, "image"))
-		sim.run(2 * time.Second)
-		for i := range 12 { // until the pair is known to be harmless
-			sim.submit("batch", fmt.Sprintf("warm-%d", i), bestEffort(8, "fill", time.Second))
-			sim.run(1500 * time.Millisecond)
-		}
+		sim := newHarmlessPair(t, seed)
 		load := 0.0
 		sim.ownLoad = func(time.Time) float64 { return load }
 		sim.submit("batch", "a", bestEffort(2, "fill", 20*time.Second))
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -30,7 +30,7 @@
 	renewing        bool          // that is proposed and not yet decided
 	ticketDeadline  time.Time     // until then its start waits for a ticket; zero unless it has waited
 	recentUntil     time.Time     // until then a later incarnation may run it, of which only its leader knew (see recent.go); zero if it was settled
-	settled         bool          // no start that was ordered may still be carried out by a later incarnation, and no further one is ordered
+	settled         bool          // its start was answered or not sent, so that no order for it may still be carried out; none is given any more
 	startUnanswered bool          // a start call got no answer and may still be carried out
 	ignoredStarts   int           // start calls without an answer while the worker answered polls
 	startExpiry     time.Duration // by the worker's clock, from when on it carries out no start call any more
