dispatch: tests of false announcements share their setup and check; no scan for pauses without best-effort tasks

The scan of all workers looked for best-effort runs to pause also on workers that have none, as long as a serving task stays over its target there. No behaviour changes: without best-effort images there is nothing to pause. Three tests had the same loop of false announcements, or the same check that all tasks are in their first run.

--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -80,7 +80,7 @@
 // tickPause pauses the best-effort tasks of a worker between two polls, if the newest one has shown a serving task over its latency target:
 // the next answer may come too late.
 func (d *Dispatcher) tickPause(w *worker) {
-	if w.latencyRatio < safeLatencyRatio || w.speed == pausedSpeed || !d.isPauseDue(w) {
+	if len(w.aggressors) == 0 || w.latencyRatio < safeLatencyRatio || w.speed == pausedSpeed || !d.isPauseDue(w) {
 		return
 	}
 	bestEffort, _ := d.bestEffortOn(w)
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/order"
 )
 
@@ -228,3 +229,35 @@
 	c.run(5 * time.Second)
 	c.expectNoViolation()
 }
+
+// announceFalsely announces, at an interval, an incarnation of each worker that is later than its present one and doesn't exist.
+func (c *cluster) announceFalsely(interval time.Duration) {
+	bornLater := int64(0)
+	var announce func()
+	announce = func() {
+		bornLater++
+		for _, w := range c.workers {
+			life := w.life()
+			life.BornMs += 1000 + bornLater
+			c.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: &controlpb.AnnounceLife{Life: life, Sequence: 1}}}, nil)
+		}
+		c.after(interval, announce)
+	}
+	announce()
+}
+
+// expectFirstRuns fails the test unless so many tasks run, each in its first run.
+func (c *cluster) expectFirstRuns(tasks int) {
+	c.t.Helper()
+	running := 0
+	for _, w := range c.workers {
+		for key := range w.incarnation.runs {
+			if running++; key.Run > 1 {
+				c.t.Errorf("%v has run %d", key.Task, key.Run)
+			}
+		}
+	}
+	if running != tasks {
+		c.t.Errorf("%d tasks run, expected %d", running, tasks)
+	}
+}
--- a/internal/decision/dispatch/silent_restart_test.go
+++ b/internal/decision/dispatch/silent_restart_test.go
@@ -237,7 +237,6 @@
 		for _, commitTime := range []time.Duration{15 * time.Millisecond, 200 * time.Millisecond} {
 			t.Run(fmt.Sprintf("lost=%d/commit=%v", lost, commitTime), func(t *testing.T) {
 				c := newCluster(t, 1, 1)
-				w := c.workers[0]
 				c.submit("batch", "a", dedicated(4, time.Minute))
 				c.run(3 * time.Second)
 				c.commitTime = func() time.Duration { return commitTime }
@@ -247,29 +246,13 @@
 					isLost := polls%24 < lost
 					return delivery{delay: 50 * time.Millisecond, responseDelay: 50 * time.Millisecond, lost: isLost, unanswered: isLost}
 				}
-				bornLater := int64(0)
-				var announce func()
-				announce = func() {
-					bornLater++
-					life := w.life()
-					life.BornMs += 1000 + bornLater
-					c.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: &controlpb.AnnounceLife{Life: life, Sequence: 1}}}, nil)
-					c.after(400*time.Millisecond, announce)
-				}
-				announce()
+				c.announceFalsely(400 * time.Millisecond)
 				c.run(15 * time.Second)
 				for range 3 {
 					c.changeLeader(0, 500*time.Millisecond)
 					c.run(5 * time.Second)
 				}
-				for key := range w.incarnation.runs {
-					if key.Run > 1 {
-						t.Errorf("%v has run %d", key.Task, key.Run)
-					}
-				}
-				if n := len(w.incarnation.runs); n != 4 {
-					t.Errorf("%d tasks run, expected 4", n)
-				}
+				c.expectFirstRuns(4)
 			})
 		}
 	}
--- a/internal/decision/dispatch/uncertain_lease_test.go
+++ b/internal/decision/dispatch/uncertain_lease_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"galenamoor/internal/controlpb"
 )
 
 // Restarts under one ID must not lengthen the wait for a silent worker with each further leader, once a leader has read its clock.
@@ -45,34 +43,13 @@
 					return delivery{delay: responseTime / 2, responseDelay: responseTime / 2}
 				}
 				c.commitTime = func() time.Duration { return commitTime }
-				bornLater := int64(0)
-				var announce func()
-				announce = func() {
-					bornLater++
-					for _, w := range c.workers {
-						life := w.life()
-						life.BornMs += 1000 + bornLater
-						c.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Announce{Announce: &controlpb.AnnounceLife{Life: life, Sequence: 1}}}, nil)
-					}
-					c.after(50*time.Millisecond, announce)
-				}
-				announce()
+				c.announceFalsely(50 * time.Millisecond)
 				c.run(15 * time.Second)
 				for range 3 {
 					c.changeLeader(0, time.Second)
 					c.run(5 * time.Second)
 				}
-				running := 0
-				for _, w := range c.workers {
-					for key := range w.incarnation.runs {
-						if running++; key.Run > 1 {
-							t.Errorf("%v has run %d", key.Task, key.Run)
-						}
-					}
-				}
-				if running != 4 {
-					t.Errorf("%d tasks run, expected 4", running)
-				}
+				c.expectFirstRuns(4)
 			})
 		}
 	}
--- a/internal/decision/dispatch/withheld_lease_test.go
+++ b/internal/decision/dispatch/withheld_lease_test.go
@@ -48,14 +48,7 @@
 					c.runUntil(func() bool { return !c.withheld(w) })
 				}
 				c.run(5 * time.Second)
-				for key := range w.incarnation.runs {
-					if key.Run > 1 {
-						t.Errorf("%v has run %d", key.Task, key.Run)
-					}
-				}
-				if n := len(w.incarnation.runs); n != 4 {
-					t.Errorf("%d tasks run, expected 4", n)
-				}
+				c.expectFirstRuns(4)
 			})
 		}
 	}
