platform: calls that grant a lease reach only the incarnation that they name

A call to a worker names its ID, and a worker may restart under its ID: a start or a poll that was meant for the earlier incarnation could be carried out by the later one, which measures the lease by a clock that has begun anew. Leaders can't know of it, so they counted the longest lease (10.45 s, and up to 22.5 s with a sign of a restart) for each start without an answer.

Cause: the HTTP client chose a connection for each request, and opened a new one as it saw fit, to whichever process listened at the address.

Change: package workerlink keeps the connections to a worker itself. A request on a connection reaches the process at its other end or none, so the client asks on each new connection which incarnation is there, by a poll that grants nothing, before it sends a call that grants a lease or acknowledges ends. Calls that were still waiting for that haven't been sent. A link uses no goroutines of its own.

--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -59,6 +59,12 @@
 	Wait         time.Duration // of Poll: long-poll timeout, within which the worker may wait for a run to end
 }
 
+// IsBound reports whether a call must reach no other incarnation of the worker than the one that it names, because it grants a lease or
+// acknowledges ends: a later one would go on with runs, or forget ends, that the leader doesn't know of.
+func (c *Call) IsBound() bool {
+	return c.IncarnationStartMs != 0 && (c.LeaseExpiry > 0 || c.RecordedEnds > 0)
+}
+
 // Status classifies the outcome of a call.
 type Status int
 
@@ -89,7 +95,8 @@
 	Status             Status
 	Received           time.Time            // by the leader's clock
 	Clock              time.Duration        // the worker's clock when it responded; 0 when unknown
-	IncarnationStartMs int64                // start of the responding incarnation if it has the same ID and isn't the addressed one, else 0
+	RespondentStartMs  int64                // start of the responding incarnation in Unix milliseconds, 0 when it doesn't tell
+	IncarnationStartMs int64                // the same if it has the same ID and isn't the addressed one, else 0
 	Running            []Running            // of Poll
 	Ended              []Ended              // of Poll
 	EndsIncomplete     bool                 // of Poll: there may be more ends than those listed
--- a/internal/shell/workercall/sender.go
+++ b/internal/shell/workercall/sender.go
@@ -33,7 +33,8 @@
 
 // Client makes synchronous calls to workers.
 type Client interface {
-	// Call returns a non-nil answer when the worker has responded, the call has failed, or ctx is done.
+	// Call returns a non-nil answer when the worker has responded, the call has failed, or ctx is done. A bound call
+	// (order.Call.IsBound) must reach no other incarnation of the worker than the one that it names.
 	Call(ctx context.Context, call *order.Call) *order.Answer
 }
 
--- /dev/null
+++ b/internal/shell/workerlink/pool_test.go
@@ -0,0 +1,249 @@
+package workerlink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// server accepts connections, numbers them, and answers each request with the number of its connection.
+type server struct {
+	listener net.Listener
+	address  netip.AddrPort
+	accepted atomic.Int64
+	handle   func(number int64, request *http.Request, w io.Writer) (goesOn bool)
+}
+
+func newServer(t *testing.T, handle func(number int64, request *http.Request, w io.Writer) bool) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{listener: listener, address: netip.MustParseAddrPort(listener.Addr().String()), handle: handle}
+	go s.accept()
+	return s
+}
+
+func (s *server) accept() {
+	for {
+		connection, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(connection, s.accepted.Add(1))
+	}
+}
+
+func (s *server) serve(connection net.Conn, number int64) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !s.handle(number, request, connection) {
+			return
+		}
+	}
+}
+
+func answerNumber(number int64, _ *http.Request, w io.Writer) bool {
+	body := strconv.FormatInt(number, 10)
+	_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	return err == nil
+}
+
+func newPool(clock clockwork.Clock) *Pool {
+	return New((&net.Dialer{}).DialContext, clock)
+}
+
+func post(t *testing.T, ctx context.Context, address netip.AddrPort, size int) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/x", bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return request
+}
+
+func acquire(t *testing.T, pool *Pool, s *server, incarnation Incarnation) *Link {
+	t.Helper()
+	link, err := pool.Acquire(context.Background(), s.address, incarnation)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return link
+}
+
+// expect sends a request over a link, and fails the test unless it is answered on the numbered connection.
+func expect(t *testing.T, link *Link, s *server, want string) {
+	t.Helper()
+	status, body, err := link.Do(post(t, context.Background(), s.address, 10))
+	if err != nil || status != http.StatusOK || string(body) != want {
+		t.Errorf("status %d, body %q: %v, expected %q", status, body, err, want)
+	}
+}
+
+// A link must stay on its connection, and an idle one must be preferred to a new one, that of the wanted incarnation first.
+func TestLinksAreReused(t *testing.T) {
+	s := newServer(t, answerNumber)
+	pool := newPool(clockwork.NewRealClock())
+	first, second := acquire(t, pool, s, Incarnation{}), acquire(t, pool, s, Incarnation{})
+	expect(t, first, s, "1")
+	expect(t, second, s, "2")
+	expect(t, first, s, "1")
+	first.Incarnation, second.Incarnation = Incarnation{"w", 1}, Incarnation{"w", 2}
+	pool.Release(first)
+	pool.Release(second)
+	for _, startMs := range []int64{1, 2, 1} {
+		link := acquire(t, pool, s, Incarnation{"w", startMs})
+		expect(t, link, s, strconv.FormatInt(startMs, 10))
+		pool.Release(link)
+	}
+}
+
+// A request must not be sent over an idle link that the worker has closed or has written to: it would count as one that may be carried out.
+func TestClosedIdleLinkIsNotUsed(t *testing.T) {
+	for name, unasked := range map[string]string{"closed": "", "unasked": "HTTP/1.1 408 Request Timeout\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, func(number int64, request *http.Request, w io.Writer) bool {
+				answerNumber(number, request, w)
+				if number == 1 {
+					_, _ = io.WriteString(w, unasked)
+				}
+				return number > 1
+			})
+			pool := newPool(clockwork.NewRealClock())
+			link := acquire(t, pool, s, Incarnation{})
+			expect(t, link, s, "1")
+			pool.Release(link)
+			time.Sleep(50 * time.Millisecond)
+			link = acquire(t, pool, s, Incarnation{})
+			expect(t, link, s, "2")
+			pool.Release(link)
+		})
+	}
+}
+
+// A link whose exchange has failed, or that the worker closes after it, must not be used again.
+func TestBrokenLinkIsNotReused(t *testing.T) {
+	for name, head := range map[string]string{"no response": "", "close": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "cut": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, func(number int64, request *http.Request, w io.Writer) bool {
+				if number > 1 {
+					return answerNumber(number, request, w)
+				}
+				_, _ = io.WriteString(w, head)
+				return false
+			})
+			pool := newPool(clockwork.NewRealClock())
+			link := acquire(t, pool, s, Incarnation{})
+			_, _, err := link.Do(post(t, context.Background(), s.address, 10))
+			if (err == nil) != (name == "close") {
+				t.Errorf("got error %v", err)
+			}
+			pool.Release(link)
+			link = acquire(t, pool, s, Incarnation{})
+			expect(t, link, s, "2")
+			pool.Release(link)
+		})
+	}
+}
+
+// A request must end with its context, and its link must not be used again: the response may still come.
+func TestRequestEndsWithContext(t *testing.T) {
+	s := newServer(t, func(number int64, request *http.Request, w io.Writer) bool {
+		return number == 1 || answerNumber(number, request, w)
+	})
+	pool := newPool(clockwork.NewRealClock())
+	link := acquire(t, pool, s, Incarnation{})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	if _, _, err := link.Do(post(t, ctx, s.address, 10)); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got error %v", err)
+	}
+	pool.Release(link)
+	link = acquire(t, pool, s, Incarnation{})
+	expect(t, link, s, "2")
+	pool.Release(link)
+}
+
+// The links to an address are bounded, and a caller that waits for one must get the first that is released, or give up with its context.
+func TestLinksAreBounded(t *testing.T) {
+	s := newServer(t, answerNumber)
+	pool := newPool(clockwork.NewRealClock())
+	var links []*Link
+	for range maxLinks {
+		links = append(links, acquire(t, pool, s, Incarnation{}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := pool.Acquire(ctx, s.address, Incarnation{}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got error %v", err)
+	}
+	acquired := make(chan *Link)
+	go func() { acquired <- acquire(t, pool, s, Incarnation{}) }()
+	expect(t, links[0], s, "1")
+	pool.Release(links[0])
+	links[0] = <-acquired
+	expect(t, links[0], s, "1")
+	for _, link := range links {
+		pool.Release(link)
+	}
+	if host := pool.hosts[s.address]; len(host.idle) != maxIdle || host.users != 0 {
+		t.Errorf("%d idle links and %d users, expected %d and none", len(host.idle), host.users, maxIdle)
+	}
+}
+
+// Links to workers that are gone must not stay for ever.
+func TestIdleLinksAreClosed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	pool := newPool(clock)
+	gone, other := newServer(t, answerNumber), newServer(t, answerNumber)
+	pool.Release(acquire(t, pool, gone, Incarnation{}))
+	clock.Advance(idleTimeout / 2)
+	pool.Release(acquire(t, pool, other, Incarnation{}))
+	clock.Advance(idleTimeout / 2)
+	pool.Release(acquire(t, pool, other, Incarnation{}))
+	if pool.hosts[gone.address] != nil || pool.hosts[other.address] == nil {
+		t.Errorf("links to %d addresses are kept, expected those that were used lately", len(pool.hosts))
+	}
+}
+
+// A response head may be preceded by informational ones, and a body may be longer than the buffers.
+func TestLongBodyAfterInformationalResponse(t *testing.T) {
+	body := strings.Repeat("x", 5*bufferBytes)
+	s := newServer(t, func(_ int64, _ *http.Request, w io.Writer) bool {
+		_, err := io.WriteString(w, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			strconv.FormatInt(int64(len(body)), 16)+"\r\n"+body+"\r\n0\r\n\r\n")
+		return err == nil
+	})
+	pool := newPool(clockwork.NewRealClock())
+	link := acquire(t, pool, s, Incarnation{})
+	for range 2 {
+		status, got, err := link.Do(post(t, context.Background(), s.address, 5*bufferBytes))
+		if status != http.StatusOK || string(got) != body || err != nil {
+			t.Errorf("status %d, %d bytes: %v", status, len(got), err)
+		}
+	}
+	pool.Release(link)
+	if s.accepted.Load() != 1 || len(pool.hosts[s.address].idle) != 1 {
+		t.Error("the link wasn't reused")
+	}
+}
