dispatch: starts without an answer don't wait for the lease of a later incarnation that they can't reach

Cause: a later incarnation of the worker under its ID might have carried the start out, and hold the longest lease. The next leader counted that from the fall of the last one, up to 22.5 s with a sign of a restart, for want of knowledge.

A leader tells that in the record of its epoch, and later leaders count no later incarnation for its starts, leases by another clock, or open starts. Leaders of an earlier version don't tell it: while one of them has led within the last minute, all is counted as before. So it is for workers that don't tell their start.

--- /dev/null
+++ b/internal/decision/dispatch/bound_calls_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// newBoundSimulation returns a simulation with bound calls in which a leader has led for a while, and workers that tell their start.
+func newBoundSimulation(t *testing.T, workers int) *simulation {
+	t.Helper()
+	sim := newSimulation(t, 1)
+	config := sim.dispatcher.config
+	config.BoundCalls, config.Limits.MaxLease = true, 10*time.Second
+	sim.dispatcher, sim.standby = New(config), New(config)
+	sim.dispatcher.StartLeading(sim.now)
+	sim.configure()
+	for i := range workers {
+		sim.addWorker(fmt.Sprintf("zone-%d", i%2), fmt.Sprintf("r-%d", i%4))
+	}
+	sim.run(12 * time.Second)
+	sim.changeLeader()
+	sim.run(2 * time.Second)
+	return sim
+}
+
+// expectRunsWithin fails the test unless all tasks of a job run again within a time.
+func (sim *simulation) expectRunsWithin(id string, tasks int, since time.Time, most time.Duration) {
+	sim.t.Helper()
+	if n := sim.servingRuns(id); n == tasks {
+		sim.t.Fatal("no task is affected")
+	}
+	sim.awaitServingRuns(id, tasks)
+	if waited := sim.now.Sub(since); waited > most {
+		sim.t.Errorf("the tasks run again after %v, expected at most %v", waited, most)
+	}
+}
+
+// Tasks whose starts got no answer, on workers that are lost with the leader, must not wait for the longest lease that a later incarnation
+// could hold: bound starts reach none.
+func TestUnansweredStartsOnLostWorkers(t *testing.T) {
+	const tasks, workers, margin = 16, 8, 300 * time.Millisecond
+	for _, way := range []string{"standby", "log", "snapshot"} {
+		for _, age := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s/age=%v", way, age), func(t *testing.T) {
+				sim := newBoundSimulation(t, workers)
+				change := leaderChanges(sim)[way]
+				sim.submitUnanswered("urgent", "a", serving(tasks, "image"))
+				sim.run(age)
+				sim.loseAnswers(false)
+				sim.crashWorkers(workers / 2)
+				change()
+				sim.expectRunsWithin("a", tasks, sim.now, leaseBound+margin)
+			})
+		}
+	}
+}
+
+// The same if the workers have announced a restart before, whichever leaders come then: an open start counted for 22.5 s.
+func TestUnansweredStartsOfSilentlyRestartedWorkers(t *testing.T) {
+	const tasks, workers = 16, 8
+	for _, changes := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("changes=%d", changes), func(t *testing.T) {
+			sim := newBoundSimulation(t, workers)
+			sim.submitUnanswered("urgent", "a", serving(tasks, "image"))
+			sim.run(300 * time.Millisecond)
+			sim.loseAnswers(false)
+			sim.restartSilently(workers / 2)
+			restarted := sim.now
+			sim.run(500 * time.Millisecond)
+			for range changes {
+				sim.changeLeader()
+				sim.run(700 * time.Millisecond)
+			}
+			most := 9 * time.Second
+			sim.expectRunsWithin("a", tasks, restarted, most)
+		})
+	}
+}
+
+// A worker that has just restarted under its ID holds no longer lease than any other: no call for its earlier incarnation reaches it.
+func TestLossOfWorkerThatHasJustRestarted(t *testing.T) {
+	const tasks, workers, margin = 16, 8, 300 * time.Millisecond
+	sim := newBoundSimulation(t, workers)
+	for _, w := range sim.workers {
+		w.startIncarnation(w.incarnation)
+	}
+	sim.run(2500 * time.Millisecond)
+	sim.submit("urgent", "a", serving(tasks, "image"))
+	sim.run(500 * time.Millisecond)
+	for _, w := range sim.workers {
+		if !sim.state.WorkerByID(w.incarnation.GetId()).GetReusesId() {
+			t.Fatalf("the later incarnation of %s isn't known", w.incarnation.GetId())
+		}
+	}
+	sim.crashWorkers(workers / 2)
+	sim.expectRunsWithin("a", tasks, sim.now, leaseBound+margin)
+}
+
+// Bound calls leave nothing that a later incarnation could do twice, whether or not the leader hears of it.
+func TestBoundStartsReachNoLaterIncarnation(t *testing.T) {
+	playStartsInLaterIncarnation(t, newBoundCluster)
+	for _, first := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond} {
+		for _, delay := range []time.Duration{500 * time.Millisecond, 4 * time.Second, 11900 * time.Millisecond} {
+			for _, changes := range []int{1, 5} {
+				t.Run(fmt.Sprintf("first=%v/delay=%v/changes=%d", first, delay, changes), func(t *testing.T) {
+					t.Parallel()
+					playLateStart(newBoundCluster(t, 1, 2), delay, first, changes, 1300*time.Millisecond, changes > 1)
+				})
+			}
+		}
+	}
+}
+
+// No task may run twice under faults that the protocol allows if calls are bound, also by orders that the leader can't fence.
+func TestProtocolFaultsWithBoundCalls(t *testing.T) {
+	for seed := *protocolFirstSeed; seed < *protocolFirstSeed+*protocolSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newProtocolFaults(newBoundCluster(t, seed, 6))
+			f.play()
+			f.expectNoViolation()
+		})
+	}
+}
+
+// The starts of a leader whose calls aren't bound must be awaited by later leaders, whose own calls are.
+func TestUnboundStartIsAwaitedByLaterLeaders(t *testing.T) {
+	for _, changes := range []int{1, 3} {
+		for _, restarted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("changes=%d/restarted=%v", changes, restarted), func(t *testing.T) {
+				c := newCluster(t, 1, 2)
+				w := c.restartAfterAssignment()
+				w.responsesLeft, w.partitionTime = 1, 18*time.Second
+				c.run(30 * time.Millisecond)
+				for _, replica := range c.replicas {
+					replica.config.BoundCalls = true
+				}
+				for range changes {
+					if restarted {
+						c.restartReplica()
+						c.replicas[0].config.BoundCalls = true
+					}
+					c.changeLeader(0, 500*time.Millisecond)
+					c.run(1500 * time.Millisecond)
+				}
+				c.run(20 * time.Second)
+				c.expectNoViolation()
+			})
+		}
+	}
+}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -42,6 +42,9 @@
 	WorkerCalls WorkerCalls
 	Mailbox     Mailbox
 	Limits      Limits
+	// BoundCalls tells that WorkerCalls delivers bound calls (order.Call.IsBound) to no other incarnation of a worker than the one that they
+	// name, however late, even if another one has its ID and address by then.
+	BoundCalls bool
 	// LeaseValid reports whether the leader lease is valid. Worker leases are extended only while it is.
 	LeaseValid func(now time.Time) bool
 	// Wall returns the wall-clock time, against which the start times of jobs are compared.
@@ -105,6 +108,7 @@
 	newestEpoch           *controlpb.BeginEpoch // as last observed, also while this replica didn't lead
 	newestEpochAt         time.Time             // by when it was proposed at the latest
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
+	hasUnboundCalls       bool                  // workload.State.HasUnboundCalls as of the last scan
 
 	assignmentMarks  []assignmentMark               // of this leader's epoch, oldest first, without those that don't matter any more
 	openAssignments  []uint64                       // numbers of those of this leader's epoch that aren't settled, oldest first
@@ -225,7 +229,9 @@
 // proposeEpoch proposes this leader's epoch.
 func (d *Dispatcher) proposeEpoch() {
 	d.epochPending = true
-	epoch := &controlpb.BeginEpoch{LeaseMs: milliseconds(untilExpired(d.grantedLease())), EarlierLeaseMs: milliseconds(d.inheritedLeasesExpire.Sub(d.now))}
+	epoch := &controlpb.BeginEpoch{
+		LeaseMs: milliseconds(untilExpired(d.grantedLease())), EarlierLeaseMs: milliseconds(d.inheritedLeasesExpire.Sub(d.now)), BoundCalls: d.config.BoundCalls,
+	}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginEpoch{BeginEpoch: epoch}},
 		func(result *controlpb.Result) {
 			d.epochPending = false
@@ -252,6 +258,7 @@
 func (d *Dispatcher) beginEpoch(epoch uint64) {
 	d.epoch, d.nextScan = epoch, d.now
 	d.newestAssignment = workload.AssignmentsBefore(epoch)
+	d.hasUnboundCalls = d.state.HasUnboundCalls()
 	d.observeAssignments()
 	d.inheritCrashes()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
--- a/internal/decision/dispatch/late_start_after_fall_test.go
+++ b/internal/decision/dispatch/late_start_after_fall_test.go
@@ -11,8 +11,7 @@
 // playLateStart restarts a worker under its ID after starts were ordered from it. The later incarnation announces itself once and is
 // partitioned then, but a late start still reaches it. The leader falls before the check for a later incarnation has timed out. With reset,
 // the next leaders have just restored a snapshot.
-func playLateStart(t *testing.T, delay, first time.Duration, changes int, interval time.Duration, reset bool) {
-	c := newCluster(t, 1, 2)
+func playLateStart(c *cluster, delay, first time.Duration, changes int, interval time.Duration, reset bool) {
 	c.setMaxLease(10 * time.Second)
 	c.run(12 * time.Second)
 	c.submit("urgent", "old", dedicated(4, time.Minute))
@@ -55,7 +54,7 @@
 		c.changeLeader(0, 0)
 		if reset {
 			if err := c.state.Restore(c.state.Snapshot()); err != nil {
-				t.Fatal(err)
+				c.t.Fatal(err)
 			}
 			c.restartReplica()
 		}
@@ -75,7 +74,7 @@
 					for _, reset := range []bool{false, true} {
 						t.Run(fmt.Sprintf("delay=%v/changes=%d/reset=%v", delay, changes, reset), func(t *testing.T) {
 							t.Parallel()
-							playLateStart(t, delay, first, changes, 1300*time.Millisecond, reset)
+							playLateStart(newCluster(t, 1, 2), delay, first, changes, 1300*time.Millisecond, reset)
 						})
 					}
 				}
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -87,7 +87,7 @@
 // token, of whichever leader, it rejects those calls.
 func (d *Dispatcher) foreignLeasesExpire(w *worker) time.Time {
 	switch {
-	case !w.reusesID:
+	case !w.reusesID, !d.mayReachLater(w):
 		return time.Time{}
 	case w.incarnation.AnsweredByMs == nil:
 		return d.now.Add(d.longestLease())
--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -51,6 +51,10 @@
 	jobs     map[string]*controlpb.WorkJob
 	oracle   *protocolOracle
 
+	// boundCalls keeps bound calls from other incarnations than the one that they name, as callers do that know who holds the other end of a
+	// connection.
+	boundCalls bool
+
 	deliver        func(e *exchange, w *strictWorker) delivery
 	commitTime     func() time.Duration
 	heartbeatDelay func() time.Duration
@@ -74,8 +78,18 @@
 }
 
 func newCluster(t *testing.T, seed uint64, workers int) *cluster {
+	return startCluster(t, seed, workers, false)
+}
+
+// newBoundCluster returns a cluster whose bound calls reach no other incarnation than the one that they name.
+func newBoundCluster(t *testing.T, seed uint64, workers int) *cluster {
+	return startCluster(t, seed, workers, true)
+}
+
+func startCluster(t *testing.T, seed uint64, workers int, boundCalls bool) *cluster {
 	c := &cluster{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
+		boundCalls: boundCalls,
+		t:          t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
 		maxLease: protocolMaxLease, jobs: map[string]*controlpb.WorkJob{}, replies: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){},
 		deliver:    func(*exchange, *strictWorker) delivery { return delivery{delay: time.Millisecond} },
 		commitTime: func() time.Duration { return 15 * time.Millisecond }, heartbeatDelay: func() time.Duration { return 0 },
@@ -103,7 +117,7 @@
 // newReplica returns a dispatcher that doesn't lead.
 func (c *cluster) newReplica() *Dispatcher {
 	return New(Config{
-		State: func() *workload.State { return c.state }, WorkerCalls: c, Mailbox: c,
+		State: func() *workload.State { return c.state }, WorkerCalls: c, Mailbox: c, BoundCalls: c.boundCalls,
 		Limits: Limits{
 			MaxLease: c.maxLease, StopGrace: protocolStopGrace, GangTimeout: 3 * time.Second, MaxOverTarget: 4 * time.Second,
 			MaintenanceHandover: 3 * time.Second, RestoreTime: 250 * time.Millisecond, RemoteRuntimeFactor: 2,
--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -31,8 +31,8 @@
 	actions        []func()
 }
 
-func newProtocolFaults(t *testing.T, seed uint64) *protocolFaults {
-	f := &protocolFaults{cluster: newCluster(t, seed, 6), mutedUntil: map[*strictWorker]time.Time{}}
+func newProtocolFaults(c *cluster) *protocolFaults {
+	f := &protocolFaults{cluster: c, mutedUntil: map[*strictWorker]time.Time{}}
 	f.deliver, f.commitTime = f.route, f.slowCommitTime
 	half := func() bool { return f.random.IntN(2) == 0 }
 	f.jitter = []time.Duration{time.Millisecond, 100 * time.Millisecond, 700 * time.Millisecond}[f.random.IntN(3)]
@@ -239,7 +239,7 @@
 
 // playProtocolFaults plays the schedule of a seed, and fails the test if a task ran twice that the leader could have prevented.
 func playProtocolFaults(t *testing.T, seed uint64) *protocolFaults {
-	f := newProtocolFaults(t, seed)
+	f := newProtocolFaults(newCluster(t, seed, 6))
 	f.play()
 	for _, v := range f.oracle.violations {
 		switch {
--- a/internal/decision/dispatch/protocol_test.go
+++ b/internal/decision/dispatch/protocol_test.go
@@ -57,6 +57,11 @@
 // A later incarnation of a worker carries out a start without delay and is then partitioned. It measures the lease with a clock that
 // has started anew, so the lease may be as long as a worker accepts.
 func TestStartCarriedOutByLaterIncarnation(t *testing.T) {
+	playStartsInLaterIncarnation(t, newCluster)
+}
+
+// playStartsInLaterIncarnation plays the same for some ways in which the leader may hear of the later incarnation, or not.
+func playStartsInLaterIncarnation(t *testing.T, newCluster func(t *testing.T, seed uint64, workers int) *cluster) {
 	for name, reach := range map[string]func(c *cluster, w *strictWorker){
 		"confirmed": func(_ *cluster, w *strictWorker) { w.responsesLeft, w.partitionTime = 1, 15*time.Second },
 		"announced": func(c *cluster, w *strictWorker) {
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -204,6 +204,10 @@
 		w.respond(e, incarnation, &order.Answer{}) // the connection is refused
 		return
 	}
+	if w.cluster.boundCalls && e.call.IsBound() && e.call.IncarnationStartMs != incarnation.startMs {
+		w.rejectUnnamed(e)
+		return
+	}
 	if (e.call.Kind == order.Start || w.refusesAllCalls) && e.random.Float64() < w.refusalRate {
 		w.respond(e, incarnation, &order.Answer{Status: order.Unhealthy})
 		return
@@ -217,6 +221,16 @@
 	w.answerWhenDue(e, incarnation, w.cluster.now.Add(e.call.Wait))
 }
 
+// rejectUnnamed responds to a bound call that names another incarnation. The connection of one that was sent before this incarnation started
+// is broken.
+func (w *strictWorker) rejectUnnamed(e *exchange) {
+	if e.call.Sent.Before(w.incarnation.began) {
+		w.respond(e, w.incarnation, &order.Answer{})
+		return
+	}
+	w.respond(e, w.incarnation, &order.Answer{Status: order.OtherIncarnation, IncarnationStartMs: w.incarnation.startMs})
+}
+
 // answerWhenDue answers a poll once an end is to be listed or its wait has elapsed.
 func (w *strictWorker) answerWhenDue(e *exchange, incarnation *strictIncarnation, due time.Time) {
 	switch {
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -125,11 +125,11 @@
 	return &controlpb.UnansweredAssignments{Numbers: slices.Clone(d.openAssignments[first:end])}
 }
 
-// recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled. The longest lease is counted from
+// recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled or no later incarnation can run it. The longest lease is counted from
 // the fall of the leader that assigned it, whatever leaders came since, so that the wait doesn't start again under each of them.
 func (d *Dispatcher) recentUntil(r *run) time.Time {
 	elapsed, unsettled := d.state.UnsettledSince(r.task.Assignment(r.key.Run))
-	if !unsettled {
+	if !unsettled || !d.mayReachLater(r.worker) {
 		return time.Time{}
 	}
 	fell := d.recordedAt(elapsed.Milliseconds())
@@ -177,7 +177,7 @@
 			until = r.recentUntil
 		}
 	}
-	d.config.Log.Info("runs inherited", "Epoch", d.epoch, "Runs", len(d.runs), "OpenStarts", open, "Recent", recent, "RecentFor", until.Sub(d.now).String())
+	d.config.Log.Info("runs inherited", "Epoch", d.epoch, "Runs", len(d.runs), "OpenStarts", open, "UnboundCalls", d.hasUnboundCalls, "Recent", recent, "RecentFor", until.Sub(d.now).String())
 }
 
 // awaitsRecentStart reports whether a later incarnation may run what was ordered by an earlier leader and has no answer.
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -15,6 +15,11 @@
 func restartAfterAssignment(t *testing.T) (*cluster, *strictWorker) {
 	t.Helper()
 	c := newCluster(t, 1, 2)
+	return c, c.restartAfterAssignment()
+}
+
+func (c *cluster) restartAfterAssignment() *strictWorker {
+	c.t.Helper()
 	c.deliver = func(e *exchange, w *strictWorker) delivery {
 		return delivery{lost: w.isPartitioned() && e.call.Kind != order.Start, unanswered: w.isPartitioned()}
 	}
@@ -24,7 +29,7 @@
 	w := c.assigned()
 	w.setClockRate(slowestClock)
 	w.restart(0)
-	return c, w
+	return w
 }
 
 // A task must not start elsewhere while a later incarnation of its worker runs it, which carried out the start shortly before the leader
--- a/internal/decision/dispatch/restartrecord.go
+++ b/internal/decision/dispatch/restartrecord.go
@@ -59,7 +59,7 @@
 func (d *Dispatcher) openStarts(w *worker) (starts []workload.RunKey, until time.Time) {
 	for key := range w.incarnation.Runs {
 		r := d.runs[key]
-		if r == nil || !r.startPending && !d.hasOpenStart(r) {
+		if r == nil || !d.mayReachLater(w) || !r.startPending && !d.hasOpenStart(r) {
 			continue
 		}
 		starts = append(starts, key)
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -110,11 +110,18 @@
 	return d.awaitsRecentStart(r) || (r.worker.superseded || r.worker.mayHaveRestarted) && d.hasOpenStart(r)
 }
 
-// hasOpenStart reports whether a start of a run may still be carried out, or have an effect. Late orders may both start the run and extend its lease.
+// mayReachLater reports whether calls that name an incarnation of a worker may reach a later one with its ID and address. An incarnation that
+// doesn't tell its start can't be told from a later one.
+func (d *Dispatcher) mayReachLater(w *worker) bool {
+	return d.hasUnboundCalls || w.incarnation.GetBornMs() == 0
+}
+
+// hasOpenStart reports whether a later incarnation may still carry out a start of a run, or run what it has started. Late orders may both start
+// the run and extend its lease.
 func (d *Dispatcher) hasOpenStart(r *run) bool {
 	lastStart := r.lastOrderedAt.Add(maxCallDelay)
 	switch {
-	case r.lastOrderedAt.IsZero(), r.seen && !r.startUnanswered && !r.inherited:
+	case !d.mayReachLater(r.worker), r.lastOrderedAt.IsZero(), r.seen && !r.startUnanswered && !r.inherited:
 		return false
 	case r.worker.lastPoll.After(lastStart):
 		return false // no order for the run was on its way any more
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -250,6 +250,7 @@
 
 // tickWorkers sends the polls that are due and ends the incarnations of unresponsive workers whose leases have expired.
 func (d *Dispatcher) tickWorkers() {
+	d.hasUnboundCalls = d.state.HasUnboundCalls()
 	losses := 0
 	for _, w := range d.orderedWorkers {
 		wasEnding, isLost := w.ending, d.isLost(w)
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -15,7 +15,7 @@
 	// epoch on.
 	assignmentBits = 32
 
-	// epochRetention is how long after the end of an epoch its unsettled assignments matter: far longer than any lease.
+	// epochRetention is how long after the end of an epoch its calls matter: far longer than a call may be late and any lease lasts.
 	epochRetention = time.Minute
 
 	// maxEpochs bounds the epochs whose unsettled assignments are known.
@@ -71,12 +71,28 @@
 func (s *State) beginAssignments() {
 	s.noteAnsweredStarts()
 	s.assignments = AssignmentsBefore(s.epoch)
-	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs})
-	for len(s.epochs) > maxEpochs || len(s.epochs) > 1 && s.epochs[1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs {
+	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs, BoundCalls: s.newestEpoch.GetBoundCalls()})
+	for len(s.epochs) > maxEpochs || s.isEpochOver(0) {
 		s.epochs = s.epochs[1:]
 	}
 }
 
+// isEpochOver reports whether the calls of a known epoch, by its index, don't matter any more.
+func (s *State) isEpochOver(index int) bool {
+	return index+1 < len(s.epochs) && s.epochs[index+1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs
+}
+
+// HasUnboundCalls reports whether calls may still take effect that reach other incarnations of a worker than the one that they name: some
+// leader of the last minute hasn't told that its calls are bound to incarnations.
+func (s *State) HasUnboundCalls() bool {
+	for i, e := range s.epochs {
+		if !e.GetBoundCalls() && !s.isEpochOver(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewAssignment numbers the assignment of a live run anew.
 func (s *State) renewAssignment(change *controlpb.RenewAssignment) *controlpb.Result {
 	if t := s.Task(TaskKeyFromRef(change.GetTask())); t != nil {
--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -212,6 +212,7 @@
 				WorkerCalls: workerCalls,
 				Mailbox:     workerCalls,
 				Limits:      c.WorkerLimits,
+				BoundCalls:  true,
 				LeaseValid:  leaseValid,
 				Wall:        c.Clock.Now,
 				Log:         c.Log,
