--- a/internal/shell/workerlink/pool_test.go
+++ b/internal/shell/workerlink/pool_test.go
@@ -73,7 +73,7 @@
 	return New((&net.Dialer{}).DialContext, clock)
 }
 
-func post(t *testing.T, ctx context.Context, address netip.AddrPort, size int) *http.Request {
+func post(ctx context.Context, t *testing.T, address netip.AddrPort, size int) *http.Request {
 	t.Helper()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/x", bytes.NewReader(make([]byte, size)))
 	if err != nil {
@@ -94,7 +94,7 @@
 // expect sends a request over a link, and fails the test unless it is answered on the numbered connection.
 func expect(t *testing.T, link *Link, s *server, want string) {
 	t.Helper()
-	status, body, err := link.Do(post(t, context.Background(), s.address, 10))
+	status, body, err := link.Do(post(context.Background(), t, s.address, 10))
 	if err != nil || status != http.StatusOK || string(body) != want {
 		t.Errorf("status %d, body %q: %v, expected %q", status, body, err, want)
 	}
@@ -154,7 +154,7 @@
 			})
 			pool := newPool(clockwork.NewRealClock())
 			link := acquire(t, pool, s, Incarnation{})
-			_, _, err := link.Do(post(t, context.Background(), s.address, 10))
+			_, _, err := link.Do(post(context.Background(), t, s.address, 10))
 			if (err == nil) != (name == "close") {
 				t.Errorf("got error %v", err)
 			}
@@ -175,7 +175,7 @@
 	link := acquire(t, pool, s, Incarnation{})
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	if _, _, err := link.Do(post(t, ctx, s.address, 10)); !errors.Is(err, context.DeadlineExceeded) {
+	if _, _, err := link.Do(post(ctx, t, s.address, 10)); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got error %v", err)
 	}
 	pool.Release(link)
@@ -237,7 +237,7 @@
 	pool := newPool(clockwork.NewRealClock())
 	link := acquire(t, pool, s, Incarnation{})
 	for range 2 {
-		status, got, err := link.Do(post(t, context.Background(), s.address, 5*bufferBytes))
+		status, got, err := link.Do(post(context.Background(), t, s.address, 5*bufferBytes))
 		if status != http.StatusOK || string(got) != body || err != nil {
 			t.Errorf("status %d, %d bytes: %v", status, len(got), err)
 		}
