dispatch: leases that an incarnation without a start may have passed on are awaited

A task could run twice: a worker that doesn't tell its start restarts under its ID and tells it from then on. A late start for the earlier incarnation, which isn't bound, gives the later one the longest lease; the leader counted the granted one.

Cause: whether calls are bound was asked of the later incarnation, which tells its start, while the lease came by a call for the earlier one.

Change: the state notes of an incarnation that an earlier one with its ID hasn't told its start, and the longest lease is counted for it as before.

--- a/internal/decision/dispatch/bound_calls_test.go
+++ b/internal/decision/dispatch/bound_calls_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"galenamoor/internal/decision/order"
 )
 
 // newBoundSimulation returns a simulation with bound calls in which a leader has led for a while, and workers that tell their start.
@@ -141,3 +143,39 @@
 		}
 	}
 }
+
+// A call for an incarnation that doesn't tell its start isn't bound: the lease that it may have granted a later one, which tells its own, must be
+// awaited.
+func TestLeaseOfUnknownIncarnationIsAwaited(t *testing.T) {
+	for _, after := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 4500 * time.Millisecond} {
+		t.Run(fmt.Sprintf("after=%v", after), func(t *testing.T) {
+			c := newBoundCluster(t, 1, 0)
+			c.setMaxLease(10 * time.Second)
+			for range 2 {
+				c.addWorker().incarnation.startMs = 0
+			}
+			c.run(12 * time.Second)
+			var late *exchange
+			c.deliver = func(e *exchange, w *strictWorker) delivery {
+				if e.call.Kind == order.Start && late == nil {
+					late = e
+					return delivery{delay: 100 * time.Millisecond, unanswered: true}
+				}
+				return delivery{delay: time.Millisecond, lost: w.isPartitioned(), unanswered: w.isPartitioned()}
+			}
+			c.submit("batch", "a", dedicated(1, time.Minute))
+			w := c.assigned()
+			c.runUntil(func() bool { return late != nil })
+			w.setClockRate(slowestClock)
+			w.restart(0)
+			c.run(after)
+			c.submit("batch", "b", dedicated(12, time.Minute))
+			c.runUntil(func() bool { return len(w.incarnation.runs) > 0 && c.state.WorkerByID(w.id).GetBornMs() != 0 })
+			c.run(300 * time.Millisecond)
+			w.partition(30 * time.Second)
+			c.addWorker()
+			c.run(13 * time.Second)
+			c.expectNoViolation()
+		})
+	}
+}
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -229,6 +229,7 @@
 	}
 	earlier, isKnown := d.lastAnnouncements[incarnation.GetId()]
 	incarnation.ReusesId = isKnown && earlier.incarnationStartMs != incarnation.GetBornMs()
+	incarnation.FollowsUnknownStart = incarnation.GetReusesId() && earlier.incarnationStartMs == 0
 	d.lastAnnouncements[incarnation.GetId()] = announcementVersion{incarnationStartMs: incarnation.GetBornMs(), sequence: a.GetSequence(), receivedAt: d.now}
 	leavesAt := d.leavesAt(a)
 	if unchanged {
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -110,10 +110,10 @@
 	return d.awaitsRecentStart(r) || (r.worker.superseded || r.worker.mayHaveRestarted) && d.hasOpenStart(r)
 }
 
-// mayReachLater reports whether calls that name an incarnation of a worker may reach a later one with its ID and address. An incarnation that
-// doesn't tell its start can't be told from a later one.
+// mayReachLater reports whether calls for an incarnation of a worker may reach a later one, or those for earlier ones have reached it. An
+// incarnation that doesn't tell its start can't be told from others with its ID and address.
 func (d *Dispatcher) mayReachLater(w *worker) bool {
-	return d.hasUnboundCalls || w.incarnation.GetBornMs() == 0
+	return d.hasUnboundCalls || w.incarnation.GetBornMs() == 0 || w.incarnation.GetFollowsUnknownStart()
 }
 
 // hasOpenStart reports whether a later incarnation may still carry out a start of a run, or run what it has started. Late orders may both start
--- a/internal/decision/workload/lost.go
+++ b/internal/decision/workload/lost.go
@@ -13,7 +13,7 @@
 	if len(s.lostWorkers) >= maxLost {
 		s.forgetOldestLost(maxLost / 4)
 	}
-	s.lostWorkers[w.GetId()] = &controlpb.LostWorker{Id: w.GetId(), BornMs: w.GetBornMs(), ReusesId: w.GetReusesId(), ElapsedMs: s.elapsedMs}
+	s.lostWorkers[w.GetId()] = &controlpb.LostWorker{Id: w.GetId(), BornMs: w.GetBornMs(), ReusesId: w.GetReusesId(), ElapsedMs: s.elapsedMs, FollowsUnknownStart: w.GetFollowsUnknownStart()}
 }
 
 // forgetOldestLost forgets the lost workers that ended first: late calls for those have arrived.
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -39,11 +39,13 @@
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			incarnation.ReusesId = incarnation.GetReusesId() || current.GetReusesId()
+			incarnation.FollowsUnknownStart = incarnation.GetFollowsUnknownStart() || current.GetFollowsUnknownStart()
 			incarnation.WithheldLease, incarnation.AnsweredByMs = current.GetWithheldLease(), current.AnsweredByMs
 			current.WorkerLife = incarnation
 			return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 		}
 		incarnation.ReusesId = true
+		incarnation.FollowsUnknownStart = incarnation.GetFollowsUnknownStart() || current.GetBornMs() == 0 || current.GetFollowsUnknownStart()
 		s.removeWorker(current)
 	}
 	for _, other := range s.workers {
@@ -61,6 +63,7 @@
 	if lost := s.lostWorkers[incarnation.GetId()]; lost != nil {
 		incarnation.Resumed = lost.GetBornMs() == incarnation.GetBornMs()
 		incarnation.ReusesId = incarnation.GetReusesId() || lost.GetReusesId() || !incarnation.GetResumed()
+		incarnation.FollowsUnknownStart = incarnation.GetFollowsUnknownStart() || lost.GetBornMs() == 0 || lost.GetFollowsUnknownStart()
 		delete(s.lostWorkers, incarnation.GetId())
 	}
 	s.insertWorker(incarnation)
