workerlink: links of a former leader are closed, and those to an earlier incarnation aren't used

Calls for a later incarnation used idle links to the earlier one; if its end wasn't heard, each of them took a second.

Links that are idle for too long are closed by a timer. A link that is known to lead to another incarnation of the same ID is closed instead of used. If answers on one connection come from two incarnations, as behind a proxy that forwards each request by itself, calls aren't bound by it: that is counted (ConnectionsRerouted) and logged, and the link isn't used again.

--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -420,6 +420,10 @@
 		d.handleFencedOff(a)
 		return
 	}
+	if a.Rerouted {
+		d.config.Count("ConnectionsRerouted")
+		d.config.Log.Info("connection has led to two incarnations", "Worker", a.Call.ID, "Address", a.Call.Address.String(), "IncarnationStartMs", a.RespondentStartMs)
+	}
 	w := d.workers[a.Call.Incarnation]
 	if w == nil {
 		return
--- a/internal/shell/workerlink/link.go
+++ b/internal/shell/workerlink/link.go
@@ -29,8 +29,8 @@
 
 // Link is one connection to a worker.
 type Link struct {
-	// Incarnation is the one that has answered on this connection, or the zero value before the caller has set it.
-	Incarnation Incarnation
+	incarnation Incarnation // as identified; the zero value before that
+	rerouted    bool        // answers on this connection have come from two incarnations
 
 	connection net.Conn
 	reader     *bufio.Reader
@@ -48,6 +48,17 @@
 	}
 }
 
+// Incarnation returns the incarnation that has answered on the link, or the zero value if it isn't known.
+func (l *Link) Incarnation() Incarnation { return l.incarnation }
+
+// Identify notes which incarnation has answered on the link. It returns false if another one has answered before, as behind a proxy that
+// forwards each request by itself: the link isn't used again then.
+func (l *Link) Identify(incarnation Incarnation) bool {
+	l.rerouted = l.rerouted || l.incarnation != (Incarnation{}) && l.incarnation != incarnation
+	l.incarnation = incarnation
+	return !l.rerouted
+}
+
 // Do sends a request and returns the status and the body of the response. After an error, the request may have been carried out.
 func (l *Link) Do(request *http.Request) (status int, body []byte, err error) {
 	l.broken = true // unless the exchange completes
@@ -97,6 +108,12 @@
 	}
 }
 
+// leadsToOther reports whether the link is known to lead to another incarnation with the same ID. That one may have ended without notice, and
+// each call would wait for it in vain.
+func (l *Link) leadsToOther(incarnation Incarnation) bool {
+	return l.incarnation.ID == incarnation.ID && l.incarnation.StartMs != 0 && incarnation.StartMs != 0 && l.incarnation.StartMs != incarnation.StartMs
+}
+
 // isOpen reports whether an idle link can be used: its worker hasn't closed it, nor sent anything without being asked.
 func (l *Link) isOpen() bool {
 	conn, ok := l.connection.(syscall.Conn)
--- a/internal/shell/workerlink/pool.go
+++ b/internal/shell/workerlink/pool.go
@@ -39,9 +39,9 @@
 	dial  Dial
 	clock clockwork.Clock
 
-	mutex   sync.Mutex
-	hosts   map[netip.AddrPort]*host
-	sweptAt time.Time
+	mutex    sync.Mutex
+	hosts    map[netip.AddrPort]*host
+	sweeping bool // a sweep is scheduled
 }
 
 // host holds the links to one address.
@@ -53,7 +53,7 @@
 
 // New returns an empty Pool, which opens connections with dial.
 func New(dial Dial, clock clockwork.Clock) *Pool {
-	return &Pool{dial: dial, clock: clock, hosts: map[netip.AddrPort]*host{}, sweptAt: clock.Now()}
+	return &Pool{dial: dial, clock: clock, hosts: map[netip.AddrPort]*host{}}
 }
 
 // Acquire returns a link to an address for the caller's exclusive use, until it is released. It prefers an idle one to the given incarnation,
@@ -67,7 +67,7 @@
 		return nil, fmt.Errorf("waiting for a connection to %s: %w", address, ctx.Err())
 	}
 	for link := p.takeIdle(h, incarnation); link != nil; link = p.takeIdle(h, incarnation) {
-		if link.isOpen() {
+		if link.isOpen() && !link.leadsToOther(incarnation) {
 			return link, nil
 		}
 		link.close()
@@ -85,9 +85,10 @@
 func (p *Pool) Release(link *Link) {
 	link.idleSince = p.clock.Now()
 	p.mutex.Lock()
-	keeps := !link.broken && len(link.host.idle) < maxIdle
+	keeps := !link.broken && !link.rerouted && len(link.host.idle) < maxIdle
 	if keeps {
 		link.host.idle = append(link.host.idle, link)
+		p.scheduleSweep()
 	}
 	p.mutex.Unlock()
 	if !keeps {
@@ -101,10 +102,6 @@
 func (p *Pool) enter(address netip.AddrPort) *host {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if now := p.clock.Now(); now.Sub(p.sweptAt) >= sweepInterval {
-		p.sweptAt = now
-		p.sweep(now)
-	}
 	h := p.hosts[address]
 	if h == nil {
 		h = &host{slots: make(chan struct{}, maxLinks)}
@@ -133,7 +130,7 @@
 	}
 	chosen := len(h.idle) - 1
 	for i, link := range slices.Backward(h.idle) {
-		if link.Incarnation == incarnation {
+		if link.incarnation == incarnation {
 			chosen = i
 			break
 		}
@@ -143,13 +140,28 @@
 	return link
 }
 
-// sweep closes the links that have been idle for too long.
-func (p *Pool) sweep(now time.Time) {
+// scheduleSweep makes sure that a sweep follows. The mutex is held.
+func (p *Pool) scheduleSweep() {
+	if !p.sweeping {
+		p.sweeping = true
+		p.clock.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the links that have been idle for too long, and is repeated while there are others.
+func (p *Pool) sweep() {
+	now := p.clock.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.sweeping = false
 	for address, h := range p.hosts {
 		for len(h.idle) > 0 && now.Sub(h.idle[0].idleSince) >= idleTimeout {
 			h.idle[0].close()
 			h.idle = h.idle[1:]
 		}
+		if len(h.idle) > 0 {
+			p.scheduleSweep()
+		}
 		if h.users == 0 && len(h.idle) == 0 {
 			delete(p.hosts, address)
 		}
--- a/internal/shell/workerlink/pool_test.go
+++ b/internal/shell/workerlink/pool_test.go
@@ -108,16 +108,45 @@
 	expect(t, first, s, "1")
 	expect(t, second, s, "2")
 	expect(t, first, s, "1")
-	first.Incarnation, second.Incarnation = Incarnation{"w", 1}, Incarnation{"w", 2}
+	first.Identify(Incarnation{"v", 1})
+	second.Identify(Incarnation{"w", 2})
 	pool.Release(first)
 	pool.Release(second)
-	for _, startMs := range []int64{1, 2, 1} {
-		link := acquire(t, pool, s, Incarnation{"w", startMs})
-		expect(t, link, s, strconv.FormatInt(startMs, 10))
+	for _, incarnation := range []Incarnation{{"v", 1}, {"w", 2}, {"v", 1}} {
+		link := acquire(t, pool, s, incarnation)
+		expect(t, link, s, strconv.FormatInt(incarnation.StartMs, 10))
 		pool.Release(link)
 	}
 }
 
+// A call must not wait in vain on a link to an earlier incarnation that may have ended without notice.
+func TestLinkToOtherIncarnationIsNotUsed(t *testing.T) {
+	s := newServer(t, answerNumber)
+	pool := newPool(clockwork.NewRealClock())
+	link := acquire(t, pool, s, Incarnation{"w", 1})
+	expect(t, link, s, "1")
+	link.Identify(Incarnation{"w", 1})
+	pool.Release(link)
+	link = acquire(t, pool, s, Incarnation{"w", 2})
+	expect(t, link, s, "2")
+	pool.Release(link)
+}
+
+// A connection on which two incarnations have answered binds no call, and must not be used again.
+func TestReroutedLinkIsNotReused(t *testing.T) {
+	s := newServer(t, answerNumber)
+	pool := newPool(clockwork.NewRealClock())
+	link := acquire(t, pool, s, Incarnation{})
+	expect(t, link, s, "1")
+	if !link.Identify(Incarnation{"w", 1}) || !link.Identify(Incarnation{"w", 1}) || link.Identify(Incarnation{"w", 2}) {
+		t.Error("the second incarnation isn't noticed, or the first one is taken for another")
+	}
+	pool.Release(link)
+	link = acquire(t, pool, s, Incarnation{})
+	expect(t, link, s, "2")
+	pool.Release(link)
+}
+
 // A request must not be sent over an idle link that the worker has closed or has written to: it would count as one that may be carried out.
 func TestClosedIdleLinkIsNotUsed(t *testing.T) {
 	for name, unasked := range map[string]string{"closed": "", "unasked": "HTTP/1.1 408 Request Timeout\r\n\r\n"} {
@@ -132,8 +161,10 @@
 			pool := newPool(clockwork.NewRealClock())
 			link := acquire(t, pool, s, Incarnation{})
 			expect(t, link, s, "1")
+			for end := time.Now().Add(5 * time.Second); link.isOpen() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
 			pool.Release(link)
-			time.Sleep(50 * time.Millisecond)
 			link = acquire(t, pool, s, Incarnation{})
 			expect(t, link, s, "2")
 			pool.Release(link)
@@ -211,19 +242,31 @@
 	}
 }
 
-// Links to workers that are gone must not stay for ever.
+// Links to workers that are gone, or of a replica that leads no more, must not stay for ever.
 func TestIdleLinksAreClosed(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	pool := newPool(clock)
-	gone, other := newServer(t, answerNumber), newServer(t, answerNumber)
-	pool.Release(acquire(t, pool, gone, Incarnation{}))
-	clock.Advance(idleTimeout / 2)
-	pool.Release(acquire(t, pool, other, Incarnation{}))
-	clock.Advance(idleTimeout / 2)
-	pool.Release(acquire(t, pool, other, Incarnation{}))
-	if pool.hosts[gone.address] != nil || pool.hosts[other.address] == nil {
-		t.Errorf("links to %d addresses are kept, expected those that were used lately", len(pool.hosts))
+	s := newServer(t, answerNumber)
+	link := acquire(t, pool, s, Incarnation{})
+	pool.Release(link)
+	clock.Advance(idleTimeout - time.Second)
+	pool.sweep()
+	if !link.isOpen() {
+		t.Error("the link is closed too soon")
+	}
+	for end := time.Now().Add(5 * time.Second); pool.size() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		clock.Advance(sweepInterval)
 	}
+	if pool.size() > 0 || link.isOpen() {
+		t.Errorf("links to %d addresses are kept, open: %v", pool.size(), link.isOpen())
+	}
+}
+
+// size returns the number of addresses to which there are links or callers.
+func (p *Pool) size() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.hosts)
 }
 
 // A response head may be preceded by informational ones, and a body may be longer than the buffers.
