dispatch: interrupted lasting steps precede new ones

Cause: lasting steps of a priority were ordered by their jobs' acceptance alone. A job that had waited since before for more room than any host had took the workers that replaced lost ones, while services accepted after it, which had run, stayed down.

Change: among steps of the same priority and timeliness, lasting steps of which a task has run and waits for another run come first. The search for room to hold and preemptions follow the same order. New steps still take room in which no interrupted task fits.

--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -47,7 +47,9 @@
 	queue      *controlpb.WorkQueue
 	timeliness int
 	due        time.Time // when the job should be finished
-	suspect    bool      // a suspect task of the step is to be placed
+
+	interrupted bool // see isInterrupted
+	suspect     bool // a suspect task of the step is to be placed
 }
 
 // pass assigns waiting tasks to workers, the most urgent steps first.
@@ -182,11 +184,29 @@
 		found = append(found, d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue())))
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.timeliness, b.timeliness), a.due.Compare(b.due))
+		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.timeliness, b.timeliness),
+			compareInterrupted(a, b), a.due.Compare(b.due))
 	})
 	return found
 }
 
+// compareInterrupted orders steps with interrupted tasks before the others. Their jobs may have been accepted later than one that has
+// waited for more room than any host had.
+func compareInterrupted(a, b candidate) int {
+	switch {
+	case a.interrupted == b.interrupted:
+		return 0
+	case a.interrupted:
+		return -1
+	}
+	return 1
+}
+
+// isInterrupted reports whether a task of a lasting step has had a run and waits for another one.
+func isInterrupted(step *workload.Step) bool {
+	return isLasting(step) && slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return task.IsWaiting() && task.LastRun > 0 })
+}
+
 // waitingSteps returns the steps that are ready and have waiting tasks.
 func (d *Dispatcher) waitingSteps(wall time.Time) iter.Seq[*workload.Step] {
 	return func(yield func(*workload.Step) bool) {
@@ -217,7 +237,7 @@
 	total := time.Duration(longestChain(steps, func(*workload.Step) bool { return true })) * mean
 	remaining := time.Duration(longestChain(steps, func(s *workload.Step) bool { return s.Unfinished > 0 })) * mean
 	objective := time.Duration(float64(total)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
-	c := candidate{step: step, queue: queue, due: start.Add(objective)}
+	c := candidate{step: step, queue: queue, due: start.Add(objective), interrupted: isInterrupted(step)}
 	if step.GetPerpetual() {
 		return c // a perpetual step never ends, so it can't be late, but should start soon
 	}
