dispatch: serving jobs aren't accepted into the room of tasks on leaving workers

Cause: the headroom left out workers that terminate, drain or are being replaced altogether, with the serving tasks that they run and that need room elsewhere. As a third of a full site had sent notice to terminate, serving jobs were accepted as if its tasks were gone, and again as the replacements joined.

Change: the serving tasks of all workers count as needing room, and still only the processors of those that stay as room.

Result: TestLeavingServingTasksKeepTheirRoom, of three workers of ten that drain or terminate: no serving job is accepted (before: one in each case, which took all that dedicated tasks need).

--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -78,16 +78,17 @@
 }
 
 // stayingProcessors returns the milli-cores of the workers that stay, and those that serving tasks reserve there or will need there
-// once unresponsive workers are declared lost. Unless most workers answer, the cause may lie with this leader, and all count as staying.
+// once the other workers have left and unresponsive ones are declared lost. Unless most workers answer, the cause may lie with this
+// leader, and all count as staying.
 func (d *Dispatcher) stayingProcessors() (total, serving int64) {
 	workers, unresponsive, lost := 0, 0, int64(0)
 	for _, w := range d.orderedWorkers {
+		serving += w.servingProcessors
 		if !d.isStaying(w) {
 			continue
 		}
 		workers++
 		total += w.incarnation.GetProcessors()
-		serving += w.servingProcessors
 		if d.silenceOf(w) > unresponsiveAfter || w.leaseWithheld && w.lastAnswer.IsZero() {
 			unresponsive++
 			lost += w.incarnation.GetProcessors()
--- a/internal/decision/dispatch/headroom_test.go
+++ b/internal/decision/dispatch/headroom_test.go
@@ -64,6 +64,50 @@
 	}
 }
 
+// TestLeavingServingTasksKeepTheirRoom guards against accepting serving jobs into the room that the tasks of workers that are leaving
+// need elsewhere.
+func TestLeavingServingTasksKeepTheirRoom(t *testing.T) {
+	for name, leave := range map[string]func(w *simWorker){
+		"terminating": func(w *simWorker) {
+			w.leave(func(*controlpb.LeaderReply) {})
+			w.up = false
+		},
+		"draining": func(w *simWorker) { w.incarnation.Leaving, w.leavesIn = true, 10*time.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulationWithWorkers(t, 1, 10)
+			for i := range 16 {
+				sim.submit("urgent", fmt.Sprint("urgent-", i), dedicated(2, 800*time.Millisecond))
+				sim.run(500 * time.Millisecond)
+			}
+			step := serving(32, "image")
+			step.Processors = 8000
+			sim.submit("urgent", "serving", step)
+			sim.run(2 * time.Second)
+			for _, w := range sim.workers[:3] {
+				leave(w)
+			}
+			sim.run(1500 * time.Millisecond) // until they have announced it
+			for range 3 {
+				sim.addWorker("zone-0", "r-0")
+			}
+			accepted, interrupted := 0, 0
+			for i := range 32 {
+				sim.run(250 * time.Millisecond)
+				further := serving(8, "image")
+				further.Processors = 8000
+				if sim.submit("urgent", fmt.Sprint("further-", i), further) == controlpb.WorkOutcome_WORK_OK {
+					accepted++
+				}
+				interrupted = sim.state.Job("serving").Occurrences[0][0].Waiting
+			}
+			if accepted > 0 {
+				t.Errorf("%d serving jobs are accepted into the room of the tasks of leaving workers, of which %d wait", accepted, interrupted)
+			}
+		})
+	}
+}
+
 // TestNewLeaderKeepsHeadroom guards against accepting serving jobs without a limit until a new leader has learned what dedicated tasks
 // need.
 func TestNewLeaderKeepsHeadroom(t *testing.T) {
