dispatch: a leader records to whom it grants leases

Lasting tasks of workers that were lost before a series of short leaders waited for the ordinary lease again with each of them: 11.9 s with eight leaders of 1 s.

Cause: a leader counts the lease of each worker that doesn't answer from its own start, because the last leader may have granted it just before it fell. The log didn't tell that most of these leaders had never reached the worker.

Change: a leader records that it may grant leases to the inherited workers that have answered (BeginGrants); a registration records it too. The next leader counts from the end of the newest epoch that may have granted a lease. Leases of earlier epochs count too, as they may be longer. Starts await the record.

The safety tests are of the new records, so that they can't fail before. They fail if a leader counts from the beginning of the epoch, grants without a record, trusts epochs without records, ignores longer earlier leases, or grants longer leases than it may without a record.

--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -45,6 +45,9 @@
 	return nil
 }
 
+// Epochs returns the latest epochs, oldest first, without those that have ended too long ago to matter. The result must not be changed.
+func (s *State) Epochs() []*controlpb.EpochAssignments { return s.epochs }
+
 // AssignmentsBefore returns a number that is below those of all assignments of an epoch, and above those of earlier ones.
 func AssignmentsBefore(epoch uint64) uint64 { return epoch << assignmentBits }
 
@@ -68,10 +71,12 @@
 }
 
 // beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
-func (s *State) beginAssignments() {
+func (s *State) beginAssignments(epoch *controlpb.BeginEpoch) {
 	s.noteAnsweredStarts()
 	s.assignments = AssignmentsBefore(s.epoch)
-	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs})
+	s.epochs = append(s.epochs, &controlpb.EpochAssignments{
+		Epoch: s.epoch, ElapsedMs: s.elapsedMs, LeaseMs: epoch.GetLeaseMs(), RecordsGrants: epoch.GetRecordsGrants(),
+	})
 	for len(s.epochs) > maxEpochs || len(s.epochs) > 1 && s.epochs[1].GetElapsedMs()+epochRetention.Milliseconds() <= s.elapsedMs {
 		s.epochs = s.epochs[1:]
 	}
@@ -189,7 +194,9 @@
 func (s *State) restoreAssignments(snapshot *controlpb.WorkSnapshot) {
 	s.assignments = snapshot.GetAssignments()
 	for _, e := range snapshot.GetEpochs() {
-		s.epochs = append(s.epochs, proto.CloneOf(e))
+		restored := proto.CloneOf(e)
+		restored.RecordsGrants = e.GetRecordsGrants() && snapshot.GetRecordsGrants()
+		s.epochs = append(s.epochs, restored)
 	}
 	if s.assignments == 0 && s.epoch > 0 {
 		s.assignments = s.epoch<<assignmentBits + 1
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -39,7 +39,7 @@
 			incarnation.Number, incarnation.EndsSeen, incarnation.Resumed = current.GetNumber(), current.GetEndsSeen(), current.GetResumed()
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			incarnation.ReusesId = incarnation.GetReusesId() || current.GetReusesId()
-			incarnation.WithheldLease, incarnation.AnsweredByMs = current.GetWithheldLease(), current.AnsweredByMs
+			incarnation.WithheldLease, incarnation.AnsweredByMs, incarnation.GrantedEpoch = current.GetWithheldLease(), current.AnsweredByMs, current.GetGrantedEpoch()
 			current.WorkerLife = incarnation
 			return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 		}
@@ -58,6 +58,7 @@
 	}
 	s.lastWorkerNumber++
 	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease, incarnation.AnsweredByMs = s.lastWorkerNumber, 0, nil, nil
+	incarnation.GrantedEpoch = s.epoch
 	if lost := s.lostWorkers[incarnation.GetId()]; lost != nil {
 		incarnation.Resumed = lost.GetBornMs() == incarnation.GetBornMs()
 		incarnation.ReusesId = incarnation.GetReusesId() || lost.GetReusesId() || !incarnation.GetResumed()
