--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -109,10 +109,6 @@
 	newestEpochAt         time.Time             // by when it was proposed at the latest
 	inheritedLeasesExpire time.Time             // every lease of an earlier leader has expired by then
 	hasUnboundCalls       bool                  // workload.State.HasUnboundCalls as of the last scan
-	epochsBegan           map[uint64]time.Time  // by when the known epochs were proposed at the latest, as observed also while this replica didn't lead
-
-	unrecordedGrants []*worker // workers that have answered, and to which this leader grants no lease before that is recorded
-	recordingGrants  bool      // a record of grants is proposed and not yet decided
 
 	assignmentMarks  []assignmentMark               // of this leader's epoch, oldest first, without those that don't matter any more
 	openAssignments  []uint64                       // numbers of those of this leader's epoch that aren't settled, oldest first
@@ -214,7 +210,6 @@
 	d.assignmentMarks, d.toldAt, d.recordsMatterUntil = nil, time.Time{}, time.Time{}
 	d.openAssignments, d.newestAssignment, d.newestAnswered = nil, 0, 0
 	d.toldAnswers, d.answersToldAt, d.untoldSince = nil, time.Time{}, time.Time{}
-	d.unrecordedGrants, d.recordingGrants = nil, false
 }
 
 // StartLeading starts leading from the applied state. It proposes a new epoch; workers are called once that is committed.
@@ -236,7 +231,6 @@
 	d.epochPending = true
 	epoch := &controlpb.BeginEpoch{
 		LeaseMs: milliseconds(untilExpired(d.grantedLease())), EarlierLeaseMs: milliseconds(d.inheritedLeasesExpire.Sub(d.now)), BoundCalls: d.config.BoundCalls,
-		RecordsGrants: true,
 	}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginEpoch{BeginEpoch: epoch}},
 		func(result *controlpb.Result) {
@@ -336,7 +330,6 @@
 		for _, a := range d.config.Mailbox.TakeAnswers() {
 			d.handleAnswer(a)
 		}
-		d.recordGrants()
 		if !now.Before(d.nextScan) {
 			d.nextScan = now.Add(scanInterval)
 			d.tickWorkers()
--- a/internal/decision/dispatch/lease.go
+++ b/internal/decision/dispatch/lease.go
@@ -10,8 +10,7 @@
 // when, so before it lets them expire, it records that it grants no further one and how long they last at most. The next leader
 // counts this from when its own replica applied the record, or earlier as far as the log shows that time has passed since: a replica
 // that restarts applies its whole log at once. For a worker without a record, it assumes that the last leader has granted a lease just
-// before it started leading itself, unless the log shows that it hasn't (see grants.go). How long that lasts stands in the record of the last
-// leader's epoch.
+// before it started leading itself. How long that lasts stands in the record of the last leader's epoch.
 
 const (
 	// leaseTime is the duration of a worker lease. It bridges a change of leader, which takes up to 1.8 s, and a short
@@ -47,17 +46,13 @@
 func (d *Dispatcher) longestLease() time.Duration { return untilExpired(d.config.Limits.MaxLease) }
 
 // extendLease returns the new end of the lease on the worker's clock, and records when it has certainly expired on the
-// leader's. It returns 0, which grants nothing, without a valid leader lease or a reading of the worker's clock, for a worker that
-// terminates, doesn't answer or rejects calls, whose leases must expire for it to be declared lost, and if the lease would need a record that
-// isn't committed.
+// leader's. It returns 0, which grants nothing, without a valid leader lease or a reading of the worker's clock, and for
+// a worker that terminates, doesn't answer or rejects calls, whose leases must expire for it to be declared lost.
 func (d *Dispatcher) extendLease(w *worker) time.Duration {
 	if w.clockReadAt.IsZero() || w.terminating || w.leaseWithheld || w.missedCalls > maxMissedCalls || d.rejectsPolls(w) || !d.config.LeaseValid(d.now) {
 		return 0
 	}
-	lease := d.leaseToGrant(w)
-	if lease == 0 {
-		return 0
-	}
+	lease := d.grantedLease()
 	if expires := d.now.Add(untilExpired(lease)); expires.After(w.leaseExpires) {
 		w.leaseExpires = expires
 	}
@@ -104,8 +99,7 @@
 
 // initLease sets until when a worker that this leader starts to track may hold a lease.
 func (d *Dispatcher) initLease(w *worker) {
-	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeaseExpires(w)
-	w.unrecordedUntil = d.unrecordedUntil(w)
+	w.grantedAt, w.leaseExpires = d.leadingSince, d.inheritedLeasesExpire
 	w.reusesID = w.incarnation.GetReusesId()
 	record := w.incarnation.GetWithheldLease()
 	w.leaseWithheld = isLeaseBound(record)
@@ -212,7 +206,6 @@
 	if newest != d.newestEpoch || recordedAt.Before(d.newestEpochAt) {
 		d.newestEpoch, d.newestEpochAt = newest, recordedAt
 	}
-	d.observeEpochs()
 }
 
 // earlierLeasesExpire returns until when leases of epochs before the newest one last: they were all granted before that was proposed.
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -184,10 +184,6 @@
 		}
 		return
 	}
-	if !d.mayGrant(r.worker) {
-		r.nextStart = d.now.Add(callRetryDelay)
-		return
-	}
 	leaseExpiry := d.extendLease(r.worker)
 	if leaseExpiry == 0 || r.worker.ending {
 		r.nextStart = d.now.Add(callRetryDelay)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -64,12 +64,10 @@
 	workerClock       time.Duration // worker's clock when it sent its newest answer
 	clockReadAt       time.Time     // when that answer was received; zero before the first one
 	leaseExpires      time.Time     // every lease granted to this incarnation has expired by then
-	grantUnrecorded   bool          // it is listed in unrecordedGrants, or its record is proposed and not yet decided
-	unrecordedUntil   time.Time     // until when a lease may last that is granted without a record; zero if none may
 	leaseWithheld     bool          // no lease is granted and no start ordered: a poll got no answer, and no resumption is committed since
 	recordedExpiry    time.Time     // leaseExpires as last recorded; zero if that is unknown
 	recordingLease    bool          // a change of the withheld lease is proposed and not yet decided
-	grantedAt         time.Time     // of the newest call that extends the lease; if there is none, when this leader took over, as the last one may have granted leases without a record, or zero if the record of its open starts covers it
+	grantedAt         time.Time     // of the newest call that extends the lease; if there is none, when this leader took over, or zero if the record of its open starts covers it
 	lastAnswer        time.Time     // when the newest answer was received
 	lastPoll          time.Time     // when the newest answer to a poll was received, which shows that this incarnation is there
 	listedAt          time.Time     // when that poll was sent
@@ -312,7 +310,7 @@
 	if !d.withholdsEnds(w) {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
-	if w.missedCalls == 0 && d.mayGrant(w) && !w.leaseWithheld && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
+	if w.missedCalls == 0 && !w.leaseWithheld && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.pollAtOnce {
 		call.Wait = pollWait
 		if w.pollOften {
 			call.Wait = shortPollWait
@@ -392,7 +390,7 @@
 
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
-	return d.isStaying(w) && d.mayGrant(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 && w.rejectedPolls == 0 && !w.fenced && !w.leaseWithheld &&
+	return d.isStaying(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 && w.rejectedPolls == 0 && !w.fenced && !w.leaseWithheld &&
 		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.now.Before(w.quarantinedUntil)
 }
 
@@ -498,7 +496,6 @@
 	if a.Clock > 0 && !a.Received.Before(w.clockReadAt) {
 		w.workerClock, w.clockReadAt = a.Clock, a.Received
 	}
-	d.awaitGrantRecord(w)
 }
 
 // hasRestarted reports whether an answer comes from a later incarnation of the worker, because its clock is behind that of this one.
--- a/internal/decision/workload/assignment.go
+++ b/internal/decision/workload/assignment.go
@@ -45,9 +45,6 @@
 	return nil
 }
 
-// Epochs returns the latest epochs, oldest first, without those that have ended too long ago to matter. The result must not be changed.
-func (s *State) Epochs() []*controlpb.EpochAssignments { return s.epochs }
-
 // AssignmentsBefore returns a number that is below those of all assignments of an epoch, and above those of earlier ones.
 func AssignmentsBefore(epoch uint64) uint64 { return epoch << assignmentBits }
 
@@ -71,12 +68,10 @@
 }
 
 // beginAssignments begins the assignments of an epoch, and forgets the epochs that don't matter any more.
-func (s *State) beginAssignments(epoch *controlpb.BeginEpoch) {
+func (s *State) beginAssignments() {
 	s.noteAnsweredStarts()
 	s.assignments = AssignmentsBefore(s.epoch)
-	s.epochs = append(s.epochs, &controlpb.EpochAssignments{
-		Epoch: s.epoch, ElapsedMs: s.elapsedMs, BoundCalls: epoch.GetBoundCalls(), LeaseMs: epoch.GetLeaseMs(), RecordsGrants: epoch.GetRecordsGrants(),
-	})
+	s.epochs = append(s.epochs, &controlpb.EpochAssignments{Epoch: s.epoch, ElapsedMs: s.elapsedMs, BoundCalls: s.newestEpoch.GetBoundCalls()})
 	for len(s.epochs) > maxEpochs || s.isEpochOver(0) {
 		s.epochs = s.epochs[1:]
 	}
@@ -210,9 +205,7 @@
 func (s *State) restoreAssignments(snapshot *controlpb.WorkSnapshot) {
 	s.assignments = snapshot.GetAssignments()
 	for _, e := range snapshot.GetEpochs() {
-		restored := proto.CloneOf(e)
-		restored.RecordsGrants = e.GetRecordsGrants() && snapshot.GetRecordsGrants()
-		s.epochs = append(s.epochs, restored)
+		s.epochs = append(s.epochs, proto.CloneOf(e))
 	}
 	if s.assignments == 0 && s.epoch > 0 {
 		s.assignments = s.epoch<<assignmentBits + 1
--- a/internal/decision/workload/lease.go
+++ b/internal/decision/workload/lease.go
@@ -25,16 +25,6 @@
 	return &controlpb.Result{}
 }
 
-// beginGrants records that the leader of the latest epoch may grant leases to workers. Workers that have ended meanwhile are ignored.
-func (s *State) beginGrants(change *controlpb.BeginGrants) *controlpb.Result {
-	for _, number := range change.GetWorkers() {
-		if w := s.workers[number]; w != nil {
-			w.GrantedEpoch = s.epoch
-		}
-	}
-	return &controlpb.Result{}
-}
-
 // noteAnswered notes at the first assignment of a run that a worker has answered a call with its own fencing token: only then does a
 // leader assign runs to it.
 func (s *State) noteAnswered(w *Worker) {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -27,8 +27,6 @@
 		LedMs:       s.ledMs,
 		Crashes:     slices.Clone(s.crashes),
 		LostWorkers: s.lostByID(),
-
-		RecordsGrants: true,
 	}
 	for _, e := range s.epochs {
 		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -130,7 +130,7 @@
 		s.epoch++
 		s.newestEpoch = kind.BeginEpoch
 		s.newestEpoch.ElapsedMs = s.elapsedMs
-		s.beginAssignments(s.newestEpoch)
+		s.beginAssignments()
 		return &controlpb.Result{Fence: s.epoch}
 	case *controlpb.WorkChange_LearnPairs:
 		return s.learnPairs(kind.LearnPairs)
@@ -146,8 +146,6 @@
 		return s.resumeLease(kind.ResumeLease)
 	case *controlpb.WorkChange_RenewAssignment:
 		return s.renewAssignment(kind.RenewAssignment)
-	case *controlpb.WorkChange_BeginGrants:
-		return s.beginGrants(kind.BeginGrants)
 	case *controlpb.WorkChange_ForgetCrashes:
 		return s.forgetCrashes(kind.ForgetCrashes)
 	}
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -40,7 +40,7 @@
 			incarnation.Leaving = incarnation.GetLeaving() || current.GetLeaving()
 			incarnation.ReusesId = incarnation.GetReusesId() || current.GetReusesId()
 			incarnation.FollowsUnknownStart = incarnation.GetFollowsUnknownStart() || current.GetFollowsUnknownStart()
-			incarnation.WithheldLease, incarnation.AnsweredByMs, incarnation.GrantedEpoch = current.GetWithheldLease(), current.AnsweredByMs, current.GetGrantedEpoch()
+			incarnation.WithheldLease, incarnation.AnsweredByMs = current.GetWithheldLease(), current.AnsweredByMs
 			current.WorkerLife = incarnation
 			return &controlpb.Result{Fence: uint64(incarnation.GetNumber())}
 		}
@@ -60,7 +60,6 @@
 	}
 	s.lastWorkerNumber++
 	incarnation.Number, incarnation.EndsSeen, incarnation.WithheldLease, incarnation.AnsweredByMs = s.lastWorkerNumber, 0, nil, nil
-	incarnation.GrantedEpoch = s.epoch
 	if lost := s.lostWorkers[incarnation.GetId()]; lost != nil {
 		incarnation.Resumed = lost.GetBornMs() == incarnation.GetBornMs()
 		incarnation.ReusesId = incarnation.GetReusesId() || lost.GetReusesId() || !incarnation.GetResumed()
