--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -125,8 +125,9 @@
 	return &controlpb.UnansweredAssignments{Numbers: slices.Clone(d.openAssignments[first:end])}
 }
 
-// recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled or no later incarnation can run it. The longest lease is counted from
-// the fall of the leader that assigned it, whatever leaders came since, so that the wait doesn't start again under each of them.
+// recentUntil returns until when an inherited run counts as recent, or the zero time if it was settled or no later incarnation can run it. The
+// longest lease is counted from the fall of the leader that assigned it, whatever leaders came since, so that the wait doesn't start again under
+// each of them.
 func (d *Dispatcher) recentUntil(r *run) time.Time {
 	elapsed, unsettled := d.state.UnsettledSince(r.task.Assignment(r.key.Run))
 	if !unsettled || !d.mayReachLater(r.worker) {
