Bound calls: one place for what tests share, and for a condition that a loop repeated

No behaviour changes. Whether a later incarnation can be reached is asked once per worker in openStarts. Three older tests and the new ones share the check that tasks run again in time, two set-ups of workers are one, and tests of links share the check that a connection isn't reused; all bounds are as before.

--- a/internal/decision/dispatch/answered_across_leaders_test.go
+++ b/internal/decision/dispatch/answered_across_leaders_test.go
@@ -25,14 +25,7 @@
 					change()
 					sim.run(led)
 					sim.restartSilently(4)
-					restarted := sim.now
-					if n := sim.servingRuns("a"); n == tasks {
-						t.Fatal("no task is affected")
-					}
-					sim.awaitServingRuns("a", tasks)
-					if waited := sim.now.Sub(restarted); waited > most {
-						t.Errorf("the tasks run again %v after the restart, expected at most %v", waited, most)
-					}
+					sim.expectRunsWithin("a", tasks, sim.now, most)
 				})
 			}
 		}
--- a/internal/decision/dispatch/bound_calls_test.go
+++ b/internal/decision/dispatch/bound_calls_test.go
@@ -17,27 +17,13 @@
 	sim.dispatcher, sim.standby = New(config), New(config)
 	sim.dispatcher.StartLeading(sim.now)
 	sim.configure()
-	for i := range workers {
-		sim.addWorker(fmt.Sprintf("zone-%d", i%2), fmt.Sprintf("r-%d", i%4))
-	}
+	sim.addWorkers(workers)
 	sim.run(12 * time.Second)
 	sim.changeLeader()
 	sim.run(2 * time.Second)
 	return sim
 }
 
-// expectRunsWithin fails the test unless all tasks of a job run again within a time.
-func (sim *simulation) expectRunsWithin(id string, tasks int, since time.Time, most time.Duration) {
-	sim.t.Helper()
-	if n := sim.servingRuns(id); n == tasks {
-		sim.t.Fatal("no task is affected")
-	}
-	sim.awaitServingRuns(id, tasks)
-	if waited := sim.now.Sub(since); waited > most {
-		sim.t.Errorf("the tasks run again after %v, expected at most %v", waited, most)
-	}
-}
-
 // Tasks whose starts got no answer, on workers that are lost with the leader, must not wait for the longest lease that a later incarnation
 // could hold: bound starts reach none.
 func TestUnansweredStartsOnLostWorkers(t *testing.T) {
@@ -60,7 +46,7 @@
 
 // The same if the workers have announced a restart before, whichever leaders come then: an open start counted for 22.5 s.
 func TestUnansweredStartsOfSilentlyRestartedWorkers(t *testing.T) {
-	const tasks, workers = 16, 8
+	const tasks, workers, most = 16, 8, 9 * time.Second
 	for _, changes := range []int{0, 1, 3} {
 		t.Run(fmt.Sprintf("changes=%d", changes), func(t *testing.T) {
 			sim := newBoundSimulation(t, workers)
@@ -74,7 +60,6 @@
 				sim.changeLeader()
 				sim.run(700 * time.Millisecond)
 			}
-			most := 9 * time.Second
 			sim.expectRunsWithin("a", tasks, restarted, most)
 		})
 	}
--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -34,13 +34,18 @@
 func newSimulationWithWorkers(t *testing.T, seed uint64, workers int) *simulation {
 	sim := newSimulation(t, seed)
 	sim.configure()
-	for i := range workers {
-		sim.addWorker(fmt.Sprintf("zone-%d", i%2), fmt.Sprintf("r-%d", i%4))
-	}
+	sim.addWorkers(workers)
 	sim.run(3 * time.Second)
 	return sim
 }
 
+// addWorkers adds workers in two zones and four racks.
+func (sim *simulation) addWorkers(count int) {
+	for i := range count {
+		sim.addWorker(fmt.Sprintf("zone-%d", i%2), fmt.Sprintf("r-%d", i%4))
+	}
+}
+
 func (sim *simulation) expect(id string, want controlpb.WorkState) {
 	sim.t.Helper()
 	if got := sim.stateOf(id); got != want {
--- a/internal/decision/dispatch/lease_across_leaders_test.go
+++ b/internal/decision/dispatch/lease_across_leaders_test.go
@@ -38,6 +38,18 @@
 	}
 }
 
+// expectRunsWithin fails the test unless all tasks of a job run again within a time.
+func (sim *simulation) expectRunsWithin(id string, tasks int, since time.Time, most time.Duration) {
+	sim.t.Helper()
+	if n := sim.servingRuns(id); n == tasks {
+		sim.t.Fatal("no task is affected")
+	}
+	sim.awaitServingRuns(id, tasks)
+	if waited := sim.now.Sub(since); waited > most {
+		sim.t.Errorf("the tasks run again after %v, expected at most %v", waited, most)
+	}
+}
+
 // Once a leader has noticed that workers don't answer, their tasks must not wait longer because the leader changes: the next one
 // used to count the longest lease from its own start.
 func TestLeasesAcrossLeaders(t *testing.T) {
--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -88,8 +88,7 @@
 
 func startCluster(t *testing.T, seed uint64, workers int, boundCalls bool) *cluster {
 	c := &cluster{
-		boundCalls: boundCalls,
-		t:          t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
+		t: t, seed: seed, boundCalls: boundCalls, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_000_000, 0), state: workload.New(),
 		maxLease: protocolMaxLease, jobs: map[string]*controlpb.WorkJob{}, replies: map[*controlpb.LeaderRequest]func(*controlpb.LeaderReply){},
 		deliver:    func(*exchange, *strictWorker) delivery { return delivery{delay: time.Millisecond} },
 		commitTime: func() time.Duration { return 15 * time.Millisecond }, heartbeatDelay: func() time.Duration { return 0 },
--- a/internal/decision/dispatch/recent_test.go
+++ b/internal/decision/dispatch/recent_test.go
@@ -201,14 +201,7 @@
 	sim.changeLeader()
 	sim.run(500 * time.Millisecond)
 	sim.crashWorkers(1)
-	crashed := sim.now
-	if sim.servingRuns("recent") == tasks {
-		t.Fatal("no task is affected")
-	}
-	sim.awaitServingRuns("recent", tasks)
-	if waited := sim.now.Sub(crashed); waited > leaseBound+300*time.Millisecond {
-		t.Errorf("the tasks run again %v after the crash", waited)
-	}
+	sim.expectRunsWithin("recent", tasks, sim.now, leaseBound+300*time.Millisecond)
 }
 
 // Runs that were assigned shortly before the last leader fell and got no answer must count as recent, and only those, if the next one has just read its
--- a/internal/decision/dispatch/restartrecord.go
+++ b/internal/decision/dispatch/restartrecord.go
@@ -57,9 +57,12 @@
 // openStarts returns the runs of a worker that a later incarnation may start, or has started, and until when these may run. The start of a
 // run may get no answer after it was seen, which makes it count as open, so those that are pending are included.
 func (d *Dispatcher) openStarts(w *worker) (starts []workload.RunKey, until time.Time) {
+	if !d.mayReachLater(w) {
+		return nil, time.Time{}
+	}
 	for key := range w.incarnation.Runs {
 		r := d.runs[key]
-		if r == nil || !d.mayReachLater(w) || !r.startPending && !d.hasOpenStart(r) {
+		if r == nil || !r.startPending && !d.hasOpenStart(r) {
 			continue
 		}
 		starts = append(starts, key)
--- a/internal/decision/dispatch/reused_id_test.go
+++ b/internal/decision/dispatch/reused_id_test.go
@@ -51,14 +51,7 @@
 				change(sim, disk)
 				sim.run(led)
 				sim.crashWorkers(4)
-				crashed := sim.now
-				if sim.servingRuns("a") == tasks {
-					t.Fatal("no task is affected")
-				}
-				sim.awaitServingRuns("a", tasks)
-				if waited := sim.now.Sub(crashed); waited > leaseBound+margin {
-					t.Errorf("the tasks run again %v after the loss, expected at most %v", waited, leaseBound+margin)
-				}
+				sim.expectRunsWithin("a", tasks, sim.now, leaseBound+margin)
 			})
 		}
 	}
--- a/internal/shell/workerlink/pool_test.go
+++ b/internal/shell/workerlink/pool_test.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// expectNotReused releases the first link to a server, and fails the test unless the next request is sent over a second connection.
+func expectNotReused(t *testing.T, pool *Pool, s *server, first *Link) {
+	t.Helper()
+	pool.Release(first)
+	second := acquire(t, pool, s, Incarnation{})
+	expect(t, second, s, "2")
+	pool.Release(second)
+}
+
 // A link must stay on its connection, and an idle one must be preferred to a new one, that of the wanted incarnation first.
 func TestLinksAreReused(t *testing.T) {
 	s := newServer(t, answerNumber)
@@ -141,10 +150,7 @@
 	if !link.Identify(Incarnation{"w", 1}) || !link.Identify(Incarnation{"w", 1}) || link.Identify(Incarnation{"w", 2}) {
 		t.Error("the second incarnation isn't noticed, or the first one is taken for another")
 	}
-	pool.Release(link)
-	link = acquire(t, pool, s, Incarnation{})
-	expect(t, link, s, "2")
-	pool.Release(link)
+	expectNotReused(t, pool, s, link)
 }
 
 // A request must not be sent over an idle link that the worker has closed or has written to: it would count as one that may be carried out.
@@ -164,10 +170,7 @@
 			for end := time.Now().Add(5 * time.Second); link.isOpen() && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
-			pool.Release(link)
-			link = acquire(t, pool, s, Incarnation{})
-			expect(t, link, s, "2")
-			pool.Release(link)
+			expectNotReused(t, pool, s, link)
 		})
 	}
 }
@@ -189,10 +192,7 @@
 			if (err == nil) != (name == "close") {
 				t.Errorf("got error %v", err)
 			}
-			pool.Release(link)
-			link = acquire(t, pool, s, Incarnation{})
-			expect(t, link, s, "2")
-			pool.Release(link)
+			expectNotReused(t, pool, s, link)
 		})
 	}
 }
@@ -209,10 +209,7 @@
 	if _, _, err := link.Do(post(ctx, t, s.address, 10)); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got error %v", err)
 	}
-	pool.Release(link)
-	link = acquire(t, pool, s, Incarnation{})
-	expect(t, link, s, "2")
-	pool.Release(link)
+	expectNotReused(t, pool, s, link)
 }
 
 // The links to an address are bounded, and a caller that waits for one must get the first that is released, or give up with its context.
