dispatch: a log line on why lasting tasks wait beside hosts with room

WaitingFor said Limits for a host whose room is held, for one without the label, at its limit per worker or without a ticket, and nothing told how much of the reserved room belongs to runs that are about to end.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"galenamoor/internal/decision/occupancy"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
@@ -82,7 +83,7 @@
 	var unasked, expired []*worker
 	for i := range hosts {
 		w := hosts[i].worker
-		if !c.step.Demand().Fits(hosts[i].Free) || !d.allowsUnadvised(c, w) {
+		if !c.step.Demand().Fits(hosts[i].Free) || d.unadvisedExclusion(c, w) != occupancy.NotRefused {
 			continue
 		}
 		t, answered := cached.tickets[w.incarnation.GetNumber()]
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -399,21 +399,35 @@
 // allows reports whether a step may run on a worker under the rules of the step and its queue and, for advised queues,
 // with a valid ticket.
 func (d *Dispatcher) allows(c candidate, w *worker) bool {
-	return d.allowsUnadvised(c, w) && (!c.queue.GetAdvised() || d.ticketFor(c.step, w) != "")
+	return d.exclusion(c, w) == occupancy.NotRefused
 }
 
-// allowsUnadvised is like allows, but doesn't require a ticket.
-func (d *Dispatcher) allowsUnadvised(c candidate, w *worker) bool {
+// exclusion returns why a step may not run on a worker.
+func (d *Dispatcher) exclusion(c candidate, w *worker) occupancy.Refusal {
+	if reason := d.unadvisedExclusion(c, w); reason != occupancy.NotRefused {
+		return reason
+	}
+	if c.queue.GetAdvised() && d.ticketFor(c.step, w) == "" {
+		return occupancy.MissingTicket
+	}
+	return occupancy.NotRefused
+}
+
+// unadvisedExclusion is like exclusion, but doesn't require a ticket.
+func (d *Dispatcher) unadvisedExclusion(c candidate, w *worker) occupancy.Refusal {
 	if w.incarnation.GetPool() != c.queue.GetPool() {
-		return false
+		return occupancy.OtherPool
 	}
 	if label := c.step.GetRequiredLabel(); label != "" && !w.incarnation.HasLabel(label) {
-		return false
+		return occupancy.MissingLabel
 	}
 	if limit := c.step.GetMaxPerWorker(); limit > 0 && d.tasksOn(c.step, w) >= int(limit) {
-		return false
+		return occupancy.WorkerLimit
+	}
+	if !d.allowsSuspects(c, w) {
+		return occupancy.SuspectTasks
 	}
-	return d.allowsSuspects(c, w)
+	return occupancy.NotRefused
 }
 
 // tasksOn counts the runs of a step that are assigned to a worker or proposed for it.
--- a/internal/decision/dispatch/pass_test.go
+++ b/internal/decision/dispatch/pass_test.go
@@ -128,7 +128,7 @@
 	sim.run(200 * time.Millisecond)
 	d := sim.dispatcher
 	causes := map[occupancy.Cause]int{}
-	for c, cause := range d.waitCauses(d.candidates(), d.hosts()) {
+	for c, cause := range d.waitCauses(d.candidates(), d.hosts(), &lastingWaits{}) {
 		causes[cause] += c.step.Waiting
 	}
 	if causes[occupancy.StartLimit] != 6 || len(causes) != 1 {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -35,8 +35,8 @@
 	for _, h := range hosts {
 		account.AddHost(h.Host, h.worker.servingProcessors)
 	}
-	causes := map[string]int{}
-	for c, cause := range d.waitCauses(candidates, hosts) {
+	causes, lasting := map[string]int{}, lastingWaits{}
+	for c, cause := range d.waitCauses(candidates, hosts, &lasting) {
 		causes[c.queue.GetName()+" "+string(cause)] += c.step.Waiting
 		d.config.Count("StepsWaiting." + string(cause))
 	}
@@ -45,13 +45,61 @@
 		"Total", account.Total, "Reserved", account.Reserved, "ReservedServing", account.Serving, "BestEffort", account.BestEffort, "Free", account.Free,
 		"LargestFree", account.LargestFree, "HeldWorkers", d.heldWorkers(), "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
+	d.reportLasting(&lasting, hosts)
+}
+
+// lastingWaits sums up why lasting tasks wait, over the steps that a report explains.
+type lastingWaits struct {
+	tasks    int
+	smallest int64                     // least milli-cores that one of the tasks needs
+	refusals map[occupancy.Refusal]int // hosts with room, summed over the steps
+}
+
+func (l *lastingWaits) add(step *workload.Step, refusals map[occupancy.Refusal]int) {
+	if l.tasks == 0 || step.GetProcessors() < l.smallest {
+		l.smallest = step.GetProcessors()
+	}
+	l.tasks += step.Waiting
+	if l.refusals == nil {
+		l.refusals = map[occupancy.Refusal]int{}
+	}
+	for reason, count := range refusals {
+		l.refusals[reason] += count
+	}
+}
+
+// freeCoresCap is the number of free cores from which hosts are counted together.
+const freeCoresCap = 16
+
+// reportLasting logs why lasting tasks wait although hosts have room, and what is free but not usable: in pieces, or until runs that
+// are stopped or have ended are recorded.
+func (d *Dispatcher) reportLasting(waits *lastingWaits, hosts []host) {
+	if waits.tasks == 0 {
+		return
+	}
+	pieces := make([]int, freeCoresCap+1)
+	for i := range hosts {
+		pieces[min(freeCoresCap, max(0, hosts[i].Free.Processors)/1000)]++
+	}
+	stopping, ended := int64(0), int64(0)
+	for _, r := range d.runs {
+		switch {
+		case r.ended:
+			ended += r.task.Step.Demand().Processors
+		case r.stopRequested:
+			stopping += r.task.Step.Demand().Processors
+		}
+	}
+	d.config.Log.Info("lasting tasks wait", "Tasks", waits.tasks, "SmallestNeed", waits.smallest, "Refusals", waits.refusals, "HostsByFreeCores", pieces,
+		"Stopping", stopping, "EndsUnrecorded", ended, "Unusable", len(d.workers)-len(hosts))
 }
 
 // timelinessNames are the log names of timeliness values.
 var timelinessNames = [...]string{onTime: "in time", late: "late", tooLate: "too late"}
 
-// waitCauses returns what keeps the most urgent steps from starting, and all steps that the last pass didn't reach.
-func (d *Dispatcher) waitCauses(candidates []candidate, hosts []host) iter.Seq2[candidate, occupancy.Cause] {
+// waitCauses returns what keeps the most urgent steps from starting, and all steps that the last pass didn't reach. It adds the
+// lasting steps among the first to lasting.
+func (d *Dispatcher) waitCauses(candidates []candidate, hosts []host, lasting *lastingWaits) iter.Seq2[candidate, occupancy.Cause] {
 	unreached := make(map[*workload.Step]bool, len(d.unreached))
 	for _, c := range d.unreached {
 		unreached[c.step] = true
@@ -64,7 +112,11 @@
 					return
 				}
 			case i < maxExplainedSteps:
-				if !yield(c, d.waitCause(c, hosts)) {
+				search := d.explainWait(c, hosts)
+				if isLasting(c.step) {
+					lasting.add(c.step, search.Refusals)
+				}
+				if !yield(c, search.Cause()) {
 					return
 				}
 			}
@@ -72,17 +124,22 @@
 	}
 }
 
-// waitCause returns what keeps the waiting tasks of a step from starting.
-func (d *Dispatcher) waitCause(c candidate, hosts []host) occupancy.Cause {
-	search := occupancy.Search{Demand: d.demand(c)}
+// explainWait finds what keeps the waiting tasks of a step from starting.
+func (d *Dispatcher) explainWait(c candidate, hosts []host) *occupancy.Search {
+	search := &occupancy.Search{Demand: d.demand(c)}
 	for i := range hosts {
 		h := &hosts[i]
 		search.Consider(h.Host,
-			func() bool { return respectsHold(c, search.Demand.Need, h) && d.allows(c, h.worker) },
+			func() occupancy.Refusal {
+				if !respectsHold(c, search.Demand.Need, h) {
+					return occupancy.HeldRoom
+				}
+				return d.exclusion(c, h.worker)
+			},
 			func() bool {
 				_, ok := d.score(c, search.Demand, h)
 				return ok
 			})
 	}
-	return search.Cause()
+	return search
 }
--- a/internal/decision/occupancy/account.go
+++ b/internal/decision/occupancy/account.go
@@ -54,13 +54,14 @@
 // Search finds the cause for which a task waits, from the hosts that were considered for it.
 type Search struct {
 	Demand                                     colocation.Demand
+	Refusals                                   map[Refusal]int // number of hosts with room by why they don't get the task
 	hasProcessors, hasRoom, isAllowed, accepts bool
 	available                                  int64
 }
 
-// Consider adds a host to the search. The functions are only called where there is room: allowed reports whether the rules
-// of the task's step admit the host, and accepted whether the host takes the task beside what it runs.
-func (s *Search) Consider(h *colocation.Host, allowed, accepted func() bool) {
+// Consider adds a host to the search. The functions are only called where there is room: refusal returns why the rules of the
+// task's step exclude the host, and accepted reports whether the host takes the task beside what it runs.
+func (s *Search) Consider(h *colocation.Host, refusal func() Refusal, accepted func() bool) {
 	offered := h.Free.Processors
 	if s.Demand.Kind == colocation.BestEffort {
 		offered = h.Spare
@@ -74,11 +75,23 @@
 		return
 	}
 	s.hasRoom = true
-	if !allowed() {
+	if reason := refusal(); reason != NotRefused {
+		s.refuse(reason)
 		return
 	}
 	s.isAllowed = true
-	s.accepts = s.accepts || accepted()
+	if !accepted() {
+		s.refuse(Disturbed)
+		return
+	}
+	s.accepts = true
+}
+
+func (s *Search) refuse(reason Refusal) {
+	if s.Refusals == nil {
+		s.Refusals = map[Refusal]int{}
+	}
+	s.Refusals[reason]++
 }
 
 // Cause returns why the task waits, given the hosts considered.
