dispatch: running services move to make room for interrupted ones

Cause: lasting tasks leave pieces of free room on many hosts, and only the end of a job brings them together. From 15 s on, all waiting tasks are refused for Fragmentation: 0.51M milli-cores are free on 367 hosts, 112 of which have 2 to 4.3 cores, and the smallest of 142 waiting tasks needs 5.55.

Change: if a lasting step lacks room for 1.5 s, two hosts exchange running serving tasks so that their free room comes together on one of them. The room for all is reserved until each is assigned, the waiting task comes last so that the others can return, disruption budgets hold, and a task stays for 5 s before it moves. Steps that never ran get this only beside the headroom of dedicated tasks.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -139,6 +139,7 @@
 
 	holds       map[*workload.Step][]*worker // workers on which room is held for waiting tasks of a step
 	holdRetries map[*workload.Step]time.Time // earliest next search of a step for which no host was found
+	relocations relocationState
 
 	fruitless      map[*workload.Step]bool // steps for which hosts were rated in vain since a pass last reached all steps
 	unreached      []candidate             // the steps that the last pass didn't reach
@@ -195,6 +196,7 @@
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
 	d.holds, d.holdRetries = map[*workload.Step][]*worker{}, map[*workload.Step]time.Time{}
+	d.relocations = newRelocationState()
 	d.fruitless, d.victimless = map[*workload.Step]bool{}, map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
 	d.trials = map[trial]int{}
--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -69,6 +69,12 @@
 	return available, d.neededHeadroom(total)
 }
 
+// hasHeadroom reports whether the processors that serving tasks leave are those that dedicated tasks need.
+func (d *Dispatcher) hasHeadroom() bool {
+	total, serving := d.stayingProcessors()
+	return total-serving >= d.neededHeadroom(total)
+}
+
 // neededHeadroom returns the milli-cores that dedicated tasks need on hosts of so many milli-cores.
 func (d *Dispatcher) neededHeadroom(total int64) int64 {
 	if needed, ok := d.headroom.Processors(d.now); ok {
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -124,7 +124,7 @@
 			held++
 			continue
 		}
-		if h.Suspect || h.IgnoresStarts {
+		if h.Suspect || h.IgnoresStarts || h.worker.relocation != nil {
 			continue
 		}
 		d.ratingBudget--
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -58,6 +58,7 @@
 	d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
 	candidates := d.candidates()
 	d.endStaleHolds(candidates)
+	d.beginRelocations(candidates)
 	d.report(candidates, hosts)
 	budget := maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
 	d.holdSearches = 0
@@ -72,6 +73,7 @@
 	d.beginVictimSearches(hosts)
 	p := &placement{hosts: hosts, fleet: vacancyOf(hosts), starts: budget, preemptions: maxPreemptionsPerPass, exhausted: map[placementClass][]resource.Vector{}}
 	d.unreached, d.unreachedCause = nil, ""
+	p.starts -= d.continueRelocations(hosts)
 	for i, c := range candidates {
 		switch {
 		case p.starts <= 0:
@@ -110,7 +112,9 @@
 	needed := need(c.step)
 	switch {
 	case p.isExhausted(c, needed) && len(d.holds[c.step]) == 0:
-		d.updateHolds(c, p.hosts, d.countPlaceable(c.step))
+		missing := d.countPlaceable(c.step)
+		d.updateHolds(c, p.hosts, missing)
+		d.relocate(c, p.hosts, missing)
 		if p.fleet.allowsThrottled(c) {
 			p.starts -= d.placeThrottled(c, p.hosts)
 		}
@@ -132,6 +136,7 @@
 	placed, missing := d.placeTasks(c, p.hosts)
 	p.starts -= placedSuspects + placed
 	d.updateHolds(c, p.hosts, missing)
+	d.relocate(c, p.hosts, missing)
 	if missing > 0 && p.fleet.allowsThrottled(c) {
 		p.starts -= d.placeThrottled(c, p.hosts)
 	}
@@ -365,8 +370,13 @@
 	return placed, missing
 }
 
-// isPlaceable reports whether a task waits for a run that isn't proposed yet.
+// isPlaceable reports whether a task waits for a run that isn't proposed yet, and no room is reserved for it.
 func (d *Dispatcher) isPlaceable(task *workload.Task) bool {
+	return d.isWaiting(task) && !d.relocations.reserved[task]
+}
+
+// isWaiting reports whether a task waits for a run that isn't proposed yet.
+func (d *Dispatcher) isWaiting(task *workload.Task) bool {
 	return task.IsWaiting() && !d.assigning[task.Key()] && !task.IsPaused(d.config.Wall())
 }
 
@@ -377,7 +387,7 @@
 	var bestScore int64
 	for i := range hosts {
 		h := &hosts[i]
-		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c, demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
+		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c, demand.Need, h) || !respectsRelocations(demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
 		d.ratingBudget--
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -95,7 +95,7 @@
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
 		}
-		if !d.allows(c, w) || w.preempting[c.step] || w.isHeldFrom(c) {
+		if !d.allows(c, w) || w.preempting[c.step] || w.isHeldFrom(c) || w.relocation != nil {
 			continue
 		}
 		chosen, cost, isEnough := d.victimsOn(w, hosts[i].Free, demand, c.queue.GetPriority())
--- /dev/null
+++ b/internal/decision/dispatch/relocation.go
@@ -0,0 +1,345 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"galenamoor/internal/decision/colocation"
+	"galenamoor/internal/decision/compaction"
+	"galenamoor/internal/decision/workload"
+	"galenamoor/pkg/resource"
+)
+
+// Lasting tasks leave pieces of free room on many hosts, and nothing but the end of a job brings them together: a lasting task that
+// needs more than the largest piece waits beside free room for several times as much. Running lasting tasks are therefore moved
+// between two hosts so that it fits on one of them. A moved task is stopped and started again on the other host, so that it is
+// unavailable for about the stop grace; its room there is reserved before it is stopped.
+
+const (
+	// relocationDelay is how long tasks of a lasting step must have lacked room before running ones are moved for them. Most get room
+	// sooner, from tasks that end.
+	relocationDelay = 1500 * time.Millisecond
+
+	// relocationRetryDelay is the time between two searches for a step for which no tasks can be moved.
+	relocationRetryDelay = time.Second
+
+	// maxRelocationSearches bounds the searches of one pass. A search takes up to a millisecond.
+	maxRelocationSearches = 4
+
+	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby about the
+	// share of the lasting tasks that are unavailable.
+	maxRelocatingShare = 0.1
+
+	// relocationTimeout is the time after which a relocation is given up: the stop grace, with a margin for a lost call and for the ends
+	// to be reported and recorded.
+	relocationTimeout = 3 * time.Second
+
+	// minResidence is how long a task must have run before it may be moved, so that no task is moved again and again.
+	minResidence = 5 * time.Second
+)
+
+// relocation is a move of running tasks that makes room for a waiting one. Until each of the tasks is assigned to its destination,
+// the room for it is reserved there. The waiting task comes last, so that the others can return if a host becomes unusable.
+type relocation struct {
+	since        time.Time
+	waiting      *workload.Task
+	destinations map[*workload.Task]*worker // of the tasks that aren't assigned yet
+	sources      map[*workload.Task]*worker // of the moved tasks
+	isReturning  bool                       // it was given up: tasks return to where they ran
+}
+
+// relocationState is the leader's soft state of relocations.
+type relocationState struct {
+	active      []*relocation
+	reserved    map[*workload.Task]bool      // tasks for which room is reserved, of all active relocations
+	shortSince  map[*workload.Step]time.Time // since when tasks of a lasting step lack room
+	retries     map[*workload.Step]time.Time // earliest next search for a step
+	searches    int                          // that the current pass may still make
+	hasHeadroom func() bool                  // whether dedicated tasks have their headroom, in the current pass
+	hosts       []compactable                // of the current pass; nil until a search needs them
+}
+
+func newRelocationState() relocationState {
+	return relocationState{reserved: map[*workload.Task]bool{}, shortSince: map[*workload.Step]time.Time{}, retries: map[*workload.Step]time.Time{}}
+}
+
+// compactable is a host that may take part in an exchange, with the runs that may move.
+type compactable struct {
+	*host
+	runs []*run
+}
+
+// respectsRelocations reports whether a host has room for a demand beside what is reserved there for moved tasks.
+func respectsRelocations(demand resource.Vector, h *host) bool {
+	if h.worker.relocation == nil {
+		return true
+	}
+	rest := h.Free
+	for task, destination := range h.worker.relocation.destinations {
+		if destination == h.worker {
+			rest = rest.Sub(task.Step.Demand())
+		}
+	}
+	return demand.Fits(resource.Vector{
+		Processors: max(0, rest.Processors), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators),
+	})
+}
+
+// continueRelocations assigns tasks to their destinations once their runs have ended, and ends relocations that are complete or
+// can't be completed. It returns the number of runs assigned.
+func (d *Dispatcher) continueRelocations(hosts []host) int {
+	if len(d.relocations.active) == 0 {
+		return 0
+	}
+	byWorker := make(map[*worker]*host, len(hosts))
+	for i := range hosts {
+		byWorker[hosts[i].worker] = &hosts[i]
+	}
+	assigned := 0
+	for _, move := range slices.Clone(d.relocations.active) {
+		assigned += d.continueRelocation(move, byWorker)
+	}
+	return assigned
+}
+
+// continueRelocation does so for one relocation.
+func (d *Dispatcher) continueRelocation(move *relocation, hosts map[*worker]*host) int {
+	assigned, isUnusable := 0, false
+	for _, task := range move.openTasks() {
+		destination := move.destinations[task]
+		h := hosts[destination]
+		switch {
+		case task.Step.Job.IsTerminal() || task.Done || d.hasRunThatStays(task):
+			d.unreserve(move, task)
+		case h == nil:
+			isUnusable = true
+		case d.isWaiting(task) && (task != move.waiting || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
+			d.allows(d.candidateOf(task.Step), destination):
+			d.unreserve(move, task)
+			d.assign(task, destination, task.LastRun+1, false)
+			h.refresh(d.now)
+			assigned++
+		}
+	}
+	switch {
+	case len(move.destinations) == 0:
+		d.endRelocation(move, "complete")
+	case isUnusable:
+		d.giveUpRelocation(move, "a worker is unusable", hosts)
+	case d.now.Sub(move.since) >= relocationTimeout:
+		d.giveUpRelocation(move, "it has timed out", hosts)
+	}
+	return assigned
+}
+
+// giveUpRelocation lets moved tasks return to the hosts on which they ran, whose room is still reserved as the waiting task wasn't
+// assigned. It ends a relocation whose tasks can't return.
+func (d *Dispatcher) giveUpRelocation(move *relocation, reason string, hosts map[*worker]*host) {
+	d.config.Count("RelocationsGivenUp")
+	d.config.Log.Info("relocation given up", "Task", move.waiting.Key().String(), "Reason", reason, "Open", len(move.destinations))
+	if !move.isReturning {
+		move.isReturning, move.since = true, d.now
+		d.unreserve(move, move.waiting)
+		for _, task := range move.openTasks() {
+			if move.destinations[task] = move.sources[task]; hosts[move.sources[task]] == nil {
+				d.unreserve(move, task)
+			}
+		}
+		if len(move.destinations) > 0 {
+			return
+		}
+	}
+	d.endRelocation(move, reason)
+}
+
+// openTasks returns the tasks that aren't assigned to their destination yet, in a fixed order.
+func (r *relocation) openTasks() []*workload.Task {
+	return slices.SortedFunc(maps.Keys(r.destinations), func(a, b *workload.Task) int {
+		return cmp.Compare(a.Key().String(), b.Key().String())
+	})
+}
+
+// hasRunThatStays reports whether a task has a run that isn't being stopped.
+func (d *Dispatcher) hasRunThatStays(task *workload.Task) bool {
+	if d.assigning[task.Key()] {
+		return true
+	}
+	for _, assigned := range task.Runs {
+		r := d.runs[workload.RunKey{Task: task.Key(), Run: assigned.Number}]
+		if r != nil && !r.stopRequested && !r.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// unreserve ends the reservation of room for a task.
+func (d *Dispatcher) unreserve(move *relocation, task *workload.Task) {
+	delete(move.destinations, task)
+	delete(d.relocations.reserved, task)
+}
+
+func (d *Dispatcher) endRelocation(move *relocation, reason string) {
+	for _, w := range d.orderedWorkers {
+		if w.relocation == move {
+			w.relocation = nil
+		}
+	}
+	d.relocations.active = slices.DeleteFunc(d.relocations.active, func(other *relocation) bool { return other == move })
+	d.config.Log.Info("relocation ended", "Task", move.waiting.Key().String(), "Reason", reason, "Open", len(move.destinations), "Took", d.now.Sub(move.since).String())
+	for _, task := range move.openTasks() {
+		d.unreserve(move, task)
+	}
+}
+
+// candidateOf returns a candidate for checks of whether a step is allowed on a worker.
+func (d *Dispatcher) candidateOf(step *workload.Step) candidate {
+	return candidate{step: step, queue: d.state.Queue(step.Job.Spec.GetQueue())}
+}
+
+// beginRelocations prepares the searches of a pass, and forgets the steps of which no task waits.
+func (d *Dispatcher) beginRelocations(candidates []candidate) {
+	state := &d.relocations
+	state.searches, state.hosts = maxRelocationSearches, nil
+	state.hasHeadroom = sync.OnceValue(d.hasHeadroom)
+	if len(state.shortSince)+len(state.retries) == 0 {
+		return
+	}
+	waiting := map[*workload.Step]bool{}
+	for _, c := range candidates {
+		waiting[c.step] = true
+	}
+	maps.DeleteFunc(state.shortSince, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+	maps.DeleteFunc(state.retries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+}
+
+// relocate moves running tasks to make room for the tasks of a lasting step that fit on no host and for which no room is held. Those
+// of steps that were never interrupted get it only beside the headroom for dedicated tasks, which run in pieces that are too small for
+// them.
+func (d *Dispatcher) relocate(c candidate, hosts []host, missing int) {
+	state := &d.relocations
+	missing -= len(d.holds[c.step])
+	if !isLasting(c.step) || missing <= 0 {
+		delete(state.shortSince, c.step)
+		return
+	}
+	if state.shortSince[c.step].IsZero() {
+		state.shortSince[c.step] = d.now
+	}
+	if d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) || !c.interrupted && !state.hasHeadroom() {
+		return
+	}
+	limit := int(maxRelocatingShare * float64(len(hosts)) / 2) // two hosts each
+	for _, task := range c.step.Tasks {
+		if missing <= 0 || state.searches <= 0 || len(state.active) >= max(2, limit) {
+			return
+		}
+		if !d.isPlaceable(task) || d.mustIsolate(task) {
+			continue
+		}
+		state.searches--
+		if !d.makeRoom(c, task, hosts) {
+			state.retries[c.step] = d.now.Add(relocationRetryDelay)
+			return
+		}
+		missing--
+	}
+}
+
+// makeRoom moves running tasks so that a waiting one fits on a host, if that is possible.
+func (d *Dispatcher) makeRoom(c candidate, task *workload.Task, hosts []host) bool {
+	if d.relocations.hosts == nil {
+		d.relocations.hosts = d.compactableHosts(hosts)
+	}
+	found := d.relocations.hosts
+	described := make([]compaction.Host, len(found))
+	for i, h := range found {
+		described[i].Free = h.Free
+		for _, r := range h.runs {
+			described[i].Movable = append(described[i].Movable, r.task.Step.Demand())
+		}
+	}
+	exchange, ok := compaction.Find(c.step.Demand(), described, func(e compaction.Exchange) bool {
+		target, partner := found[e.Target], found[e.Partner]
+		outgoing := target.runs[e.Outgoing].task.Step
+		if !d.allows(c, target.worker) || !d.mayMoveTo(outgoing, partner.worker) {
+			return false
+		}
+		if e.Incoming == compaction.NoTask {
+			return true
+		}
+		incoming := partner.runs[e.Incoming].task.Step
+		return incoming != outgoing && d.mayMoveTo(incoming, target.worker)
+	})
+	if !ok {
+		return false
+	}
+	target, partner := found[exchange.Target], found[exchange.Partner]
+	moved := map[*run]*worker{target.runs[exchange.Outgoing]: partner.worker}
+	if exchange.Incoming != compaction.NoTask {
+		moved[partner.runs[exchange.Incoming]] = target.worker
+	}
+	d.beginRelocation(task, target.host, partner.host, moved)
+	d.relocations.hosts = slices.DeleteFunc(found, func(h compactable) bool { return h.worker.relocation != nil })
+	return true
+}
+
+// beginRelocation reserves room for a waiting task on the target and for the runs to move on their destinations, and stops these runs.
+func (d *Dispatcher) beginRelocation(task *workload.Task, target, partner *host, moved map[*run]*worker) {
+	move := &relocation{
+		since: d.now, waiting: task, destinations: map[*workload.Task]*worker{task: target.worker}, sources: map[*workload.Task]*worker{},
+	}
+	var names []string
+	for r, destination := range moved {
+		move.destinations[r.task], move.sources[r.task] = destination, r.worker
+		names = append(names, r.key.Task.String())
+	}
+	slices.Sort(names)
+	target.worker.relocation, partner.worker.relocation = move, move
+	d.relocations.active = append(d.relocations.active, move)
+	for reserved := range move.destinations {
+		d.relocations.reserved[reserved] = true
+	}
+	d.config.Count("RelocationsStarted")
+	d.config.Log.Info("moving tasks to make room", "Task", task.Key().String(), "Needed", task.Step.GetProcessors(), "Worker", target.worker.incarnation.GetId(),
+		"Free", target.Free.Processors, "Partner", partner.worker.incarnation.GetId(), "PartnerFree", partner.Free.Processors, "Moved", names)
+	for r := range moved {
+		d.requestStop(r, "it is moved to make room")
+	}
+}
+
+// compactableHosts returns the hosts between which tasks may be moved. Tasks of a step move one at a time, and only while all others of
+// the step run.
+func (d *Dispatcher) compactableHosts(hosts []host) []compactable {
+	var found []compactable
+	for i := range hosts {
+		h := &hosts[i]
+		if h.worker.hold != nil || h.worker.relocation != nil || h.Suspect || h.IgnoresStarts || len(h.worker.unproven) > 0 {
+			continue
+		}
+		var movable []*run
+		for key := range h.worker.incarnation.Runs {
+			if r := d.runs[key]; r != nil && d.mayMove(r) {
+				movable = append(movable, r)
+			}
+		}
+		slices.SortFunc(movable, func(a, b *run) int { return cmp.Compare(a.key.Task.String(), b.key.Task.String()) })
+		found = append(found, compactable{h, movable})
+	}
+	return found
+}
+
+// mayMoveTo reports whether a task of a step may move to a worker: no other task of the step is being moved.
+func (d *Dispatcher) mayMoveTo(step *workload.Step, w *worker) bool {
+	return !slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return d.relocations.reserved[task] }) && d.allows(d.candidateOf(step), w)
+}
+
+// mayMove reports whether a run may be stopped to be started on another host.
+func (d *Dispatcher) mayMove(r *run) bool {
+	step := r.task.Step
+	return kindOf(step) == colocation.Serving && !step.GetGang() && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress &&
+		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && d.mayStop(r)
+}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -134,6 +134,9 @@
 				if !respectsHold(c, search.Demand.Need, h) {
 					return occupancy.HeldRoom
 				}
+				if !respectsRelocations(search.Demand.Need, h) {
+					return occupancy.ReservedRoom
+				}
 				return d.exclusion(c, h.worker)
 			},
 			func() bool {
--- a/internal/decision/occupancy/refusal.go
+++ b/internal/decision/occupancy/refusal.go
@@ -7,6 +7,7 @@
 const (
 	NotRefused    Refusal = ""
 	HeldRoom      Refusal = "Held"        // its room is held for a task of another step
+	ReservedRoom  Refusal = "Reserved"    // its room is reserved for tasks that are being moved
 	OtherPool     Refusal = "Pool"        // the queue of the task may not use its pool
 	MissingLabel  Refusal = "Label"       // it lacks the label that the step requires
 	WorkerLimit   Refusal = "WorkerLimit" // it runs as many tasks of the step as a worker may
