dispatch: interrupted lasting tasks use free room that is held for a larger one

Callers saw services without a run beside a host with room for them, for up to 1.8 s at a time on a full site after a drain.

Cause: room is held so that finite tasks don't backfill the gaps that a lasting task waits for, but the hold also refused other lasting tasks that fit in what was free, and refused interrupted tasks for the sake of one that had never run.

Change: lasting tasks of the same priority, both interrupted or both new, may use what is free on a held host. They still may not take over the hold or preempt runs there. A hold ends when what such a task leaves can't become enough within maxHoldWait. A hold for a new task yields to interrupted ones, one for an interrupted task is kept from new ones. Demands that found no room are remembered separately for finite and lasting steps, which holds now tell apart.

--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -13,7 +13,8 @@
 
 // A perpetual task may need more than any host has free, while the hosts together have enough. Finite tasks need less, so that
 // each gap that one of them leaves is backfilled by another and none grows. Room is therefore held on the hosts that have enough
-// soonest: other steps get only what the waiting task would leave there.
+// soonest: other steps get only what the waiting task would leave there. Lasting tasks of the same rank, of which
+// there is no steady flow, may still use what is free.
 
 const (
 	// maxHeldShare is the share of the hosts that a step may use on which room may be held, so that finite tasks find room on the
@@ -41,6 +42,8 @@
 	step     *workload.Step
 	priority int32 // of the step's queue; more urgent steps ignore the hold
 	since    time.Time
+
+	interrupted bool // see isInterrupted; as of the last pass that reached the step
 }
 
 // isLasting reports whether the tasks of a step reserve what they use until their job is cancelled.
@@ -67,6 +70,9 @@
 	for held := d.holds[c.step]; len(held) > missing; held = d.holds[c.step] {
 		d.endHold(held[len(held)-1], "its task was placed elsewhere")
 	}
+	for _, w := range d.holds[c.step] {
+		w.hold.interrupted = c.interrupted
+	}
 	needed := missing - len(d.holds[c.step])
 	if needed <= 0 || d.holdSearches <= 0 || d.ratingBudget <= 0 || d.now.Before(d.holdRetries[c.step]) {
 		return
@@ -81,7 +87,7 @@
 		if w.hold != nil {
 			d.endHold(w, "a more urgent task needs the room")
 		}
-		w.hold = &hold{step: c.step, priority: c.queue.GetPriority(), since: d.now}
+		w.hold = &hold{step: c.step, priority: c.queue.GetPriority(), since: d.now, interrupted: c.interrupted}
 		d.holds[c.step] = append(d.holds[c.step], w)
 		d.config.Count("HoldsStarted")
 		d.config.Log.Info("holding room", "Worker", w.incarnation.GetId(), "Step", c.step.Name(), "Free", chosen.Free.Processors,
@@ -98,9 +104,21 @@
 	return count
 }
 
-// isHeldFrom reports whether the room that is held on a worker is kept from tasks of another step.
+// isHeldFrom reports whether room is held on a worker that a step may neither hold for itself nor make by preemption.
 func (w *worker) isHeldFrom(c candidate) bool {
-	return w.hold != nil && w.hold.step != c.step && w.hold.priority <= c.queue.GetPriority()
+	return w.hold != nil && w.hold.step != c.step && !w.hold.yieldsTo(c)
+}
+
+// yieldsTo reports whether a step precedes that of the hold, so that it ignores the hold.
+func (h *hold) yieldsTo(c candidate) bool {
+	priority := c.queue.GetPriority()
+	return priority < h.priority || priority == h.priority && c.interrupted && !h.interrupted
+}
+
+// sharesFree reports whether a step that doesn't precede that of the hold may use what is free on its worker. Lasting steps of the same
+// rank may, so that no room stands idle while one that fits it waits.
+func (h *hold) sharesFree(c candidate) bool {
+	return isLasting(c.step) && h.priority == c.queue.GetPriority() && h.interrupted == c.interrupted
 }
 
 // expectedRoom is a host that is expected to have room for a task after a wait.
@@ -188,7 +206,7 @@
 
 // respectsHold reports whether a host has room for a task of a step beside the room that is held there for another step.
 func respectsHold(c candidate, demand resource.Vector, h *host) bool {
-	if !h.worker.isHeldFrom(c) {
+	if !h.worker.isHeldFrom(c) || h.worker.hold.sharesFree(c) {
 		return true
 	}
 	rest := h.Free.Sub(h.worker.hold.step.Demand())
@@ -221,6 +239,22 @@
 	}
 }
 
+// adjustHold ends the hold on a worker to which a task of a step is assigned, if its own task is placed or another lasting one leaves
+// too little for it.
+func (d *Dispatcher) adjustHold(w *worker, step *workload.Step) {
+	switch {
+	case w.hold == nil:
+	case w.hold.step == step:
+		d.endHold(w, "its task is placed")
+	case isLasting(step):
+		h := &host{worker: w, Host: &colocation.Host{Free: w.incarnation.Capacity().Sub(w.used)}}
+		wait, ok := d.timeToFit(h, w.hold.step.Demand(), w.hold.priority)
+		if !ok || d.now.Add(wait).Sub(w.hold.since) > maxHoldWait {
+			d.endHold(w, "another lasting task has taken the room")
+		}
+	}
+}
+
 // endHold ends the hold on a worker.
 func (d *Dispatcher) endHold(w *worker, reason string) {
 	step, since := w.hold.step, w.hold.since
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -156,13 +156,14 @@
 	pool, image, label string
 	advised            *workload.Step // steps of advised queues have their own sets of hosts
 	kind               colocation.Kind
+	lasts              bool // holds keep less room from lasting steps
 	maxPerWorker       uint32
 }
 
 func placementClassOf(c candidate) placementClass {
 	class := placementClass{
 		pool: c.queue.GetPool(), image: c.step.GetImage(), label: c.step.GetRequiredLabel(), kind: kindOf(c.step),
-		maxPerWorker: c.step.GetMaxPerWorker(),
+		lasts: isLasting(c.step), maxPerWorker: c.step.GetMaxPerWorker(),
 	}
 	if c.queue.GetAdvised() {
 		class.advised = c.step
@@ -457,9 +458,7 @@
 		w.reservedUntil = time.Time{}
 		delete(d.reservations, task.Step)
 	}
-	if w.hold != nil && w.hold.step == task.Step {
-		d.endHold(w, "its task is placed")
-	}
+	d.adjustHold(w, task.Step)
 	start := &controlpb.StartRun{Task: key.Task.Ref(), Run: number, Worker: w.incarnation.GetNumber()}
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: start}}, func(result *controlpb.Result) {
 		delete(d.assigning, key.Task)
