dispatch: passes are spaced, and best-effort steps deferred, while many steps wait

Cause: with 400 to 500 steps waiting, a pass takes 12 to 16 ms of the leader's processor, and answers cause 20 to 40 of them a second: the control loop used 0.5 to 0.8 s of each second, of 0.64 cores. Most of a pass went into rating hosts again for best-effort steps that interference keeps out everywhere.

Change: passes for changes are 0.1 ms apart for each step with waiting tasks, at most 50 ms. A pass that has rated 2000 hosts in vain for best-effort steps leaves further such steps out of the passes of the next 0.4 s. Only lasting steps count their waiting tasks once a smaller demand has found no room.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -72,6 +72,11 @@
 	// alone.
 	passInterval = 100 * time.Millisecond
 
+	// passTimePerStep and maxPassSpacing determine the shortest time between two passes, by the number of steps with waiting tasks. A
+	// pass takes longer the more steps wait; passes after each answer would delay the calls to workers.
+	passTimePerStep = 100 * time.Microsecond
+	maxPassSpacing  = 50 * time.Millisecond
+
 	// scanInterval is the time between two scans of all workers and runs for due calls and expired leases.
 	scanInterval = 25 * time.Millisecond
 
@@ -141,8 +146,10 @@
 	holdRetries map[*workload.Step]time.Time // earliest next search of a step for which no host was found
 	relocations relocationState
 
-	fruitless      map[*workload.Step]bool // steps for which hosts were rated in vain since a pass last reached all steps
-	unreached      []candidate             // the steps that the last pass didn't reach
+	fruitless      map[*workload.Step]bool      // steps for which hosts were rated in vain since a pass last reached all steps
+	deferred       map[*workload.Step]time.Time // until when best-effort steps for which hosts were rated in vain are left out
+	vainRatings    int                          // hosts that the current pass has rated in vain for best-effort steps
+	unreached      []candidate                  // the steps that the last pass didn't reach
 	unreachedCause occupancy.Cause
 
 	victimless map[*workload.Step]time.Time // earliest next search for steps for which no run could be preempted
@@ -169,6 +176,7 @@
 	mostProcessors  int64 // that a host had free when the current pass began
 	holdSearches    int   // steps for which the current pass may still search for hosts to hold
 	nextPass        time.Time
+	earliestPass    time.Time
 	nextScan        time.Time // of all workers and runs
 	nextSpeculation time.Time
 	reportedAt      time.Time // when the fleet was last logged
@@ -198,6 +206,7 @@
 	d.holds, d.holdRetries = map[*workload.Step][]*worker{}, map[*workload.Step]time.Time{}
 	d.relocations = newRelocationState()
 	d.fruitless, d.victimless = map[*workload.Step]bool{}, map[*workload.Step]time.Time{}
+	d.deferred = map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
@@ -337,10 +346,11 @@
 			d.tickWorkers()
 			d.tickMaintenance()
 		}
-		if d.dirty || !now.Before(d.nextPass) {
+		if d.dirty && !now.Before(d.earliestPass) || !now.Before(d.nextPass) {
 			d.dirty = false
 			d.nextPass = now.Add(passInterval)
-			d.pass()
+			steps := d.pass()
+			d.earliestPass = now.Add(min(maxPassSpacing, time.Duration(steps)*passTimePerStep))
 		}
 	}
 	return d.flush()
@@ -348,13 +358,17 @@
 
 // NextDeadline returns the time at which Tick must be called next.
 func (d *Dispatcher) NextDeadline() time.Time {
-	if len(d.outbox) > 0 || d.dirty || !d.config.Mailbox.Empty() {
+	if len(d.outbox) > 0 || !d.config.Mailbox.Empty() {
 		return d.now
 	}
-	if d.nextScan.Before(d.nextPass) {
+	pass := d.nextPass
+	if d.dirty && d.earliestPass.Before(pass) {
+		pass = d.earliestPass
+	}
+	if d.nextScan.Before(pass) {
 		return d.nextScan
 	}
-	return d.nextPass
+	return pass
 }
 
 // TakeReplies returns the deferred replies that have become available since the last call.
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,14 @@
 	maxRatingsPerPass = 40_000
 )
 
+const (
+	// maxVainRatings is the number of hosts that a pass may rate in vain for best-effort steps before it defers further such steps for
+	// deferralTime. Where hundreds of steps wait because of interference, rating all hosts for each of them in each pass would delay
+	// the starts of all others.
+	maxVainRatings = 2000
+	deferralTime   = 400 * time.Millisecond
+)
+
 // Timeliness of a job, best first. Jobs that can still meet their objective go before late ones, and both before those
 // that can only finish after tooLateFactor times their objective. Without this order a burst of jobs makes all of them
 // late.
@@ -52,8 +61,8 @@
 	suspect     bool // a suspect task of the step is to be placed
 }
 
-// pass assigns waiting tasks to workers, the most urgent steps first.
-func (d *Dispatcher) pass() {
+// pass assigns waiting tasks to workers, the most urgent steps first. It returns the number of steps with waiting tasks.
+func (d *Dispatcher) pass() int {
 	hosts := d.hosts()
 	d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
 	candidates := d.candidates()
@@ -69,7 +78,8 @@
 		d.countTrials()
 		d.findLeastUrgent()
 	}
-	d.ratingBudget = maxRatingsPerPass
+	d.ratingBudget, d.vainRatings = maxRatingsPerPass, 0
+	maps.DeleteFunc(d.deferred, func(_ *workload.Step, until time.Time) bool { return !d.now.Before(until) })
 	d.beginVictimSearches(hosts)
 	p := &placement{hosts: hosts, fleet: vacancyOf(hosts), starts: budget, preemptions: maxPreemptionsPerPass, exhausted: map[placementClass][]resource.Vector{}}
 	d.unreached, d.unreachedCause = nil, ""
@@ -79,16 +89,17 @@
 		case p.starts <= 0:
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.StartLimit
 			clear(d.fruitless)
-			return
+			return len(candidates)
 		case d.ratingBudget <= 0:
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.RatingLimit
-			return // the next pass goes on from here
+			return len(candidates) // the next pass goes on from here
 		}
-		if !d.fruitless[c.step] {
+		if !d.fruitless[c.step] && d.deferred[c.step].IsZero() {
 			d.place(c, p)
 		}
 	}
 	clear(d.fruitless)
+	return len(candidates)
 }
 
 // placement is the progress of a pass.
@@ -112,9 +123,11 @@
 	needed := need(c.step)
 	switch {
 	case p.isExhausted(c, needed) && len(d.holds[c.step]) == 0:
-		missing := d.countPlaceable(c.step)
-		d.updateHolds(c, p.hosts, missing)
-		d.relocate(c, p.hosts, missing)
+		if isLasting(c.step) {
+			missing := d.countPlaceable(c.step)
+			d.updateHolds(c, p.hosts, missing)
+			d.relocate(c, p.hosts, missing)
+		}
 		if p.fleet.allowsThrottled(c) {
 			p.starts -= d.placeThrottled(c, p.hosts)
 		}
@@ -127,6 +140,18 @@
 	}
 	if p.starts == starts && d.ratingBudget-d.victimBudget < ratings && !isLasting(c.step) {
 		d.fruitless[c.step] = true
+		d.deferBestEffort(c, ratings-(d.ratingBudget-d.victimBudget))
+	}
+}
+
+// deferBestEffort leaves a best-effort step for which hosts were rated in vain out of the next passes, if the current one has rated too
+// many in vain.
+func (d *Dispatcher) deferBestEffort(c candidate, ratings int) {
+	if kindOf(c.step) != colocation.BestEffort {
+		return
+	}
+	if d.vainRatings += ratings; d.vainRatings > maxVainRatings {
+		d.deferred[c.step] = d.now.Add(deferralTime)
 	}
 }
 
