dispatch: what an ended run reserved is free once the record of its end is proposed

A worker whose lasting run is being stopped could list its end up to 0.2 s late, between two polls.

Change: the room is free as soon as the record is proposed. A start that uses it is proposed later, so that it takes effect after the record. Workers on which a lasting run is being stopped are polled without delay.

--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -190,7 +190,7 @@
 		r := d.runs[key]
 		after := time.Duration(0)
 		switch {
-		case r == nil || r.task.Step.GetPerpetual() && !r.ended && !r.stopRequested:
+		case r == nil || r.released || r.task.Step.GetPerpetual() && !r.ended && !r.stopRequested:
 			continue
 		case r.ended:
 		case r.stopRequested || d.isPreemptible(r, priority):
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -123,7 +123,7 @@
 	for key := range w.incarnation.Runs {
 		r := d.runs[key]
 		switch {
-		case r == nil:
+		case r == nil || r.released:
 		case r.stopRequested:
 			free = free.Add(r.task.Step.Demand())
 		case d.isPreemptible(r, priority):
@@ -146,7 +146,7 @@
 
 // isPreemptible reports whether a run may be preempted for a task of the given priority.
 func (d *Dispatcher) isPreemptible(r *run, priority int32) bool {
-	return r.seen && !r.task.Step.GetPerpetual() && d.state.Queue(r.task.Step.Job.Spec.GetQueue()).GetPriority() > priority
+	return r.seen && !r.ended && !r.task.Step.GetPerpetual() && d.state.Queue(r.task.Step.Job.Spec.GetQueue()).GetPriority() > priority
 }
 
 // findLeastUrgent records the priority of the least urgent preemptible run, and of the least urgent one with dedicated
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -84,6 +84,7 @@
 	stopping, ended := int64(0), int64(0)
 	for _, r := range d.runs {
 		switch {
+		case r.released:
 		case r.ended:
 			ended += r.task.Step.Demand().Processors
 		case r.stopRequested:
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -59,6 +59,7 @@
 
 	seen          bool      // a poll has listed it as running
 	ended         bool      // a poll has listed its end, which isn't recorded yet
+	released      bool      // what it reserved is free: the record of its end is proposed
 	missingPolls  int       // consecutive polls that didn't list it
 	began         time.Time // when it was first seen; until then, when tracking started
 	progress      int       // percent, as last reported
@@ -83,6 +84,15 @@
 	}
 	delete(d.runs, key)
 	r.markProven()
+	d.release(r)
+}
+
+// release frees what a run reserves.
+func (d *Dispatcher) release(r *run) {
+	if r.released {
+		return
+	}
+	r.released = true
 	d.charge(r.worker, r.task.Step, -1)
 	d.dirty = true
 }
@@ -519,6 +529,16 @@
 			d.handleRecordedEnd(w, &e)
 		}
 	})
+	d.releaseEnded(w, ended) // starts that use the room are proposed later, so that they take effect after the record
+}
+
+// releaseEnded frees what ended runs of a worker reserve.
+func (d *Dispatcher) releaseEnded(w *worker, ended []order.Ended) {
+	for _, e := range ended {
+		if r := d.runs[e.Run]; r != nil && r.worker == w {
+			d.release(r)
+		}
+	}
 }
 
 func endedRun(e *order.Ended) *controlpb.EndedRun {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -360,12 +360,22 @@
 
 // pollDelayAfter returns the delay from a worker's answer to the next poll.
 func (d *Dispatcher) pollDelayAfter(w *worker) time.Duration {
-	if w.dedicatedTasks > 0 {
+	if w.dedicatedTasks > 0 || d.isStoppingLasting(w) {
 		return urgentPollDelay
 	}
 	return min(maxPollDelay, pollDelay*time.Duration(max(pollDelayWorkers, len(d.workers)))/pollDelayWorkers)
 }
 
+// isStoppingLasting reports whether a lasting run is being stopped on a worker. Others wait for its room.
+func (d *Dispatcher) isStoppingLasting(w *worker) bool {
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && r.stopRequested && !r.ended && isLasting(r.task.Step) {
+			return true
+		}
+	}
+	return false
+}
+
 // newCall returns a call to a worker under this leader's epoch.
 func (d *Dispatcher) newCall(kind order.Kind, w *worker) *order.Call {
 	return &order.Call{
