dispatch: relocations come in rounds and use idle room only

Relocations one after the other left room free somewhere all the time: the moved tasks' rooms, between their end and the next start.

Change: relocations begin within 0.2 s every 4 s, and only if no lasting task has ended for a second. Only processors that have been free for a second count.

--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -318,6 +318,7 @@
 			IgnoresStarts: d.now.Before(w.ignoresUntil),
 		}}
 		h.refresh(d.now)
+		w.idle.advance(d.now, h.Free.Processors)
 		hosts = append(hosts, h)
 	}
 	return hosts
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -26,12 +26,20 @@
 	// relocationRetryDelay is the time between two searches for a step for which no tasks can be moved.
 	relocationRetryDelay = time.Second
 
+	// relocationInterval is the time between two rounds of relocations, and relocationRound the time in which those of a round begin.
+	// Room that is free while tasks move is so for a short time at once instead of all the time.
+	relocationInterval = 4 * time.Second
+	relocationRound    = 200 * time.Millisecond
+
+	// roomDelay is the time without an end of a lasting task after which a round may begin. Each end gives room without any move.
+	roomDelay = time.Second
+
 	// maxRelocationSearches bounds the searches of one pass. A search takes up to a millisecond.
-	maxRelocationSearches = 4
+	maxRelocationSearches = 8
 
-	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby about the
-	// share of the lasting tasks that are unavailable.
-	maxRelocatingShare = 0.1
+	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby several
+	// times the share of the lasting tasks that are unavailable.
+	maxRelocatingShare = 0.15
 
 	// relocationTimeout is the time after which a relocation is given up: the stop grace, with a margin for a lost call and for the ends
 	// to be reported and recorded.
@@ -58,6 +66,8 @@
 	shortSince  map[*workload.Step]time.Time // since when tasks of a lasting step lack room
 	retries     map[*workload.Step]time.Time // earliest next search for a step
 	searches    int                          // that the current pass may still make
+	roundBegan  time.Time                    // of the newest round
+	roomAt      time.Time                    // when a lasting task that wasn't being moved has last ended
 	hasHeadroom func() bool                  // whether dedicated tasks have their headroom, in the current pass
 	hosts       []compactable                // of the current pass; nil until a search needs them
 }
@@ -229,7 +239,7 @@
 	if state.shortSince[c.step].IsZero() {
 		state.shortSince[c.step] = d.now
 	}
-	if d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) || !c.interrupted && !state.hasHeadroom() {
+	if !d.isRelocationRound() || d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) || !c.interrupted && !state.hasHeadroom() {
 		return
 	}
 	limit := int(maxRelocatingShare * float64(len(hosts)) / 2) // two hosts each
@@ -249,6 +259,19 @@
 	}
 }
 
+// isRelocationRound reports whether relocations may begin.
+func (d *Dispatcher) isRelocationRound() bool {
+	sinceRound := d.now.Sub(d.relocations.roundBegan)
+	return sinceRound < relocationRound || sinceRound >= relocationInterval && d.now.Sub(d.relocations.roomAt) >= roomDelay
+}
+
+// noteRoom records that the end of a lasting run gives room.
+func (d *Dispatcher) noteRoom(r *run) {
+	if isLasting(r.task.Step) && !d.relocations.reserved[r.task] {
+		d.relocations.roomAt = d.now
+	}
+}
+
 // makeRoom moves running tasks so that a waiting one fits on a host, if that is possible.
 func (d *Dispatcher) makeRoom(c candidate, task *workload.Task, hosts []host) bool {
 	if d.relocations.hosts == nil {
@@ -257,7 +280,7 @@
 	found := d.relocations.hosts
 	described := make([]compaction.Host, len(found))
 	for i, h := range found {
-		described[i].Free = h.Free
+		described[i].Free = h.worker.idle.atMost(h.Free)
 		for _, r := range h.runs {
 			described[i].Movable = append(described[i].Movable, r.task.Step.Demand())
 		}
@@ -298,6 +321,9 @@
 		names = append(names, r.key.Task.String())
 	}
 	slices.Sort(names)
+	if d.now.Sub(d.relocations.roundBegan) >= relocationInterval {
+		d.relocations.roundBegan = d.now
+	}
 	target.worker.relocation, partner.worker.relocation = move, move
 	d.relocations.active = append(d.relocations.active, move)
 	for reserved := range move.destinations {
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -93,6 +93,7 @@
 		return
 	}
 	r.released = true
+	d.noteRoom(r)
 	d.charge(r.worker, r.task.Step, -1)
 	d.dirty = true
 }
@@ -101,6 +102,7 @@
 func (d *Dispatcher) charge(w *worker, step *workload.Step, sign int) {
 	if sign > 0 {
 		w.used = w.used.Add(step.Demand())
+		w.idle.observe(w.incarnation.GetProcessors() - w.used.Processors)
 	} else {
 		w.used = w.used.Sub(step.Demand())
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -105,6 +105,7 @@
 	proposedRuns         map[*workload.Step]int       // number of proposed runs
 	preempting           map[*workload.Step]bool      // steps for which the current pass preempts runs here
 	hold                 *hold                        // room for a waiting task; nil for none
+	idle                 idleProcessors               // which no finite task has used of late
 	relocation           *relocation                  // in which its host takes part; nil for none
 
 	// Reasons to avoid the worker or to exclude it from placement.
