dispatch: room of ended tasks that will run again is freed with the commit

The room of an ended run was offered as soon as its end was proposed, but its task could run again only after the commit, so that less urgent tasks took the room of a service that had failed or was being moved.

Change: only the room of runs that are done, of jobs that have ended and of moved tasks, whose room is reserved, is freed before the commit.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -534,10 +534,12 @@
 	d.releaseEnded(w, ended) // starts that use the room are proposed later, so that they take effect after the record
 }
 
-// releaseEnded frees what ended runs of a worker reserve.
+// releaseEnded frees what ended runs of a worker reserve. Tasks that will run again can do so only after the commit: their room is freed
+// then, so that it isn't given to less urgent ones before.
 func (d *Dispatcher) releaseEnded(w *worker, ended []order.Ended) {
 	for _, e := range ended {
-		if r := d.runs[e.Run]; r != nil && r.worker == w {
+		r := d.runs[e.Run]
+		if r != nil && r.worker == w && (e.Result == controlpb.RunEnd_RUN_DONE || r.task.Step.Job.IsTerminal() || d.relocations.reserved[r.task]) {
 			d.release(r)
 		}
 	}
