--- a/internal/decision/compaction/exchange.go
+++ b/internal/decision/compaction/exchange.go
@@ -14,8 +14,13 @@
 // NoTask is the index of no task.
 const NoTask = -1
 
-// maxHosts bounds the hosts that a search considers, those with the most free processors. It compares all pairs of them.
-const maxHosts = 64
+const (
+	// maxHosts bounds the hosts that a search considers, those with the most free processors. It compares all pairs of them.
+	maxHosts = 64
+
+	// maxComparisons bounds the pairs of tasks that a search compares, to about a millisecond.
+	maxComparisons = 100_000
+)
 
 // Host is a host that may take part in an exchange.
 type Host struct {
@@ -44,7 +49,7 @@
 // ok is false if there is none.
 func Find(demand resource.Vector, hosts []Host, admits func(Exchange) bool) (best Exchange, ok bool) {
 	order := roomiest(hosts)
-	bestRest := int64(0)
+	bestRest, budget := int64(0), maxComparisons
 	for i, target := range order {
 		for j, partner := range order {
 			free := hosts[target].Free.Add(hosts[partner].Free)
@@ -55,10 +60,13 @@
 				continue
 			}
 			rest := free.Processors - demand.Processors
+			if budget <= 0 {
+				return best, ok
+			}
 			if i == j || ok && best.Moves() == 1 && rest >= bestRest {
 				continue
 			}
-			found, exists := between(demand, hosts, target, partner, admits)
+			found, exists := between(demand, hosts, target, partner, admits, &budget)
 			if exists && (!ok || cmp.Or(cmp.Compare(found.Moves(), best.Moves()), cmp.Compare(rest, bestRest)) < 0) {
 				best, bestRest, ok = found, rest, true
 			}
@@ -77,8 +85,9 @@
 	return order[:min(len(order), maxHosts)]
 }
 
-// between returns the exchange between two hosts that moves the fewest tasks, if there is one.
-func between(demand resource.Vector, hosts []Host, target, partner int, admits func(Exchange) bool) (found Exchange, ok bool) {
+// between returns the exchange between two hosts that moves the fewest tasks, if there is one. It takes the pairs of tasks compared from
+// the budget.
+func between(demand resource.Vector, hosts []Host, target, partner int, admits func(Exchange) bool, budget *int) (found Exchange, ok bool) {
 	from, to := &hosts[target], &hosts[partner]
 	for out, outgoing := range from.Movable {
 		if !demand.Fits(from.Free.Add(outgoing)) {
@@ -87,6 +96,7 @@
 		if e := (Exchange{target, partner, out, NoTask}); outgoing.Fits(to.Free) && admits(e) {
 			return e, true
 		}
+		*budget -= 1 + len(to.Movable)
 		for in, incoming := range to.Movable {
 			if ok || !demand.Add(incoming).Fits(from.Free.Add(outgoing)) || !outgoing.Fits(to.Free.Add(incoming)) {
 				continue
--- a/internal/decision/compaction/exchange_test.go
+++ b/internal/decision/compaction/exchange_test.go
@@ -29,12 +29,18 @@
 			cores(5000), []Host{{cores(2000), []resource.Vector{cores(7000)}}, {cores(3000), []resource.Vector{cores(4000)}}}, admitAll, Exchange{0, 1, 0, 0}, true,
 		},
 		"one move before two that leave less": {
-			cores(5000), []Host{{cores(2000), []resource.Vector{cores(7000)}}, {cores(3000), []resource.Vector{cores(4000)}}, {cores(4000), []resource.Vector{cores(4000)}}},
-			admitAll, Exchange{1, 2, 0, NoTask}, true,
+			cores(5000),
+			[]Host{{cores(2000), []resource.Vector{cores(7000)}}, {cores(3000), []resource.Vector{cores(4000)}}, {cores(4000), []resource.Vector{cores(4000)}}},
+			admitAll,
+			Exchange{1, 2, 0, NoTask},
+			true,
 		},
 		"least rest": {
-			cores(5000), []Host{{cores(2500), []resource.Vector{cores(6500)}}, {cores(3900), []resource.Vector{cores(4000)}}, {cores(2600), []resource.Vector{cores(4000)}}},
-			admitAll, Exchange{0, 2, 0, 0}, true,
+			cores(5000),
+			[]Host{{cores(2500), []resource.Vector{cores(6500)}}, {cores(3900), []resource.Vector{cores(4000)}}, {cores(2600), []resource.Vector{cores(4000)}}},
+			admitAll,
+			Exchange{0, 2, 0, 0},
+			true,
 		},
 		"too little in all":     {cores(5000), []Host{{cores(2000), []resource.Vector{cores(3000)}}, {cores(2000), []resource.Vector{cores(1000)}}}, admitAll, Exchange{}, false},
 		"too little memory":     {resource.Vector{Processors: 5000, Memory: 9000}, []Host{{cores(2000), []resource.Vector{cores(3000)}}, {cores(3000), nil}}, admitAll, Exchange{}, false},
@@ -100,3 +106,26 @@
 		Find(cores(5500), hosts, func(Exchange) bool { return false })
 	}
 }
+
+// BenchmarkFruitlessSearch measures a search among 64 hosts of 36 movable tasks, none of which can be exchanged.
+func BenchmarkFruitlessSearch(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		memory int64
+		admits bool
+	}{{"no memory", 1, true}, {"not admitted", 1000, false}} {
+		b.Run(c.name, func(b *testing.B) {
+			hosts := make([]Host, 64)
+			for i := range hosts {
+				hosts[i].Free = resource.Vector{Processors: 3800, Memory: c.memory}
+				for j := range 36 {
+					hosts[i].Movable = append(hosts[i].Movable, resource.Vector{Processors: 400 + 100*int64(j), Memory: 10})
+				}
+			}
+			demand := resource.Vector{Processors: 4500, Memory: 5}
+			for b.Loop() {
+				Find(demand, hosts, func(Exchange) bool { return c.admits })
+			}
+		})
+	}
+}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -73,7 +73,7 @@
 	d.holdSearches = 0
 	if !d.now.Before(d.nextSpeculation) {
 		d.nextSpeculation = d.now.Add(speculationInterval)
-		d.holdSearches = maxHoldSearches
+		d.holdSearches, d.relocations.searches = maxHoldSearches, maxRelocationSearches
 		d.speculate(hosts)
 		d.countTrials()
 		d.findLeastUrgent()
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -34,7 +34,13 @@
 	// roomDelay is the time without an end of a lasting task after which a round may begin. Each end gives room without any move.
 	roomDelay = time.Second
 
-	// maxRelocationSearches bounds the searches of one pass. A search takes up to a millisecond.
+	// maxRoundDelay is the longest time for which such ends put off a round.
+	maxRoundDelay = 3 * time.Second
+
+	// maxCompactedHosts bounds the hosts between which tasks may be moved, those with the most idle processors.
+	maxCompactedHosts = 64
+
+	// maxRelocationSearches bounds the searches of one pass.
 	maxRelocationSearches = 8
 
 	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby several
@@ -68,8 +74,10 @@
 	searches    int                          // that the current pass may still make
 	roundBegan  time.Time                    // of the newest round
 	roomAt      time.Time                    // when a lasting task that wasn't being moved has last ended
+	dueSince    time.Time                    // since when a round is put off; zero if none is
 	hasHeadroom func() bool                  // whether dedicated tasks have their headroom, in the current pass
 	hosts       []compactable                // of the current pass; nil until a search needs them
+	described   []compaction.Host            // the same hosts
 }
 
 func newRelocationState() relocationState {
@@ -125,7 +133,7 @@
 		case task.Step.Job.IsTerminal() || task.Done || d.hasRunThatStays(task):
 			d.unreserve(move, task)
 		case h == nil:
-			isUnusable = true
+			isUnusable = isUnusable || d.workers[destination.incarnation.GetNumber()] != destination || !d.isStaying(destination)
 		case d.isWaiting(task) && (task != move.waiting || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
 			d.allows(d.candidateOf(task.Step), destination):
 			d.unreserve(move, task)
@@ -138,23 +146,39 @@
 	case len(move.destinations) == 0:
 		d.endRelocation(move, "complete")
 	case isUnusable:
-		d.giveUpRelocation(move, "a worker is unusable", hosts)
-	case d.now.Sub(move.since) >= relocationTimeout:
-		d.giveUpRelocation(move, "it has timed out", hosts)
+		d.giveUpRelocation(move, "a worker leaves or is lost")
+	case d.now.Sub(move.since) >= relocationTimeout && !(move.isReturning && d.hasStoppingRun(move)):
+		d.giveUpRelocation(move, "it has timed out")
 	}
 	return assigned
 }
 
+// hasStoppingRun reports whether the run of a task that returns is still being stopped where the task will run again.
+func (d *Dispatcher) hasStoppingRun(move *relocation) bool {
+	for task, destination := range move.destinations {
+		for _, assigned := range task.Runs {
+			if assigned.Worker == destination.incarnation.GetNumber() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // giveUpRelocation lets moved tasks return to the hosts on which they ran, whose room is still reserved as the waiting task wasn't
-// assigned. It ends a relocation whose tasks can't return.
-func (d *Dispatcher) giveUpRelocation(move *relocation, reason string, hosts map[*worker]*host) {
+// assigned. A task whose host leaves goes on to its destination instead, and one that has neither waits like others. The relocation
+// ends if no task is left.
+func (d *Dispatcher) giveUpRelocation(move *relocation, reason string) {
 	d.config.Count("RelocationsGivenUp")
 	d.config.Log.Info("relocation given up", "Task", move.waiting.Key().String(), "Reason", reason, "Open", len(move.destinations))
 	if !move.isReturning {
 		move.isReturning, move.since = true, d.now
 		d.unreserve(move, move.waiting)
 		for _, task := range move.openTasks() {
-			if move.destinations[task] = move.sources[task]; hosts[move.sources[task]] == nil {
+			switch source, destination := move.sources[task], move.destinations[task]; {
+			case d.isStaying(source) && d.workers[source.incarnation.GetNumber()] == source:
+				move.destinations[task] = source
+			case !d.isStaying(destination) || d.workers[destination.incarnation.GetNumber()] != destination:
 				d.unreserve(move, task)
 			}
 		}
@@ -213,7 +237,7 @@
 // beginRelocations prepares the searches of a pass, and forgets the steps of which no task waits.
 func (d *Dispatcher) beginRelocations(candidates []candidate) {
 	state := &d.relocations
-	state.searches, state.hosts = maxRelocationSearches, nil
+	state.searches, state.hosts = 0, nil
 	state.hasHeadroom = sync.OnceValue(d.hasHeadroom)
 	if len(state.shortSince)+len(state.retries) == 0 {
 		return
@@ -239,7 +263,8 @@
 	if state.shortSince[c.step].IsZero() {
 		state.shortSince[c.step] = d.now
 	}
-	if !d.isRelocationRound() || d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) || !c.interrupted && !state.hasHeadroom() {
+	if state.searches <= 0 || d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) ||
+		!c.interrupted && !state.hasHeadroom() || !d.isRelocationRound() {
 		return
 	}
 	limit := int(maxRelocatingShare * float64(len(hosts)) / 2) // two hosts each
@@ -259,10 +284,17 @@
 	}
 }
 
-// isRelocationRound reports whether relocations may begin.
+// isRelocationRound reports whether relocations may begin, and notes since when a round that is due is put off.
 func (d *Dispatcher) isRelocationRound() bool {
-	sinceRound := d.now.Sub(d.relocations.roundBegan)
-	return sinceRound < relocationRound || sinceRound >= relocationInterval && d.now.Sub(d.relocations.roomAt) >= roomDelay
+	state := &d.relocations
+	sinceRound := d.now.Sub(state.roundBegan)
+	if sinceRound < relocationInterval {
+		return sinceRound < relocationRound
+	}
+	if state.dueSince.IsZero() {
+		state.dueSince = d.now
+	}
+	return d.now.Sub(state.roomAt) >= roomDelay || d.now.Sub(state.dueSince) >= maxRoundDelay
 }
 
 // noteRoom records that the end of a lasting run gives room.
@@ -274,28 +306,23 @@
 
 // makeRoom moves running tasks so that a waiting one fits on a host, if that is possible.
 func (d *Dispatcher) makeRoom(c candidate, task *workload.Task, hosts []host) bool {
-	if d.relocations.hosts == nil {
-		d.relocations.hosts = d.compactableHosts(hosts)
-	}
-	found := d.relocations.hosts
-	described := make([]compaction.Host, len(found))
-	for i, h := range found {
-		described[i].Free = h.worker.idle.atMost(h.Free)
-		for _, r := range h.runs {
-			described[i].Movable = append(described[i].Movable, r.task.Step.Demand())
-		}
+	state := &d.relocations
+	if state.hosts == nil {
+		state.hosts = d.compactableHosts(hosts)
+		state.described = describe(state.hosts)
 	}
-	exchange, ok := compaction.Find(c.step.Demand(), described, func(e compaction.Exchange) bool {
+	found, hasFailed := state.hosts, d.hasFailed(task)
+	exchange, ok := compaction.Find(c.step.Demand(), state.described, func(e compaction.Exchange) bool {
 		target, partner := found[e.Target], found[e.Partner]
 		outgoing := target.runs[e.Outgoing].task.Step
-		if !d.allows(c, target.worker) || !d.mayMoveTo(outgoing, partner.worker) {
+		if !d.allows(c, target.worker) || hasFailed != nil && hasFailed(target.worker) || !d.mayMoveFor(c, outgoing, partner.worker) {
 			return false
 		}
 		if e.Incoming == compaction.NoTask {
 			return true
 		}
 		incoming := partner.runs[e.Incoming].task.Step
-		return incoming != outgoing && d.mayMoveTo(incoming, target.worker)
+		return incoming != outgoing && d.mayMoveFor(c, incoming, target.worker)
 	})
 	if !ok {
 		return false
@@ -306,10 +333,23 @@
 		moved[partner.runs[exchange.Incoming]] = target.worker
 	}
 	d.beginRelocation(task, target.host, partner.host, moved)
-	d.relocations.hosts = slices.DeleteFunc(found, func(h compactable) bool { return h.worker.relocation != nil })
+	state.hosts = slices.DeleteFunc(found, func(h compactable) bool { return h.worker.relocation != nil })
+	state.described = describe(state.hosts)
 	return true
 }
 
+// describe returns what a search for exchanges needs to know about hosts.
+func describe(hosts []compactable) []compaction.Host {
+	described := make([]compaction.Host, len(hosts))
+	for i, h := range hosts {
+		described[i].Free = h.worker.idle.atMost(h.Free)
+		for _, r := range h.runs {
+			described[i].Movable = append(described[i].Movable, r.task.Step.Demand())
+		}
+	}
+	return described
+}
+
 // beginRelocation reserves room for a waiting task on the target and for the runs to move on their destinations, and stops these runs.
 func (d *Dispatcher) beginRelocation(task *workload.Task, target, partner *host, moved map[*run]*worker) {
 	move := &relocation{
@@ -322,7 +362,7 @@
 	}
 	slices.Sort(names)
 	if d.now.Sub(d.relocations.roundBegan) >= relocationInterval {
-		d.relocations.roundBegan = d.now
+		d.relocations.roundBegan, d.relocations.dueSince = d.now, time.Time{}
 	}
 	target.worker.relocation, partner.worker.relocation = move, move
 	d.relocations.active = append(d.relocations.active, move)
@@ -337,35 +377,46 @@
 	}
 }
 
-// compactableHosts returns the hosts between which tasks may be moved. Tasks of a step move one at a time, and only while all others of
-// the step run.
+// compactableHosts returns the hosts between which tasks may be moved, those with the most idle processors.
 func (d *Dispatcher) compactableHosts(hosts []host) []compactable {
-	var found []compactable
+	found := []compactable{}
 	for i := range hosts {
 		h := &hosts[i]
 		if h.worker.hold != nil || h.worker.relocation != nil || h.Suspect || h.IgnoresStarts || len(h.worker.unproven) > 0 {
 			continue
 		}
-		var movable []*run
-		for key := range h.worker.incarnation.Runs {
-			if r := d.runs[key]; r != nil && d.mayMove(r) {
-				movable = append(movable, r)
-			}
-		}
-		slices.SortFunc(movable, func(a, b *run) int { return cmp.Compare(a.key.Task.String(), b.key.Task.String()) })
-		found = append(found, compactable{h, movable})
+		found = append(found, compactable{host: h})
+	}
+	idle := func(h compactable) int64 { return h.worker.idle.atMost(h.Free).Processors }
+	slices.SortStableFunc(found, func(a, b compactable) int { return cmp.Compare(idle(b), idle(a)) })
+	found = found[:min(len(found), maxCompactedHosts)]
+	for i := range found {
+		found[i].runs = d.movableRuns(found[i].worker)
 	}
 	return found
 }
 
-// mayMoveTo reports whether a task of a step may move to a worker: no other task of the step is being moved.
-func (d *Dispatcher) mayMoveTo(step *workload.Step, w *worker) bool {
-	return !slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return d.relocations.reserved[task] }) && d.allows(d.candidateOf(step), w)
+// movableRuns returns the runs that may be moved from a worker, in a fixed order.
+func (d *Dispatcher) movableRuns(w *worker) []*run {
+	var movable []*run
+	for key := range w.incarnation.Runs {
+		if r := d.runs[key]; r != nil && d.mayMove(r) {
+			movable = append(movable, r)
+		}
+	}
+	slices.SortFunc(movable, func(a, b *run) int { return cmp.Compare(a.key.Task.String(), b.key.Task.String()) })
+	return movable
+}
+
+// mayMoveFor reports whether a task of a step may move to a worker to make room for a candidate. Its queue must not be more urgent, and no
+// other task of the step is moved meanwhile.
+func (d *Dispatcher) mayMoveFor(c candidate, step *workload.Step, w *worker) bool {
+	return d.state.Queue(step.Job.Spec.GetQueue()).GetPriority() >= c.queue.GetPriority() && !slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return d.relocations.reserved[task] }) && d.allows(d.candidateOf(step), w)
 }
 
 // mayMove reports whether a run may be stopped to be started on another host.
 func (d *Dispatcher) mayMove(r *run) bool {
 	step := r.task.Step
 	return kindOf(step) == colocation.Serving && !step.GetGang() && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress &&
-		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && d.mayStop(r)
+		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0
 }
