--- /dev/null
+++ b/internal/decision/dispatch/relocation_round_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenamoor/internal/controlpb"
+)
+
+// cancelUrgent requests that a job of the queue "urgent" is cancelled.
+func (sim *simulation) cancelUrgent(id string) {
+	sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+		Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/urgent/" + id,
+	}}})
+}
+
+// Relocations one after the other left room free somewhere all the time, which a waiting task counts as room that it doesn't get.
+func TestRelocationsBeginInRounds(t *testing.T) {
+	const pairs = 4
+	sim := newFullHosts(t, pairs, 0)
+	sim.interrupt()
+	seen := map[*relocation]bool{}
+	var rounds []time.Time
+	for end := sim.now.Add(20 * time.Second); sim.waitingLasting() > 0 && sim.now.Before(end); sim.run(10 * time.Millisecond) {
+		for _, move := range sim.dispatcher.relocations.active {
+			if seen[move] || move.isReturning {
+				continue
+			}
+			seen[move] = true
+			if len(rounds) == 0 {
+				rounds = append(rounds, move.since)
+				continue
+			}
+			switch sinceRound := move.since.Sub(rounds[len(rounds)-1]); {
+			case sinceRound >= 4*time.Second:
+				rounds = append(rounds, move.since)
+			case sinceRound >= 200*time.Millisecond:
+				t.Errorf("a relocation begins %v after a round", sinceRound)
+			}
+		}
+	}
+	t.Logf("%d relocations in %d rounds", len(seen), len(rounds))
+	if len(rounds) < 2 {
+		t.Errorf("%d rounds, expected several", len(rounds))
+	}
+	if waiting := sim.waitingLasting(); waiting > 0 {
+		t.Errorf("%d lasting tasks still wait", waiting)
+	}
+}
+
+// While lasting tasks end by themselves and give room, none may be moved.
+func TestRelocationsAwaitEndsOfLastingTasks(t *testing.T) {
+	const jobs = 12
+	sim := newFullHosts(t, 1, 0)
+	extra := sim.addWorker("zone-0", "r-0")
+	extra.incarnation.Processors = 3000
+	extra.incarnation.Labels = append(extra.incarnation.Labels, "extra")
+	sim.run(2 * time.Second)
+	for i := range jobs {
+		sim.submit("urgent", fmt.Sprintf("extra-%d", i), labelled(servingWith(1, 250), "extra"))
+	}
+	sim.run(time.Second)
+	if runs := len(extra.runs); runs != jobs {
+		t.Fatalf("%d of %d tasks run that are to end", runs, jobs)
+	}
+	sim.interrupt()
+	for i := range jobs {
+		sim.cancelUrgent(fmt.Sprintf("extra-%d", i))
+		for range 50 {
+			sim.run(10 * time.Millisecond)
+			if len(sim.dispatcher.relocations.active) > 0 {
+				t.Fatalf("tasks are moved after the end of %d lasting tasks, half a second apart", i+1)
+			}
+		}
+	}
+	last := sim.now
+	if move := sim.runUntilRelocation(); move.since.Sub(last) > roomDelay+passInterval {
+		t.Errorf("tasks are moved only %v after the last end", move.since.Sub(last))
+	}
+}
