--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
 )
 
 // cancelJob cancels a job.
@@ -242,3 +243,17 @@
 		t.Errorf("services of a more urgent queue were moved")
 	}
 }
+
+// A service of which another task isn't ready must not have a task moved beyond its disruption budget.
+func TestNoTaskMovesWhileAnotherIsNotReady(t *testing.T) {
+	sim := newFullHosts(t, 1, 1)
+	d, tasks := sim.dispatcher, sim.state.Job("target").Occurrences[0][0].Tasks
+	first, second := d.runs[workload.RunKey{Task: tasks[0].Key(), Run: 1}], d.runs[workload.RunKey{Task: tasks[1].Key(), Run: 1}]
+	if !d.mayMove(first) {
+		t.Fatal("a task may not be moved while all others serve")
+	}
+	second.progress = 0
+	if d.mayMove(first) {
+		t.Error("a task may be moved while another one isn't ready")
+	}
+}
