--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"galenamoor/internal/decision/colocation"
 	"galenamoor/internal/decision/compaction"
 	"galenamoor/internal/decision/workload"
 	"galenamoor/pkg/resource"
@@ -37,12 +36,6 @@
 	// maxRoundDelay is the longest time for which such ends put off a round.
 	maxRoundDelay = 3 * time.Second
 
-	// maxCompactedHosts bounds the hosts between which tasks may be moved, those with the most idle processors.
-	maxCompactedHosts = 64
-
-	// maxRelocationSearches bounds the searches of one pass.
-	maxRelocationSearches = 8
-
 	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby several
 	// times the share of the lasting tasks that are unavailable.
 	maxRelocatingShare = 0.15
@@ -50,9 +43,6 @@
 	// relocationTimeout is the time after which a relocation is given up: the stop grace, with a margin for a lost call and for the ends
 	// to be reported and recorded.
 	relocationTimeout = 3 * time.Second
-
-	// minResidence is how long a task must have run before it may be moved, so that no task is moved again and again.
-	minResidence = 5 * time.Second
 )
 
 // relocation is a move of running tasks that makes room for a waiting one. Until each of the tasks is assigned to its destination,
@@ -84,12 +74,6 @@
 	return relocationState{reserved: map[*workload.Task]bool{}, shortSince: map[*workload.Step]time.Time{}, retries: map[*workload.Step]time.Time{}}
 }
 
-// compactable is a host that may take part in an exchange, with the runs that may move.
-type compactable struct {
-	*host
-	runs []*run
-}
-
 // respectsRelocations reports whether a host has room for a demand beside what is reserved there for moved tasks.
 func respectsRelocations(demand resource.Vector, h *host) bool {
 	if h.worker.relocation == nil {
@@ -125,7 +109,7 @@
 
 // continueRelocation does so for one relocation.
 func (d *Dispatcher) continueRelocation(move *relocation, hosts map[*worker]*host) int {
-	assigned, isUnusable := 0, false
+	assigned, hasLeft := 0, false
 	for _, task := range move.openTasks() {
 		destination := move.destinations[task]
 		h := hosts[destination]
@@ -133,7 +117,7 @@
 		case task.Step.Job.IsTerminal() || task.Done || d.hasRunThatStays(task):
 			d.unreserve(move, task)
 		case h == nil:
-			isUnusable = isUnusable || d.workers[destination.incarnation.GetNumber()] != destination || !d.isStaying(destination)
+			hasLeft = hasLeft || !d.isHere(destination) // others may be unusable for a moment only
 		case d.isWaiting(task) && (task != move.waiting || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
 			d.allows(d.candidateOf(task.Step), destination):
 			d.unreserve(move, task)
@@ -145,7 +129,7 @@
 	switch {
 	case len(move.destinations) == 0:
 		d.endRelocation(move, "complete")
-	case isUnusable:
+	case hasLeft:
 		d.giveUpRelocation(move, "a worker leaves or is lost")
 	case d.now.Sub(move.since) >= relocationTimeout && !(move.isReturning && d.hasStoppingRun(move)):
 		d.giveUpRelocation(move, "it has timed out")
@@ -153,6 +137,11 @@
 	return assigned
 }
 
+// isHere reports whether a worker is still tracked and stays.
+func (d *Dispatcher) isHere(w *worker) bool {
+	return d.workers[w.incarnation.GetNumber()] == w && d.isStaying(w)
+}
+
 // hasStoppingRun reports whether the run of a task that returns is still being stopped where the task will run again.
 func (d *Dispatcher) hasStoppingRun(move *relocation) bool {
 	for task, destination := range move.destinations {
@@ -176,9 +165,9 @@
 		d.unreserve(move, move.waiting)
 		for _, task := range move.openTasks() {
 			switch source, destination := move.sources[task], move.destinations[task]; {
-			case d.isStaying(source) && d.workers[source.incarnation.GetNumber()] == source:
+			case d.isHere(source):
 				move.destinations[task] = source
-			case !d.isStaying(destination) || d.workers[destination.incarnation.GetNumber()] != destination:
+			case !d.isHere(destination):
 				d.unreserve(move, task)
 			}
 		}
@@ -304,52 +293,6 @@
 	}
 }
 
-// makeRoom moves running tasks so that a waiting one fits on a host, if that is possible.
-func (d *Dispatcher) makeRoom(c candidate, task *workload.Task, hosts []host) bool {
-	state := &d.relocations
-	if state.hosts == nil {
-		state.hosts = d.compactableHosts(hosts)
-		state.described = describe(state.hosts)
-	}
-	found, hasFailed := state.hosts, d.hasFailed(task)
-	exchange, ok := compaction.Find(c.step.Demand(), state.described, func(e compaction.Exchange) bool {
-		target, partner := found[e.Target], found[e.Partner]
-		outgoing := target.runs[e.Outgoing].task.Step
-		if !d.allows(c, target.worker) || hasFailed != nil && hasFailed(target.worker) || !d.mayMoveFor(c, outgoing, partner.worker) {
-			return false
-		}
-		if e.Incoming == compaction.NoTask {
-			return true
-		}
-		incoming := partner.runs[e.Incoming].task.Step
-		return incoming != outgoing && d.mayMoveFor(c, incoming, target.worker)
-	})
-	if !ok {
-		return false
-	}
-	target, partner := found[exchange.Target], found[exchange.Partner]
-	moved := map[*run]*worker{target.runs[exchange.Outgoing]: partner.worker}
-	if exchange.Incoming != compaction.NoTask {
-		moved[partner.runs[exchange.Incoming]] = target.worker
-	}
-	d.beginRelocation(task, target.host, partner.host, moved)
-	state.hosts = slices.DeleteFunc(found, func(h compactable) bool { return h.worker.relocation != nil })
-	state.described = describe(state.hosts)
-	return true
-}
-
-// describe returns what a search for exchanges needs to know about hosts.
-func describe(hosts []compactable) []compaction.Host {
-	described := make([]compaction.Host, len(hosts))
-	for i, h := range hosts {
-		described[i].Free = h.worker.idle.atMost(h.Free)
-		for _, r := range h.runs {
-			described[i].Movable = append(described[i].Movable, r.task.Step.Demand())
-		}
-	}
-	return described
-}
-
 // beginRelocation reserves room for a waiting task on the target and for the runs to move on their destinations, and stops these runs.
 func (d *Dispatcher) beginRelocation(task *workload.Task, target, partner *host, moved map[*run]*worker) {
 	move := &relocation{
@@ -376,47 +319,3 @@
 		d.requestStop(r, "it is moved to make room")
 	}
 }
-
-// compactableHosts returns the hosts between which tasks may be moved, those with the most idle processors.
-func (d *Dispatcher) compactableHosts(hosts []host) []compactable {
-	found := []compactable{}
-	for i := range hosts {
-		h := &hosts[i]
-		if h.worker.hold != nil || h.worker.relocation != nil || h.Suspect || h.IgnoresStarts || len(h.worker.unproven) > 0 {
-			continue
-		}
-		found = append(found, compactable{host: h})
-	}
-	idle := func(h compactable) int64 { return h.worker.idle.atMost(h.Free).Processors }
-	slices.SortStableFunc(found, func(a, b compactable) int { return cmp.Compare(idle(b), idle(a)) })
-	found = found[:min(len(found), maxCompactedHosts)]
-	for i := range found {
-		found[i].runs = d.movableRuns(found[i].worker)
-	}
-	return found
-}
-
-// movableRuns returns the runs that may be moved from a worker, in a fixed order.
-func (d *Dispatcher) movableRuns(w *worker) []*run {
-	var movable []*run
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && d.mayMove(r) {
-			movable = append(movable, r)
-		}
-	}
-	slices.SortFunc(movable, func(a, b *run) int { return cmp.Compare(a.key.Task.String(), b.key.Task.String()) })
-	return movable
-}
-
-// mayMoveFor reports whether a task of a step may move to a worker to make room for a candidate. Its queue must not be more urgent, and no
-// other task of the step is moved meanwhile.
-func (d *Dispatcher) mayMoveFor(c candidate, step *workload.Step, w *worker) bool {
-	return d.state.Queue(step.Job.Spec.GetQueue()).GetPriority() >= c.queue.GetPriority() && !slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return d.relocations.reserved[task] }) && d.allows(d.candidateOf(step), w)
-}
-
-// mayMove reports whether a run may be stopped to be started on another host.
-func (d *Dispatcher) mayMove(r *run) bool {
-	step := r.task.Step
-	return kindOf(step) == colocation.Serving && !step.GetGang() && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress &&
-		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && d.mayStop(r)
-}
