--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -9,13 +9,6 @@
 	"galenamoor/internal/decision/workload"
 )
 
-// cancelJob cancels a job.
-func (sim *simulation) cancelJob(id string) {
-	sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-		Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/urgent/" + id,
-	}}})
-}
-
 // Lasting tasks that end elsewhere give a waiting task no room, so that they must not put off its relocation without end.
 func TestEndsElsewhereDontPreventRelocation(t *testing.T) {
 	sim := newFullHosts(t, 1, 0)
@@ -29,7 +22,7 @@
 		id := fmt.Sprintf("short-lived-%d", i)
 		sim.request(submission("urgent", id, step))
 		sim.run(500 * time.Millisecond)
-		sim.cancelJob(id)
+		sim.cancelUrgent(id)
 		sim.run(300 * time.Millisecond)
 	}
 	if sim.state.Job("waiting").LiveRuns() == 0 {
