dispatch: a new leader that has made no pass yet has a deadline

With a change to act upon, NextDeadline returned the time from which the next pass may come, which is zero before a leader's first pass: no deadline, so that the control loop slept until something else woke it.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -365,6 +365,9 @@
 	pass := d.nextPass
 	if d.dirty && d.earliestPass.Before(pass) {
 		pass = d.earliestPass
+		if pass.Before(d.now) { // also if there was no pass yet
+			pass = d.now
+		}
 	}
 	if d.nextScan.Before(pass) {
 		return d.nextScan
