dispatch: relocations and holds share what they repeated

No change of behaviour: one check of a demand beside reserved room, one set of the steps with waiting tasks, one bound on the hosts of a search for exchanges; the search stops comparing pairs on two hosts once it has found two moves, as only one move would be better. Two benchmarks share their fleet, and the comment of another one gives the number of its waiting tasks.

--- a/internal/decision/compaction/exchange.go
+++ b/internal/decision/compaction/exchange.go
@@ -15,8 +15,8 @@
 const NoTask = -1
 
 const (
-	// maxHosts bounds the hosts that a search considers, those with the most free processors. It compares all pairs of them.
-	maxHosts = 64
+	// MaxHosts bounds the hosts that a search considers, those with the most free processors. It compares all pairs of them.
+	MaxHosts = 64
 
 	// maxComparisons bounds the pairs of tasks that a search compares, to about a millisecond.
 	maxComparisons = 100_000
@@ -82,7 +82,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(hosts[b].Free.Processors, hosts[a].Free.Processors) })
-	return order[:min(len(order), maxHosts)]
+	return order[:min(len(order), MaxHosts)]
 }
 
 // between returns the exchange between two hosts that moves the fewest tasks, if there is one. It takes the pairs of tasks compared from
@@ -97,12 +97,14 @@
 			return e, true
 		}
 		*budget -= 1 + len(to.Movable)
+		if ok {
+			continue // only an exchange that moves one task would be better
+		}
 		for in, incoming := range to.Movable {
-			if ok || !demand.Add(incoming).Fits(from.Free.Add(outgoing)) || !outgoing.Fits(to.Free.Add(incoming)) {
-				continue
-			}
-			if e := (Exchange{target, partner, out, in}); admits(e) {
+			e := Exchange{target, partner, out, in}
+			if demand.Add(incoming).Fits(from.Free.Add(outgoing)) && outgoing.Fits(to.Free.Add(incoming)) && admits(e) {
 				found, ok = e, true
+				break
 			}
 		}
 	}
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -210,6 +210,11 @@
 		return true
 	}
 	rest := h.Free.Sub(h.worker.hold.step.Demand())
+	return fitsBeside(demand, rest)
+}
+
+// fitsBeside reports whether a demand fits in what reservations leave of the free room, which may be less than nothing.
+func fitsBeside(demand, rest resource.Vector) bool {
 	return demand.Fits(resource.Vector{
 		Processors: max(0, rest.Processors), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators),
 	})
@@ -220,10 +225,7 @@
 	if len(d.holds)+len(d.holdRetries) == 0 {
 		return
 	}
-	waiting := map[*workload.Step]bool{}
-	for _, c := range candidates {
-		waiting[c.step] = true
-	}
+	waiting := stepsOf(candidates)
 	maps.DeleteFunc(d.holdRetries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
 	for step, held := range d.holds {
 		for _, w := range slices.Clone(held) {
--- a/internal/decision/dispatch/overload_bench_test.go
+++ b/internal/decision/dispatch/overload_bench_test.go
@@ -9,7 +9,7 @@
 	"galenamoor/internal/controlpb"
 )
 
-// BenchmarkPassOfOverloadedFleet measures a pass over 360 hosts that are full of serving tasks, while thousands of tasks wait.
+// BenchmarkPassOfOverloadedFleet measures a pass over 360 hosts that are full of serving tasks, while nearly two thousand tasks wait.
 func BenchmarkPassOfOverloadedFleet(b *testing.B) {
 	sim := newOverloadedFleet(&testing.T{})
 	for b.Loop() {
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -221,6 +221,15 @@
 	return found
 }
 
+// stepsOf returns the set of the steps of candidates.
+func stepsOf(candidates []candidate) map[*workload.Step]bool {
+	steps := make(map[*workload.Step]bool, len(candidates))
+	for _, c := range candidates {
+		steps[c.step] = true
+	}
+	return steps
+}
+
 // compareInterrupted orders steps with interrupted tasks before the others. Their jobs may have been accepted later than one that has
 // waited for more room than any host had.
 func compareInterrupted(a, b candidate) int {
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -85,9 +85,7 @@
 			rest = rest.Sub(task.Step.Demand())
 		}
 	}
-	return demand.Fits(resource.Vector{
-		Processors: max(0, rest.Processors), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators),
-	})
+	return fitsBeside(demand, rest)
 }
 
 // continueRelocations assigns tasks to their destinations once their runs have ended, and ends relocations that are complete or
@@ -231,10 +229,7 @@
 	if len(state.shortSince)+len(state.retries) == 0 {
 		return
 	}
-	waiting := map[*workload.Step]bool{}
-	for _, c := range candidates {
-		waiting[c.step] = true
-	}
+	waiting := stepsOf(candidates)
 	maps.DeleteFunc(state.shortSince, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
 	maps.DeleteFunc(state.retries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
 }
--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// BenchmarkMovableRuns measures what a search for tasks to move needs, per pass, on a fleet of 240 hosts of 30 serving tasks.
-func BenchmarkMovableRuns(b *testing.B) {
+// newServingFleet returns a simulation of 240 hosts of 30 serving tasks whose steps have disruption budgets.
+func newServingFleet() *simulation {
 	sim := newSimulationWithWorkers(&testing.T{}, 1, 240)
 	for i := range 360 {
 		step := serving(20, fmt.Sprintf("image-%d", i%10))
@@ -140,6 +140,12 @@
 		sim.request(submission("urgent", fmt.Sprintf("serving-%d", i), step))
 		sim.run(30 * time.Millisecond)
 	}
+	return sim
+}
+
+// BenchmarkMovableRuns measures what a search for tasks to move needs, per pass, on a fleet of 240 hosts of 30 serving tasks.
+func BenchmarkMovableRuns(b *testing.B) {
+	sim := newServingFleet()
 	sim.run(10 * time.Second)
 	hosts := sim.dispatcher.hosts()
 	runs := 0
@@ -169,13 +175,7 @@
 
 // BenchmarkPassWithFruitlessSearches measures passes while lasting tasks wait for which no tasks can be moved.
 func BenchmarkPassWithFruitlessSearches(b *testing.B) {
-	sim := newSimulationWithWorkers(&testing.T{}, 1, 240)
-	for i := range 360 {
-		step := serving(20, fmt.Sprintf("image-%d", i%10))
-		step.Processors, step.Memory, step.MayMiss = 1000, 2000, 1
-		sim.request(submission("urgent", fmt.Sprintf("serving-%d", i), step))
-		sim.run(30 * time.Millisecond)
-	}
+	sim := newServingFleet()
 	for i := range 60 {
 		step := servingWith(1, 30_000)
 		sim.request(submission("urgent", fmt.Sprintf("large-%d", i), step))
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// maxCompactedHosts bounds the hosts between which tasks may be moved, those with the most idle processors.
-	maxCompactedHosts = 64
-
 	// maxRelocationSearches bounds the searches of one pass.
 	maxRelocationSearches = 8
 
@@ -85,7 +82,7 @@
 	}
 	idle := func(h compactable) int64 { return h.worker.idle.atMost(h.Free).Processors }
 	slices.SortStableFunc(found, func(a, b compactable) int { return cmp.Compare(idle(b), idle(a)) })
-	found = found[:min(len(found), maxCompactedHosts)]
+	found = found[:min(len(found), compaction.MaxHosts)]
 	for i := range found {
 		found[i].runs = d.movableRuns(found[i].worker)
 	}
