dispatch: no start is ordered for a run whose job has ended

Cause: a new leader renews the assignment of an inherited run before it orders the start, and orders it when the renewal is committed. If the job was completed or cancelled by a change committed before, that went unnoticed until the next scan stopped the run again: callers saw work of a job begin after its end.

start now requests the stop instead, as a scan would.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -174,6 +174,10 @@
 // start orders a worker to start a run, and is repeated until the order is answered. If the worker may no longer start
 // runs, the run is stopped instead of dropped, because an earlier order may still be carried out.
 func (d *Dispatcher) start(r *run) {
+	if reason := d.stopReason(r); reason != "" { // its job may have ended while its assignment was being committed
+		d.requestStop(r, reason)
+		return
+	}
 	if reason := d.startBlocker(r.worker); reason != "" {
 		d.requestStop(r, reason)
 		d.stopGang(r)
