dispatch, workercall: calls for reserved room are sent first

Users saw services wait while room for them was free: of a service's end and the start of the next one there, the largest part was the time for which the order to start waited in the leader's queue of calls, behind polls and some 900 best-effort starts a second.

Starts and stops of runs that reserve processors, and polls of workers on which a service is being stopped, now go before other calls.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -207,6 +207,7 @@
 	}
 	call := d.newCall(order.Start, r.worker)
 	call.Run, call.Spec, call.LeaseExpiry = r.key, r.task.Step.Job.Spec.GetSpec(), leaseExpiry
+	call.Urgent = r.reservesRoom()
 	r.startExpiry = max(r.startExpiry, leaseExpiry)
 	if r.orderedAt.IsZero() {
 		r.orderedAt, r.checkpoint = d.now, d.checkpoint(r.task)
@@ -221,6 +222,9 @@
 	d.config.WorkerCalls.Send(call)
 }
 
+// reservesRoom reports whether a run reserves processors, which nothing else can use while its calls are queued.
+func (r *run) reservesRoom() bool { return !r.task.Step.GetFills() }
+
 // startBlocker returns why a worker may not start runs any more, or an empty string.
 func (d *Dispatcher) startBlocker(w *worker) string {
 	switch {
@@ -366,7 +370,7 @@
 // stop orders a worker to stop a run. A run that hasn't started can't be started after that.
 func (d *Dispatcher) stop(r *run) {
 	call := d.newCall(order.Stop, r.worker)
-	call.Run = r.key
+	call.Run, call.Urgent = r.key, r.reservesRoom()
 	r.stopPending = true
 	d.config.WorkerCalls.Send(call)
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -309,6 +309,7 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
+	call.Urgent = d.isStoppingLasting(w)
 	if !d.withholdsEnds(w) {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
--- a/internal/shell/workercall/sender.go
+++ b/internal/shell/workercall/sender.go
@@ -52,6 +52,7 @@
 	queuedStarts atomic.Int64 // start calls in queue
 
 	mutex    sync.Mutex
+	urgent   []queuedCall // sent before those in queue
 	queue    []queuedCall
 	starting bool // startCalls is running
 	answers  []*order.Answer
@@ -83,7 +84,11 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.queue = append(s.queue, queuedCall{call: call, deadline: now.Add(timeout)})
+	queue := &s.queue
+	if call.Urgent {
+		queue = &s.urgent
+	}
+	*queue = append(*queue, queuedCall{call: call, deadline: now.Add(timeout)})
 	if call.Kind == order.Start {
 		s.queuedStarts.Add(1)
 	}
@@ -113,12 +118,16 @@
 func (s *Sender) takeQueued() (queuedCall, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.queue) == 0 {
-		s.queue, s.starting = nil, false
+	queue := &s.urgent
+	if len(s.urgent) == 0 {
+		queue = &s.queue
+	}
+	if len(*queue) == 0 {
+		s.urgent, s.queue, s.starting = nil, nil, false
 		return queuedCall{}, false
 	}
-	next := s.queue[0]
-	s.queue = s.queue[1:]
+	next := (*queue)[0]
+	*queue = (*queue)[1:]
 	if next.call.Kind == order.Start {
 		s.queuedStarts.Add(-1)
 	}
--- a/internal/shell/workercall/sender_test.go
+++ b/internal/shell/workercall/sender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,6 +56,41 @@
 	}
 }
 
+// recordingClient records the calls in the order in which they start.
+type recordingClient struct {
+	mutex sync.Mutex
+	calls []*order.Call
+}
+
+func (c *recordingClient) Call(_ context.Context, call *order.Call) *order.Answer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.calls = append(c.calls, call)
+	return &order.Answer{Status: order.OK}
+}
+
+// Reserved room stood unused while the order to start there waited behind hundreds of polls and best-effort starts.
+func TestUrgentCallOvertakesBurst(t *testing.T) {
+	const burst, most = 1000, 2 * callsPerTurn
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	client := &recordingClient{}
+	s := New(t.Context(), client, clockwork.NewRealClock(), func() {})
+	for range burst {
+		s.Send(&order.Call{Kind: order.Start})
+	}
+	urgent := &order.Call{Kind: order.Start, Urgent: true}
+	s.Send(urgent)
+	for answered := 0; answered <= burst; answered += len(s.TakeAnswers()) {
+		time.Sleep(time.Millisecond)
+	}
+	if before := slices.Index(client.calls, urgent); before < 0 || before > most {
+		t.Errorf("%d of %d calls started before the urgent one, want at most %d", before, burst, most)
+	}
+	if queued := s.QueuedStarts(); queued != 0 {
+		t.Errorf("%d calls are queued after all were answered", queued)
+	}
+}
+
 // A call that was queued for as long as its timeout must not reach its worker: the dispatcher already takes it for unanswered.
 
 // A call that was queued for as long as its timeout must not reach its worker: the dispatcher already takes it for unanswered.
