replica: check for a suspension before each queued request

A leader whose host is suspended could answer a query after it resumed, though another leader had committed changes meanwhile: a caller could read an older configuration or job state. The monotonic clock, by which the lease is measured, stands still during a suspension. The control loop looked for one before the message, request or timer that woke it, but not when a completed sync woke it, nor before the further requests that it takes from the queue in the same iteration. A query is answered as soon as it is submitted.

Now the loop checks before each request, and whatever wakes it. A request that is submitted before a suspension has arrived before it, so that its answer is current at some time during the request.

--- a/internal/shell/replica/replica.go
+++ b/internal/shell/replica/replica.go
@@ -288,11 +288,12 @@
 			r.checkSuspension()
 			r.core.Deliver(r.options.Clock.Now(), m)
 		case p := <-r.requests:
-			r.checkSuspension()
 			r.submit(p)
 		case s := <-r.syncResults:
+			r.checkSuspension()
 			r.completeSync(s)
 		case reply := <-r.transfers:
+			r.checkSuspension()
 			reply <- r.core.TransferLeadership(r.options.Clock.Now())
 		case <-r.wakeups:
 			r.checkSuspension()
@@ -364,11 +365,13 @@
 	timer.Reset(wait)
 }
 
-// submit passes a request to the Core unless it was withdrawn.
+// submit passes a request to the Core unless it was withdrawn. It checks for a suspension before each request, because the Core
+// answers queries immediately if its lease looks valid.
 func (r *Replica) submit(p *pendingRequest) {
 	if !p.claimed.CompareAndSwap(false, true) {
 		return
 	}
+	r.checkSuspension()
 	r.pending[r.core.Submit(r.options.Clock.Now(), p.request)] = p
 }
 
