leaderclient: give up attempts at a former leader once another one is found

Callers whose requests had been sent to a leader that then froze waited for the attempt's timeout of 700 ms, also while their entry already knew the next leader.

When another leader is found, attempts at other members are cancelled, and their requests go to that leader without backoff. Requests are idempotent, as they had to be after the timeout. A reply that arrives nevertheless is passed on, but no longer makes the client return to the former leader.

TestSuccessorDuringRequest, before the change:

read: the earlier request was decided 385.010452ms after the later one change: the earlier request was decided 370.621482ms after the later one late reply: the earlier request was decided 350ms after the later one late reply: the leader is 127.0.0.1:7000 after the requests, expected the successor

--- a/internal/shell/leaderclient/client.go
+++ b/internal/shell/leaderclient/client.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -17,7 +16,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"galenamoor/internal/controlpb"
-	"galenamoor/internal/shell/transport"
 )
 
 const (
@@ -74,13 +72,13 @@
 	searchDone     chan struct{}    // closed when the running search ends; nil if none is running
 	searchingSince time.Time        // start of the first search since the last known leader; zero while a leader is known
 
-	outstanding      int       // requests sent and not yet answered
-	outstandingSince time.Time // when outstanding last rose from zero, or the leader's last reply if that is later
+	outstanding      map[*attempt]struct{} // requests sent and not yet answered
+	outstandingSince time.Time             // when outstanding was last empty, or the leader's last reply if that is later
 }
 
 // New returns a Client that finds the control group through the seeds.
 func New(t Transport, seeds []netip.AddrPort, latencies Latencies, clock clockwork.Clock, log logr.Logger) *Client {
-	return &Client{transport: t, seeds: seeds, latencies: latencies, clock: clock, log: log}
+	return &Client{transport: t, seeds: seeds, latencies: latencies, clock: clock, log: log, outstanding: map[*attempt]struct{}{}}
 }
 
 // SetSeeds replaces the seeds.
@@ -139,7 +137,7 @@
 		case !ok:
 			continue
 		}
-		reply := c.attempt(ctx, to, request)
+		reply, superseded := c.attempt(ctx, to, request)
 		switch code := reply.GetResult().GetCode(); {
 		case code == controlpb.ResultCode_RESULT_UNAVAILABLE:
 			rejection = reply
@@ -150,6 +148,9 @@
 		default: // an unanswered read has no effect
 			rejection = errorReply(controlpb.ResultCode_RESULT_UNAVAILABLE, reply.GetResult().GetMessage())
 		}
+		if superseded {
+			continue // without backoff, so that later requests don't overtake this one at the successor
+		}
 		select {
 		case <-ctx.Done():
 		case <-c.clock.After(backoff/2 + rand.N(backoff)):
@@ -173,43 +174,6 @@
 	return request.GetWork().GetCaller().GetVerb() != controlpb.CallerVerb_VERB_READ
 }
 
-// attempt sends a request to the leader once.
-func (c *Client) attempt(ctx context.Context, to netip.AddrPort, request *controlpb.LeaderRequest) *controlpb.LeaderReply {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	c.requestSent()
-	reply, err := c.transport.Forward(ctx, to, request)
-	c.requestDone()
-	if err != nil {
-		c.mutex.Lock()
-		c.clearLeader(to, err.Error())
-		c.mutex.Unlock()
-		var notSent *transport.NotSentError
-		if errors.As(err, &notSent) {
-			return errorReply(controlpb.ResultCode_RESULT_UNAVAILABLE, err.Error())
-		}
-		return errorReply(controlpb.ResultCode_RESULT_UNKNOWN, err.Error())
-	}
-	c.observeReply(to, reply)
-	return reply
-}
-
-// requestSent and requestDone track the number of outstanding requests.
-func (c *Client) requestSent() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.outstanding == 0 {
-		c.outstandingSince = c.clock.Now()
-	}
-	c.outstanding++
-}
-
-func (c *Client) requestDone() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.outstanding--
-}
-
 // Run checks the leader while there is no traffic, and searches for a new one if it doesn't respond, until the context
 // ends.
 func (c *Client) Run(ctx context.Context) error {
--- a/internal/shell/leaderclient/client_test.go
+++ b/internal/shell/leaderclient/client_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -27,6 +28,7 @@
 	empty        netip.AddrPort // controller that lost its disk and knows no member; invalid if there is none
 	unresponsive netip.AddrPort // member that receives requests and never replies; invalid if there is none
 	lostRequests int            // requests other than pings received by the unresponsive member
+	lateReply    bool           // the unresponsive member replies when a request is given up
 }
 
 // discardLatencies discards latencies.
@@ -49,6 +51,9 @@
 		g.mutex.Unlock()
 		<-ctx.Done()
 		g.mutex.Lock()
+		if g.lateReply && request.GetWork().GetPing() == nil {
+			return &controlpb.LeaderReply{Result: &controlpb.Result{}}, nil
+		}
 		return nil, ctx.Err()
 	}
 	if to == g.empty {
@@ -75,6 +80,12 @@
 	g.leader = address(n)
 }
 
+func (g *fakeGroup) setUnresponsive(n byte) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.unresponsive = address(n)
+}
+
 func newClient(g *fakeGroup) *Client {
 	return New(g, []netip.AddrPort{address(1)}, discardLatencies{}, clockwork.NewRealClock(), logr.Discard())
 }
@@ -223,3 +234,49 @@
 		t.Errorf("retry delay is %d ms in an outage of %v, expected at least the outage and at most maxRetryAfter", got, maxElectionTime)
 	}
 }
+
+// Checks that a request that waits for a former leader is sent to its successor as soon as that is known. Requests that arrive
+// later would otherwise be decided first, so that callers see a change of the routing undone.
+func TestSuccessorDuringRequest(t *testing.T) {
+	read := &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: &controlpb.WorkRequest{
+		Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{Verb: controlpb.CallerVerb_VERB_READ}},
+	}}}
+	for _, test := range []struct {
+		name      string
+		request   *controlpb.LeaderRequest
+		lateReply bool
+	}{
+		{name: "read", request: read},
+		{name: "change", request: &controlpb.LeaderRequest{}},
+		{name: "late reply", request: read, lateReply: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testSuccessorDuringRequest(t, test.request, test.lateReply) })
+		})
+	}
+}
+
+func testSuccessorDuringRequest(t *testing.T, request *controlpb.LeaderRequest, lateReply bool) {
+	g := &fakeGroup{lateReply: lateReply}
+	g.setLeader(1)
+	client := newClient(g)
+	client.Submit(context.Background(), request)
+	g.setUnresponsive(1)
+	earlier := make(chan *controlpb.LeaderReply, 1)
+	go func() { earlier <- client.Submit(context.Background(), request) }()
+	time.Sleep(suspectAfter + 50*time.Millisecond)
+	g.setLeader(2)
+	if code := client.Submit(context.Background(), request).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_OK {
+		t.Errorf("the later request: %v, expected RESULT_OK", code)
+	}
+	decided := time.Now()
+	if code := (<-earlier).GetResult().GetCode(); code != controlpb.ResultCode_RESULT_OK {
+		t.Errorf("the earlier request: %v, expected RESULT_OK", code)
+	}
+	if delay := time.Since(decided); delay > 0 {
+		t.Errorf("the earlier request was decided %v after the later one", delay)
+	}
+	if leader, _ := client.leaderOrSearch(context.Background()); leader != address(2) {
+		t.Errorf("the leader is %v after the requests, expected the successor", leader)
+	}
+}
--- a/internal/shell/leaderclient/search.go
+++ b/internal/shell/leaderclient/search.go
@@ -78,7 +78,7 @@
 // leaderSuspected reports whether requests to the leader have had no reply for longer than suspectAfter. The caller holds
 // the mutex.
 func (c *Client) leaderSuspected() bool {
-	return c.outstanding > 0 && c.clock.Since(c.outstandingSince) > suspectAfter
+	return len(c.outstanding) > 0 && c.clock.Since(c.outstandingSince) > suspectAfter
 }
 
 // search pings members until one confirms that it is the leader, or the context ends.
@@ -156,6 +156,7 @@
 		c.outstandingSince, c.searchingSince = c.lastReplyAt, time.Time{}
 		if c.leader != from || c.loggedLost {
 			c.leader, c.loggedLost = from, false
+			c.supersedeAttempts()
 			c.log.Info("leader found", "Peer", from.String())
 		}
 		return true
