dispatch: tasks that an earlier leader has stopped return

Cause: what a leader reserves for the tasks that it moves is soft state. If it falls after the order to stop them, its successor doesn't know that they are being stopped, still less that their room is spoken for. Once their ends are recorded, they wait beside the task for which they were moved, which may come first, takes the room of one of them, and leaves it without a run until the next relocation (TestLeaderChangeDuringRelocation, 7 s).

Design: a new leader reserves room for a serving task on the worker on which an earlier leader has stopped it, as a relocation that only returns it. There are two cases:

* The end is recorded under the new leader: the run is inherited, its end says that it was stopped, and the new leader hasn't ordered that.
Until then the room is still reserved by the run itself.
* The end was recorded before, and the task has waited for the other one since.
Nothing in the state told that, so it now keeps on which worker the latest run of a task was stopped and when.

The room is there when it is reserved, as the end and the reservation come in the same step. A relocation is undone, not continued: for that a new kind of record would have to be committed before each stop. The task for which room was made waits for another round.

Tasks don't return to workers that leave or whose zone is out of service, nor to hosts that are yet to be maintained in a wave, which the earlier leader may have been draining.

There is no new command.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -281,6 +281,7 @@
 			incarnationStartMs: incarnation.GetBornMs(), sequence: incarnation.GetSequence(), receivedAt: d.now,
 		}
 	}
+	d.inheritStops()
 	d.logInherited()
 	for _, pair := range d.state.ImagePairs() {
 		d.interference.Restore(d.now, imagepair.Pair{Victim: pair.GetVictim(), Aggressor: pair.GetAggressor(), LogOdds: pair.GetOdds()})
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -46,7 +46,8 @@
 )
 
 // relocation is a move of running tasks that makes room for a waiting one. Until each of the tasks is assigned to its destination,
-// the room for it is reserved there. The waiting task comes last, so that the others can return if a host becomes unusable.
+// the room for it is reserved there. The waiting task comes last, so that the others can return if a host becomes unusable. One for tasks
+// that an earlier leader has stopped only returns them, and the waiting task is the first of them.
 type relocation struct {
 	since        time.Time
 	waiting      *workload.Task
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -560,6 +560,7 @@
 		return
 	}
 	d.forgetRun(e.Run, r)
+	d.inheritStop(r)
 	if r.task.Done {
 		d.forgetTask(e.Run.Task)
 	} else if e.Checkpoint != "" {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -84,7 +84,11 @@
 	Checkpoint string
 
 	PausedUntilMs int64 // by the leaders' clocks, Unix milliseconds; 0 if it isn't paused
-	Runs          []Run
+
+	StoppedOn uint32 // worker on which the latest run was stopped; 0 if that run is live or has ended otherwise
+	StoppedMs int64  // when that was recorded, by the leaders' clocks, Unix milliseconds
+
+	Runs []Run
 }
 
 // Run is one run of a task on a worker.
@@ -293,6 +297,7 @@
 		t.Step.Waiting--
 	}
 	t.LastRun = start.GetRun()
+	t.StoppedOn, t.StoppedMs = 0, 0
 	s.assignments++
 	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time, Assignment: s.assignments})
 	w.Runs[RunKey{Task: t.Key(), Run: start.GetRun()}] = t
@@ -372,6 +377,10 @@
 		if !t.Done {
 			s.recordFailure(t, end.GetRun())
 		}
+	case controlpb.RunEnd_RUN_STOPPED:
+		if end.GetRun() == t.LastRun {
+			t.StoppedOn, t.StoppedMs = w.GetNumber(), s.time
+		}
 	}
 	s.failIfExhausted(t)
 	s.finalizeJob(t.Step.Job)
--- a/internal/decision/workload/script_test.go
+++ b/internal/decision/workload/script_test.go
@@ -93,6 +93,12 @@
 		return strings.ToLower(strings.TrimPrefix(state.String(), "WORK_"))
 	case "task":
 		return s.describeTask(s.state.Task(s.taskKey(words[1])))
+	case "stopped": // stopped TASK
+		task := s.state.Task(s.taskKey(words[1]))
+		if task.StoppedOn == 0 {
+			return "no"
+		}
+		return fmt.Sprintf("on %d, %v ago", task.StoppedOn, s.now.Sub(time.UnixMilli(task.StoppedMs)))
 	case "worker":
 		return s.describeWorker(words[1])
 	case "match":
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -54,7 +54,7 @@
 	j.forEachTask(func(t *Task) {
 		task := &controlpb.WorkTaskRecord{
 			LastRun: t.LastRun, Failures: t.Failures, FailedRun: t.FailedRun, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions,
-			Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs,
+			Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs, StoppedOn: t.StoppedOn, StoppedMs: t.StoppedMs,
 		}
 		for _, r := range t.Runs {
 			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment, StartAnswered: r.startAnswered})
@@ -141,6 +141,7 @@
 	t.LastRun, t.Failures, t.Checkpoint = record.GetLastRun(), record.GetFailures(), record.GetCheckpoint()
 	t.FailedRun, t.Crashes, t.Suspicions = record.GetFailedRun(), record.GetCrashes(), record.GetSuspicions()
 	t.Pauses, t.PausedUntilMs = record.GetPauses(), record.GetPausedUntilMs()
+	t.StoppedOn, t.StoppedMs = record.GetStoppedOn(), record.GetStoppedMs()
 	if record.GetDone() {
 		s.finishTask(t)
 	}
