dispatch: relocations for advised steps

Cause: the search for tasks to move considers only targets on which the waiting step is allowed, which takes a valid ticket for an advised queue. Tickets were asked for only on hosts that have room already, and there are none if room is in pieces.

If no relocation is found with the tickets at hand, the search is repeated without that condition, except for hosts that the service has refused, and a ticket for the target that it finds is asked for. No task is stopped before it is there. The answer makes way for the next search at once, so that refusals don't cost a second each, and a ticket that was asked for in a round may be used for a second although the round is over: otherwise it would have expired by the next one. A host on which room is reserved for a step counts as one with room, so that a ticket that expires while tasks move is renewed before they have moved.

Not changed: a service of an advised queue is moved only to a host for which there is a valid ticket.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -64,6 +64,12 @@
 	return ""
 }
 
+// mayGetTicket reports whether a step may run on a worker if the service issues a ticket, and the service hasn't refused that.
+func (d *Dispatcher) mayGetTicket(c candidate, w *worker) bool {
+	t, isAnswered := d.adviceOn(c.step).tickets[w.incarnation.GetNumber()]
+	return (!isAnswered || t.text != "") && d.unadvisedExclusion(c, w) == occupancy.NotRefused
+}
+
 // expireTicket marks a ticket that a worker has rejected as expired, so that it is renewed, unless a newer one is known.
 func (d *Dispatcher) expireTicket(step *workload.Step, w *worker, text string) {
 	tickets := d.adviceOn(step).tickets
@@ -83,7 +89,8 @@
 	var unasked, expired []*worker
 	for i := range hosts {
 		w := hosts[i].worker
-		if !c.step.Demand().Fits(hosts[i].Free) || d.unadvisedExclusion(c, w) != occupancy.NotRefused {
+		hasRoom := c.step.Demand().Fits(hosts[i].Free) || w.isReservedFor(c.step) // once tasks have moved
+		if !hasRoom || d.unadvisedExclusion(c, w) != occupancy.NotRefused {
 			continue
 		}
 		t, answered := cached.tickets[w.incarnation.GetNumber()]
@@ -180,6 +187,7 @@
 	cached.asking = nil
 	d.adviceCalls--
 	d.dirty = true
+	delete(d.relocations.retries, a.Call.Step)
 	if a.Status != order.OK {
 		cached.retryAt = d.now.Add(adviceRetryDelay)
 		d.config.Log.Info("advice call failed", "Step", a.Call.Step.Name(), "Status", a.Status.String(), "Error", errorText(a.Err))
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -36,6 +36,9 @@
 	// maxRoundDelay is the longest time for which such ends put off a round.
 	maxRoundDelay = 3 * time.Second
 
+	// targetTicketTimeout is how long after its ticket was asked for a relocation may begin outside a round.
+	targetTicketTimeout = time.Second
+
 	// maxRelocatingShare is the share of the usable workers between which tasks may be moved at the same time, and thereby several
 	// times the share of the lasting tasks that are unavailable.
 	maxRelocatingShare = 0.15
@@ -62,6 +65,7 @@
 	reserved    map[*workload.Task]bool      // tasks for which room is reserved, of all active relocations
 	shortSince  map[*workload.Step]time.Time // since when tasks of a lasting step lack room
 	retries     map[*workload.Step]time.Time // earliest next search for a step
+	askedAt     map[*workload.Step]time.Time // when a ticket for the target host was last asked for, of steps of advised queues
 	searches    int                          // that the current pass may still make
 	roundBegan  time.Time                    // of the newest round
 	roomAt      time.Time                    // when a lasting task that wasn't being moved has last ended
@@ -72,7 +76,7 @@
 }
 
 func newRelocationState() relocationState {
-	return relocationState{reserved: map[*workload.Task]bool{}, shortSince: map[*workload.Step]time.Time{}, retries: map[*workload.Step]time.Time{}}
+	return relocationState{reserved: map[*workload.Task]bool{}, shortSince: map[*workload.Step]time.Time{}, retries: map[*workload.Step]time.Time{}, askedAt: map[*workload.Step]time.Time{}}
 }
 
 // respectsRelocations reports whether a host has room for a demand beside what is reserved there for moved tasks.
@@ -89,6 +93,19 @@
 	return fitsBeside(demand, rest)
 }
 
+// isReservedFor reports whether room is reserved on a worker for a task of a step.
+func (w *worker) isReservedFor(step *workload.Step) bool {
+	if w.relocation == nil {
+		return false
+	}
+	for task, destination := range w.relocation.destinations {
+		if destination == w && task.Step == step {
+			return true
+		}
+	}
+	return false
+}
+
 // continueRelocations assigns tasks to their destinations once their runs have ended, and ends relocations that are complete or
 // can't be completed. It returns the number of runs assigned.
 func (d *Dispatcher) continueRelocations(hosts []host) int {
@@ -227,12 +244,14 @@
 	state := &d.relocations
 	state.searches, state.hosts = 0, nil
 	state.hasHeadroom = sync.OnceValue(d.hasHeadroom)
-	if len(state.shortSince)+len(state.retries) == 0 {
+	times := []map[*workload.Step]time.Time{state.shortSince, state.retries, state.askedAt}
+	if !slices.ContainsFunc(times, func(m map[*workload.Step]time.Time) bool { return len(m) > 0 }) {
 		return
 	}
 	waiting := stepsOf(candidates)
-	maps.DeleteFunc(state.shortSince, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
-	maps.DeleteFunc(state.retries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+	for _, m := range times {
+		maps.DeleteFunc(m, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+	}
 }
 
 // relocate moves running tasks to make room for the tasks of a lasting step that fit on no host and for which no room is held. Those
@@ -249,7 +268,7 @@
 		state.shortSince[c.step] = d.now
 	}
 	if state.searches <= 0 || d.now.Sub(state.shortSince[c.step]) < relocationDelay || d.now.Before(state.retries[c.step]) ||
-		!c.interrupted && !state.hasHeadroom() || !d.isRelocationRound() {
+		!c.interrupted && !state.hasHeadroom() || !d.isRelocationRound() && !d.awaitsTargetTicket(c.step) {
 		return
 	}
 	limit := int(maxRelocatingShare * float64(len(hosts)) / 2) // two hosts each
@@ -282,6 +301,13 @@
 	return d.now.Sub(state.roomAt) >= roomDelay || d.now.Sub(state.dueSince) >= maxRoundDelay
 }
 
+// awaitsTargetTicket reports whether a ticket for the target of a relocation was asked for in a round, which may be over once the ticket is
+// there.
+func (d *Dispatcher) awaitsTargetTicket(step *workload.Step) bool {
+	askedAt, hasAsked := d.relocations.askedAt[step]
+	return hasAsked && d.now.Sub(askedAt) < targetTicketTimeout
+}
+
 // noteRoom records that the end of a lasting run gives room.
 func (d *Dispatcher) noteRoom(r *run) {
 	if isLasting(r.task.Step) && !d.relocations.reserved[r.task] {
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -31,22 +31,14 @@
 		state.hosts = d.compactableHosts(hosts)
 		state.described = describe(state.hosts)
 	}
-	found, hasFailed := state.hosts, d.hasFailed(task)
-	exchange, ok := compaction.Find(c.step.Demand(), state.described, func(e compaction.Exchange) bool {
-		target, partner := found[e.Target], found[e.Partner]
-		outgoing := target.runs[e.Outgoing].task.Step
-		if !d.allows(c, target.worker) || hasFailed != nil && hasFailed(target.worker) || !d.mayMoveFor(c, outgoing, partner.worker) {
-			return false
-		}
-		if e.Incoming == compaction.NoTask {
-			return true
-		}
-		incoming := partner.runs[e.Incoming].task.Step
-		return incoming != outgoing && d.mayMoveFor(c, incoming, target.worker)
-	})
+	exchange, ok := d.findExchange(c, task, d.allows)
 	if !ok {
+		if c.queue.GetAdvised() {
+			d.requestTargetTicket(c, task)
+		}
 		return false
 	}
+	found := state.hosts
 	target, partner := found[exchange.Target], found[exchange.Partner]
 	moved := map[*run]*worker{target.runs[exchange.Outgoing]: partner.worker}
 	if exchange.Incoming != compaction.NoTask {
@@ -58,6 +50,37 @@
 	return true
 }
 
+// findExchange returns an exchange of running tasks that makes room for a waiting one on a host on which its step is allowed.
+func (d *Dispatcher) findExchange(c candidate, task *workload.Task, allows func(candidate, *worker) bool) (exchange compaction.Exchange, ok bool) {
+	found, hasFailed := d.relocations.hosts, d.hasFailed(task)
+	return compaction.Find(c.step.Demand(), d.relocations.described, func(e compaction.Exchange) bool {
+		target, partner := found[e.Target], found[e.Partner]
+		outgoing := target.runs[e.Outgoing].task.Step
+		if !allows(c, target.worker) || hasFailed != nil && hasFailed(target.worker) || !d.mayMoveFor(c, outgoing, partner.worker) {
+			return false
+		}
+		if e.Incoming == compaction.NoTask {
+			return true
+		}
+		incoming := partner.runs[e.Incoming].task.Step
+		return incoming != outgoing && d.mayMoveFor(c, incoming, target.worker)
+	})
+}
+
+// requestTargetTicket asks for a ticket for the host on which an exchange would make room for a task of an advised queue. The tasks move
+// once the ticket is there.
+func (d *Dispatcher) requestTargetTicket(c candidate, task *workload.Task) {
+	cached := d.adviceOn(c.step)
+	if !d.mayAsk(cached) {
+		return
+	}
+	d.relocations.searches--
+	if exchange, ok := d.findExchange(c, task, d.mayGetTicket); ok {
+		d.relocations.askedAt[c.step] = d.now
+		d.sendAdviceCall(c.step, cached, []*worker{d.relocations.hosts[exchange.Target].worker})
+	}
+}
+
 // describe returns what a search for exchanges needs to know about hosts.
 func describe(hosts []compactable) []compaction.Host {
 	described := make([]compaction.Host, len(hosts))
