workercall: every second call is one that isn't urgent

While urgent calls were queued, all others waited, and so did the answers to those whose timeout had passed: a worker with a poll in the queue got no other one.

Calls now alternate between the two queues while both have some. An urgent call waits at most for twice as many calls as there are urgent ones before it.

TestPollOvertakesUrgentBurst, before: 1000 of 1000 calls started before the last one.

--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -38,7 +38,7 @@
 	Epoch              uint64    // epoch of the calling leader
 	Fence              uint64    // fencing token; a worker rejects calls below the highest one that it has seen
 	Sent               time.Time // by the leader's clock
-	Urgent             bool      // reserved room stays unused until it is answered; it is sent before calls that aren't urgent
+	Urgent             bool      // reserved room stays unused until it is answered; it overtakes calls that aren't urgent
 
 	Run        workload.RunKey // of Start, Stop and SetSpeed
 	Spec       string          // of Start
--- a/internal/shell/workercall/sender.go
+++ b/internal/shell/workercall/sender.go
@@ -52,7 +52,7 @@
 	queuedStarts atomic.Int64 // start calls in queue
 
 	mutex    sync.Mutex
-	urgent   []queuedCall // sent before those in queue
+	urgent   []queuedCall // sent before those in queue, but for every second call
 	queue    []queuedCall
 	starting bool // startCalls is running
 	answers  []*order.Answer
@@ -101,11 +101,12 @@
 // QueuedStarts returns the number of start calls that haven't started.
 func (s *Sender) QueuedStarts() int { return int(s.queuedStarts.Load()) }
 
-// startCalls starts the queued calls until there are none.
+// startCalls starts the queued calls until there are none. Every second call is one that isn't urgent, if there is any: polls
+// behind many urgent calls would time out, and leases would expire.
 func (s *Sender) startCalls() {
 	for {
-		for range callsPerTurn {
-			next, ok := s.takeQueued()
+		for i := range callsPerTurn {
+			next, ok := s.takeQueued(i%2 == 0)
 			if !ok {
 				return
 			}
@@ -115,12 +116,13 @@
 	}
 }
 
-func (s *Sender) takeQueued() (queuedCall, bool) {
+// takeQueued removes the next call from the preferred queue, or from the other one if that is empty.
+func (s *Sender) takeQueued(preferUrgent bool) (queuedCall, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	queue := &s.urgent
-	if len(s.urgent) == 0 {
-		queue = &s.queue
+	queue := &s.queue
+	if len(s.urgent) > 0 && (preferUrgent || len(s.queue) == 0) {
+		queue = &s.urgent
 	}
 	if len(*queue) == 0 {
 		s.urgent, s.queue, s.starting = nil, nil, false
--- a/internal/shell/workercall/sender_test.go
+++ b/internal/shell/workercall/sender_test.go
@@ -71,28 +71,37 @@
 
 // Reserved room stood unused while the order to start there waited behind hundreds of polls and best-effort starts.
 func TestUrgentCallOvertakesBurst(t *testing.T) {
+	testOvertakesBurst(t, &order.Call{Kind: order.Start, Urgent: true}, order.Call{Kind: order.Start})
+}
+
+// A poll behind thousands of urgent calls wasn't sent before its timeout, and nothing else renews the lease of a worker that
+// gets only stops.
+func TestPollOvertakesUrgentBurst(t *testing.T) {
+	testOvertakesBurst(t, &order.Call{Kind: order.Poll}, order.Call{Kind: order.Stop, Urgent: true})
+}
+
+// testOvertakesBurst checks that few calls of a burst start before a call that is sent after them.
+func testOvertakesBurst(t *testing.T, last *order.Call, others order.Call) {
 	const burst, most = 1000, 2 * callsPerTurn
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	client := &recordingClient{}
 	s := New(t.Context(), client, clockwork.NewRealClock(), func() {})
 	for range burst {
-		s.Send(&order.Call{Kind: order.Start})
+		call := others
+		s.Send(&call)
 	}
-	urgent := &order.Call{Kind: order.Start, Urgent: true}
-	s.Send(urgent)
+	s.Send(last)
 	for answered := 0; answered <= burst; answered += len(s.TakeAnswers()) {
 		time.Sleep(time.Millisecond)
 	}
-	if before := slices.Index(client.calls, urgent); before < 0 || before > most {
-		t.Errorf("%d of %d calls started before the urgent one, want at most %d", before, burst, most)
+	if before := slices.Index(client.calls, last); before < 0 || before > most {
+		t.Errorf("%d of %d calls started before the last one, want at most %d", before, burst, most)
 	}
 	if queued := s.QueuedStarts(); queued != 0 {
 		t.Errorf("%d calls are queued after all were answered", queued)
 	}
 }
 
-// A call that was queued for as long as its timeout must not reach its worker: the dispatcher already takes it for unanswered.
-
 // A call that was queued for as long as its timeout must not reach its worker: the dispatcher already takes it for unanswered.
 func TestQueuedTimeCountsTowardsTimeout(t *testing.T) {
 	client, clock := &countingClient{}, clockwork.NewFakeClock()
