leaderclient: a late reply doesn't bring a former leader back

A reply to a ping that was sent before another leader was found made the client return to the former leader, and, since attempts at other members are given up, cancelled the requests that the successor was handling: their callers waited for another search, and the outcome of changes was unknown until then. The same could happen between the end of an attempt and the handling of its reply.

--- a/internal/shell/leaderclient/attempt.go
+++ b/internal/shell/leaderclient/attempt.go
@@ -22,12 +22,13 @@
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	a := &attempt{to: to, cancel: cancel}
+	sent := c.clock.Now()
 	c.beginAttempt(a)
 	reply, err := c.transport.Forward(ctx, to, request)
 	superseded = c.endAttempt(a)
 	if err == nil {
 		if !superseded { // a late reply doesn't show that the former leader leads again
-			c.observeReply(to, reply)
+			c.observeReply(to, sent, reply)
 		}
 		return reply, superseded
 	}
--- a/internal/shell/leaderclient/client.go
+++ b/internal/shell/leaderclient/client.go
@@ -65,6 +65,7 @@
 	seeds          []netip.AddrPort // configured addresses of members
 	members        []netip.AddrPort // from the last reply that contained the membership
 	leader         netip.AddrPort   // member that confirmed that it leads; invalid if unknown
+	leaderFoundAt  time.Time        // when leader became known
 	leaderHint     netip.AddrPort   // leader according to another member; invalid if unknown
 	nextMember     int              // round-robin position of the search
 	lastReplyAt    time.Time        // when a leader last decided a request or replied to a ping
--- a/internal/shell/leaderclient/client_test.go
+++ b/internal/shell/leaderclient/client_test.go
@@ -280,3 +280,57 @@
 		t.Errorf("the leader is %v after the requests, expected the successor", leader)
 	}
 }
+
+// slowLink delays the next reply to a ping of member 1, and counts the requests to member 2 that are given up.
+type slowLink struct {
+	*fakeGroup
+	delay   time.Duration
+	givenUp int
+}
+
+func (l *slowLink) Forward(ctx context.Context, to netip.AddrPort, request *controlpb.LeaderRequest) (*controlpb.LeaderReply, error) {
+	reply, err := l.fakeGroup.Forward(ctx, to, request)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	isPing := request.GetWork().GetPing() != nil
+	switch {
+	case to == address(1) && isPing:
+		delay := l.delay
+		l.delay = 0
+		l.mutex.Unlock()
+		time.Sleep(delay)
+		l.mutex.Lock()
+	case to == address(2) && !isPing:
+		l.mutex.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		l.mutex.Lock()
+		if ctx.Err() != nil {
+			l.givenUp++
+			return nil, ctx.Err()
+		}
+	}
+	return reply, err
+}
+
+// Checks that a late reply to a ping doesn't bring a former leader back as the known one. The requests that its successor is
+// handling would be given up, and their outcome unknown.
+func TestLatePingReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLink{fakeGroup: &fakeGroup{}}
+		l.setLeader(1)
+		client := New(l, []netip.AddrPort{address(1)}, discardLatencies{}, clockwork.NewRealClock(), logr.Discard())
+		client.Submit(context.Background(), &controlpb.LeaderRequest{})
+		l.delay = 200 * time.Millisecond
+		go client.ping(context.Background(), address(1))
+		time.Sleep(10 * time.Millisecond)
+		l.setLeader(2)
+		for range 30 {
+			go client.Submit(context.Background(), &controlpb.LeaderRequest{})
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if l.givenUp > 0 {
+			t.Errorf("%d requests were given up at the leader", l.givenUp)
+		}
+	})
+}
--- a/internal/shell/leaderclient/search.go
+++ b/internal/shell/leaderclient/search.go
@@ -136,26 +136,31 @@
 func (c *Client) ping(ctx context.Context, to netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	sent := c.clock.Now()
 	reply, err := c.transport.Forward(ctx, to, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{
 		Work: &controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Ping{Ping: &controlpb.Ping{}}},
 	}})
 	if err != nil {
 		return false
 	}
-	return c.observeReply(to, reply)
+	return c.observeReply(to, sent, reply)
 }
 
-// observeReply updates the state of the client from a reply and reports whether the reply is from a leader.
-func (c *Client) observeReply(from netip.AddrPort, reply *controlpb.LeaderReply) (leads bool) {
+// observeReply updates the state of the client from a reply and reports whether the reply is from a leader. A reply to a request
+// that was sent before another leader was found doesn't show that its sender leads again.
+func (c *Client) observeReply(from netip.AddrPort, sent time.Time, reply *controlpb.LeaderReply) (leads bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.leader.IsValid() && c.leader != from && !sent.After(c.leaderFoundAt) {
+		return false
+	}
 	c.updateMembers(reply.GetMembership())
 	code := reply.GetResult().GetCode()
 	if code != controlpb.ResultCode_RESULT_UNAVAILABLE && code != controlpb.ResultCode_RESULT_UNKNOWN {
 		c.lastReplyAt = c.clock.Now()
 		c.outstandingSince, c.searchingSince = c.lastReplyAt, time.Time{}
 		if c.leader != from || c.loggedLost {
-			c.leader, c.loggedLost = from, false
+			c.leader, c.leaderFoundAt, c.loggedLost = from, c.lastReplyAt, false
 			c.supersedeAttempts()
 			c.log.Info("leader found", "Peer", from.String())
 		}
