dispatch, workercall: calls that were never sent tell nothing about their worker

A call that waits in the leader's queue until its timeout was answered like one that the worker hadn't answered: the worker got no new runs, and after some starts it was put aside for 20 s and its runs were stopped, though nothing had left the leader. Starts and polls failed together before; since urgent calls are sent first, polls may get through while best-effort starts don't.

Such answers are now marked, and count neither as missed calls nor as ignored starts, nor does a start become one that may still be carried out.

--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -279,12 +279,14 @@
 			d.withdrawUnsent(r)
 			return
 		}
-		r.startUnanswered = r.startUnanswered || !a.NotSent
+		r.startUnanswered = r.startUnanswered || !a.NotSent && !a.Unstarted
 		if r.seen || r.ended {
 			return
 		}
 		r.nextStart = d.now.Add(callRetryDelay)
-		d.observeIgnoredStart(r, a)
+		if !a.Unstarted {
+			d.observeIgnoredStart(r, a)
+		}
 		if d.now.Sub(r.orderedAt) > d.config.Limits.GangTimeout/2 {
 			d.stopGang(r)
 		}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -464,6 +464,9 @@
 func (d *Dispatcher) observeAnswer(w *worker, a *order.Answer) {
 	switch a.Status {
 	case order.NoAnswer:
+		if a.Unstarted {
+			return
+		}
 		w.missedCalls++
 		if w.missedCalls == 1 {
 			d.config.Log.Info("worker doesn't answer", "Worker", w.incarnation.GetId(), "Call", a.Call.Kind.String(), "Error", errorText(a.Err))
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -106,6 +106,7 @@
 	Hosts              map[string]HostState // of ListHosts: by host name
 	HostsIncomplete    bool                 // of ListHosts: entries of the list can't be read, and may be of any host that isn't in Hosts
 	NotSent            bool                 // of NoAnswer: the call hasn't left this host, and won't be carried out
+	Unstarted          bool                 // of NoAnswer: it was queued in this process until its timeout; nothing was sent, and it tells nothing about the worker
 	Rerouted           bool                 // another incarnation has answered on the same connection before, so that calls aren't bound by it
 	Err                error                // cause of NoAnswer
 }
--- a/internal/shell/workercall/sender.go
+++ b/internal/shell/workercall/sender.go
@@ -75,7 +75,7 @@
 	select {
 	case s.semaphore <- struct{}{}:
 	default:
-		s.addAnswer(&order.Answer{Call: call, Received: now})
+		s.addAnswer(&order.Answer{Call: call, Received: now, Unstarted: true})
 		return
 	}
 	timeout := callTimeout + call.Wait
@@ -141,7 +141,7 @@
 	defer func() { <-s.semaphore }()
 	timeout := q.deadline.Sub(s.clock.Now())
 	if timeout <= 0 {
-		s.addAnswer(&order.Answer{Call: q.call, Received: s.clock.Now()})
+		s.addAnswer(&order.Answer{Call: q.call, Received: s.clock.Now(), Unstarted: true})
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
