dispatch: simulated workers act on their runs in a fixed order

The simulated workers of the tests went through maps of their runs, so that the order of reports, ends and broken gangs, and sums of floating-point numbers, differed between two runs of the same seed. They now keep the runs in the order of their starts as well, and the protocol tests note the runs of the replicated state in the order of their keys.

This alone doesn't make the seeded tests reproducible: the dispatcher goes through maps of runs too.

--- a/internal/decision/dispatch/audit_test.go
+++ b/internal/decision/dispatch/audit_test.go
@@ -110,9 +110,9 @@
 func (sim *simulation) checkGangRun(key workload.RunKey) {
 	sim.t.Helper()
 	for _, worker := range sim.workers {
-		for other, r := range worker.runs {
-			if worker.up && !r.orphaned && isSameStep(other.Task, key.Task) && other.Run != key.Run {
-				sim.t.Errorf("%v: %s run %d starts while %s run %d is on %s", sim.now, key.Task, key.Run, other.Task, other.Run, worker.incarnation.GetId())
+		for _, other := range worker.ordered {
+			if worker.up && !other.orphaned && isSameStep(other.key.Task, key.Task) && other.key.Run != key.Run {
+				sim.t.Errorf("%v: %s run %d starts while %s run %d is on %s", sim.now, key.Task, key.Run, other.key.Task, other.key.Run, worker.incarnation.GetId())
 			}
 		}
 	}
--- a/internal/decision/dispatch/flapping_test.go
+++ b/internal/decision/dispatch/flapping_test.go
@@ -39,7 +39,8 @@
 		return
 	}
 	sim.audit.noteCrash(s)
-	s.up, s.runs = false, nil
+	s.up = false
+	s.clearRuns()
 	sim.after(downtime, func() {
 		next := proto.CloneOf(s.incarnation)
 		if !reusesID {
--- a/internal/decision/dispatch/isolation_test.go
+++ b/internal/decision/dispatch/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,9 +22,9 @@
 func (sim *simulation) endSuspect(task *workload.Task) {
 	task.Crashes = 1
 	for _, worker := range sim.workers {
-		for key := range worker.runs {
-			if key.Task == task.Key() {
-				worker.end(key, controlpb.RunEnd_RUN_STOPPED)
+		for _, r := range slices.Clone(worker.ordered) {
+			if r.key.Task == task.Key() {
+				worker.end(r.key, controlpb.RunEnd_RUN_STOPPED)
 			}
 		}
 	}
--- a/internal/decision/dispatch/maintenance_test.go
+++ b/internal/decision/dispatch/maintenance_test.go
@@ -88,7 +88,8 @@
 	if len(h.unavailable) > h.maxUnavailable {
 		sim.t.Errorf("%v: %d hosts are unavailable for maintenance, expected at most %d", sim.now, len(h.unavailable), h.maxUnavailable)
 	}
-	worker.up, worker.runs = false, nil
+	worker.up = false
+	worker.clearRuns()
 	sim.after(maintenanceTime, func() {
 		delete(h.unavailable, call.Host)
 		incarnation := worker.incarnation
--- a/internal/decision/dispatch/mass_loss_test.go
+++ b/internal/decision/dispatch/mass_loss_test.go
@@ -34,8 +34,9 @@
 		signing.Processors = 7500
 		audit := bestEffort(20, fmt.Sprintf("audit-%d", i%18), 2700*time.Millisecond)
 		audit.Processors = 7000
-		for queue, step := range map[string]*controlpb.WorkStep{"urgent": signing, "batch": audit} {
-			work := submission(queue, fmt.Sprintf("%s-%d-%d", queue, second, i), step)
+		for _, work := range []*controlpb.WorkRequest{
+			submission("urgent", fmt.Sprintf("urgent-%d-%d", second, i), signing), submission("batch", fmt.Sprintf("batch-%d-%d", second, i), audit),
+		} {
 			sim.dispatcher.Serve(sim.now, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: work}})
 		}
 	}
--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -323,7 +323,7 @@
 type exchange struct {
 	cluster   *cluster
 	call      *order.Call
-	random    *rand.Rand // the fate of a call doesn't depend on the order of the calls, which isn't deterministic
+	random    *rand.Rand // the fate of a call doesn't depend on other calls
 	delivery  delivery
 	responded bool
 }
--- a/internal/decision/dispatch/protocol_oracle_test.go
+++ b/internal/decision/dispatch/protocol_oracle_test.go
@@ -180,14 +180,14 @@
 		case *controlpb.WorkChange_EndLife:
 			if w := o.cluster.state.Worker(kind.EndLife.GetNumber()); w != nil {
 				o.note("loss of %s started at %d proposed", w.GetId(), w.GetBornMs())
-				for key := range w.Runs {
+				for _, key := range sortedKeys(w.Runs) {
 					o.removalProposed(key, "loss of its worker")
 				}
 			}
 		case *controlpb.WorkChange_PutWorker:
 			o.note("%s started at %d proposed", kind.PutWorker.GetId(), kind.PutWorker.GetBornMs())
 			if w := o.cluster.state.WorkerByID(kind.PutWorker.GetId()); w != nil && w.GetBornMs() < kind.PutWorker.GetBornMs() {
-				for key := range w.Runs {
+				for _, key := range sortedKeys(w.Runs) {
 					o.removalProposed(key, "replacement of its worker")
 				}
 			}
@@ -207,14 +207,14 @@
 func (o *protocolOracle) committed() {
 	now := map[workload.RunKey]bool{}
 	for _, w := range o.cluster.state.Workers() {
-		for key := range w.Runs {
+		for _, key := range sortedKeys(w.Runs) {
 			now[key] = true
 			if !o.live[key] {
 				o.noteRun(key, "assigned to %s started at %d", w.GetId(), w.GetBornMs())
 			}
 		}
 	}
-	for key := range o.live {
+	for _, key := range sortedKeys(o.live) {
 		if !now[key] {
 			o.noteRun(key, "removed")
 			if h := o.runs[key]; h != nil {
--- a/internal/decision/dispatch/protocol_worker_test.go
+++ b/internal/decision/dispatch/protocol_worker_test.go
@@ -319,8 +319,11 @@
 }
 
 // sortedKeys returns the keys of the worker's runs in a deterministic order.
-func (w *strictWorker) sortedKeys() []workload.RunKey {
-	return slices.SortedFunc(maps.Keys(w.incarnation.runs), func(a, b workload.RunKey) int {
+func (w *strictWorker) sortedKeys() []workload.RunKey { return sortedKeys(w.incarnation.runs) }
+
+// sortedKeys returns the keys of a map of runs in a deterministic order.
+func sortedKeys[V any](runs map[workload.RunKey]V) []workload.RunKey {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b workload.RunKey) int {
 		return cmp.Or(cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Run, b.Run))
 	})
 }
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -93,6 +93,7 @@
 	fence           uint64
 	leaseExpires    time.Time
 	runs            map[workload.RunKey]*simRun
+	ordered         []*simRun                   // the values of runs in the order of their starts
 	highestRun      map[workload.TaskKey]uint32 // number of the highest run that has ended or was stopped
 	ended           []simEnd
 	nextEnd         uint64
@@ -119,6 +120,7 @@
 }
 
 type simRun struct {
+	key        workload.RunKey
 	task       *workload.Task
 	runtime    time.Duration
 	began      time.Time
@@ -430,24 +432,35 @@
 	if s.up {
 		s.simulation.audit.noteCrash(s)
 	}
-	for key := range s.runs {
-		s.simulation.endedUnder[key.Task]++
+	for _, r := range s.ordered {
+		s.simulation.endedUnder[r.key.Task]++
 	}
 	incarnation.BornMs = s.simulation.now.UnixMilli()
 	incarnation.Leaving, s.leavesIn = false, 0
 	s.incarnation, s.began, s.up = incarnation, s.simulation.now, true
 	s.fence, s.leaseExpires, s.nextEnd, s.ended = 0, time.Time{}, 0, nil
-	s.runs, s.highestRun = map[workload.RunKey]*simRun{}, map[workload.TaskKey]uint32{}
+	s.clearRuns()
+	s.highestRun = map[workload.TaskKey]uint32{}
+}
+
+func (s *simWorker) addRun(r *simRun) {
+	s.runs[r.key] = r
+	s.ordered = append(s.ordered, r)
+}
+
+func (s *simWorker) clearRuns() {
+	s.runs, s.ordered = map[workload.RunKey]*simRun{}, nil
 }
 
 // crash ends the incarnation. After downtime a new one starts at the same address, under another ID for every other worker.
 func (s *simWorker) crash(downtime time.Duration) {
 	s.simulation.audit.noteCrash(s)
-	crashed := s.runs
-	s.up, s.runs = false, map[workload.RunKey]*simRun{}
-	for key, r := range crashed {
+	crashed := s.ordered
+	s.up = false
+	s.clearRuns()
+	for _, r := range crashed {
 		if r.task.Step.GetGang() {
-			s.simulation.breakGang(key)
+			s.simulation.breakGang(r.key)
 		}
 	}
 	s.simulation.after(downtime, func() {
@@ -465,14 +478,19 @@
 		if worker.failing {
 			continue
 		}
-		for other := range worker.runs {
-			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
-				worker.end(other, controlpb.RunEnd_RUN_BROKEN)
+		for _, r := range slices.Clone(worker.ordered) {
+			if r.isInGangOf(key) {
+				worker.end(r.key, controlpb.RunEnd_RUN_BROKEN)
 			}
 		}
 	}
 }
 
+// isInGangOf reports whether a run is a member of the same gang as another run, under the same number.
+func (r *simRun) isInGangOf(other workload.RunKey) bool {
+	return r.key.Task.Job == other.Task.Job && r.key.Task.Step == other.Task.Step && r.key.Run == other.Run
+}
+
 // handle carries out a call as a worker of the platform would.
 func (s *simWorker) handle(call *order.Call) *order.Answer {
 	if call.ID != s.incarnation.GetId() || !s.up {
@@ -545,7 +563,7 @@
 	if call.IncarnationStartMs == s.incarnation.GetBornMs() {
 		s.simulation.started[key.Task] = s.simulation.now
 	}
-	s.runs[key] = &simRun{task: task, speed: 1, began: s.simulation.now, runtime: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, orphaned: call.IncarnationStartMs != s.incarnation.GetBornMs(), beforeLast: call.IncarnationStartMs != s.incarnation.GetBornMs() && call.IncarnationStartMs != s.previousStartMs}
+	s.addRun(&simRun{key: key, task: task, speed: 1, began: s.simulation.now, runtime: time.Duration(task.Step.GetEstimateMs()) * time.Millisecond, orphaned: call.IncarnationStartMs != s.incarnation.GetBornMs(), beforeLast: call.IncarnationStartMs != s.incarnation.GetBornMs() && call.IncarnationStartMs != s.previousStartMs})
 	if s.simulation.deadly[key.Task.String()] {
 		crashed := s.incarnation.GetBornMs()
 		s.simulation.after(10*time.Millisecond, func() {
@@ -567,6 +585,7 @@
 func (s *simWorker) end(key workload.RunKey, result controlpb.RunEnd) {
 	step, beforeLast := s.runs[key].task.Step, s.runs[key].beforeLast
 	delete(s.runs, key)
+	s.ordered = slices.DeleteFunc(s.ordered, func(r *simRun) bool { return r.key == key })
 	s.simulation.audit.noteEnd(key, step.GetGang(), result)
 	s.highestRun[key.Task] = max(s.highestRun[key.Task], key.Run)
 	s.nextEnd++
@@ -605,8 +624,8 @@
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
 	answer.EndsIncomplete = len(answer.Ended) == maxListedEnds
-	for key, r := range s.runs {
-		report := order.Running{Run: key, Percent: 100, Measurement: -1}
+	for _, r := range s.ordered {
+		report := order.Running{Run: r.key, Percent: 100, Measurement: -1}
 		if r.task.Step.IsServing() {
 			report.Measurement = int64(float64(s.tailLatencyMs(r)) * (1 + s.simulation.measurementError*(2*s.simulation.random.Float64()-1)))
 		} else if r.runtime > 0 {
@@ -631,7 +650,7 @@
 	if s.simulation.ownLoad != nil {
 		ratio += s.simulation.ownLoad(s.simulation.now)
 	}
-	for _, other := range s.runs {
+	for _, other := range s.ordered {
 		if other.task.Step.GetFills() && s.simulation.interference != nil {
 			ratio += other.speed * s.simulation.interference(imageOf(r.task.Step), imageOf(other.task.Step))
 		}
@@ -649,7 +668,7 @@
 		return r.speed
 	}
 	available, demanded := float64(s.incarnation.GetProcessors()), 0.0
-	for _, other := range s.runs {
+	for _, other := range s.ordered {
 		switch processors := float64(other.task.Step.GetProcessors()); {
 		case other.task.Step.GetFills():
 			demanded += other.speed * processors
@@ -672,8 +691,11 @@
 			s.ended[i].discarded = true
 		}
 	}
-	for key, r := range s.runs {
+	for _, r := range slices.Clone(s.ordered) {
+		key := r.key
 		switch {
+		case s.runs[key] != r: // it has ended with its gang
+			continue
 		case s.simulation.now.After(s.leaseExpires):
 			s.end(key, controlpb.RunEnd_RUN_LAPSED)
 			continue
@@ -715,8 +737,8 @@
 	}
 	present := 0
 	for _, worker := range sim.workers {
-		for other := range worker.runs {
-			if other.Task.Job == key.Task.Job && other.Task.Step == key.Task.Step && other.Run == key.Run {
+		for _, other := range worker.ordered {
+			if other.isInGangOf(key) {
 				present++
 			}
 		}
@@ -745,9 +767,9 @@
 		sim.t.Errorf("%s run %d starts although it was recorded as done", key.Task, key.Run)
 	}
 	used := task.Step.Demand()
-	for other, r := range target.runs {
-		used = used.Add(r.task.Step.Demand())
-		if other.Task == key.Task {
+	for _, other := range target.ordered {
+		used = used.Add(other.task.Step.Demand())
+		if other.key.Task == key.Task {
 			sim.t.Errorf("%s runs twice on %s", key.Task, target.incarnation.GetId())
 		}
 	}
@@ -756,9 +778,9 @@
 		sim.t.Errorf("%s is over its capacity: %v", target.incarnation.GetId(), used)
 	}
 	for _, worker := range sim.workers {
-		for other, r := range worker.runs {
-			if worker != target && worker.up && !r.orphaned && other.Task == key.Task && !task.Step.GetSpeculative() {
-				sim.t.Errorf("%v: %s run %d starts on %s while run %d is on %s", sim.now, key.Task, key.Run, target.incarnation.GetId(), other.Run, worker.incarnation.GetId())
+		for _, other := range worker.ordered {
+			if worker != target && worker.up && !other.orphaned && other.key.Task == key.Task && !task.Step.GetSpeculative() {
+				sim.t.Errorf("%v: %s run %d starts on %s while run %d is on %s", sim.now, key.Task, key.Run, target.incarnation.GetId(), other.key.Run, worker.incarnation.GetId())
 			}
 		}
 	}
--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -162,7 +162,7 @@
 // crashMember crashes a worker that runs a member of a gang.
 func (s *startScenario) crashMember() {
 	for _, worker := range s.workers {
-		for _, r := range worker.runs {
+		for _, r := range worker.ordered {
 			if r.task.Step.GetGang() && s.mayRestart(worker) {
 				worker.crash(time.Duration(s.random.IntN(4000)) * time.Millisecond)
 				return
--- a/internal/decision/dispatch/successor_test.go
+++ b/internal/decision/dispatch/successor_test.go
@@ -70,13 +70,11 @@
 	sim.submit("batch", "a", dedicated(8, time.Minute))
 	sim.run(time.Second)
 	worker, other := sim.workers[0], sim.workers[1]
-	var task *workload.Task
-	for key, r := range other.runs {
-		task = r.task
+	if len(other.ordered) > 0 {
+		r := other.ordered[0]
 		worker.startIncarnation(worker.incarnation)
-		worker.runs[key] = &simRun{task: task, runtime: time.Minute, speed: 1, orphaned: true}
+		worker.addRun(&simRun{key: r.key, task: r.task, runtime: time.Minute, speed: 1, orphaned: true})
 		worker.leaseExpires = sim.now.Add(time.Minute)
-		break
 	}
 	for d := sim.dispatcher; d.workers[1] != nil; {
 		sim.run(10 * time.Millisecond)
