dispatch: decisions don't depend on the order of maps

The dispatcher is meant to be deterministic, but went through maps of runs, workers, holds and requests where the order decides: which calls and proposals come first, which copies of stragglers get the room, which of several victims or ends count, how evidence of interference adds up, and the order of replies and log lines.

Each worker now has its tracked runs in a slice, in the order in which their tracking began (inherited runs by key), beside the map by key. Scans go through the workers by number and through these slices. Nothing is sorted per scan. Rare loops over other maps sort their keys.

workload: an incarnation that was rejected for a later one at its address ended another one there or didn't, by the order of the map, so that replicas could have differed. It now ends none. Two incarnations are at one address only after one has changed its address.

--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
 )
 
 // BenchmarkSimulatedSecond simulates one second of a fleet of 66 workers with four fifths of its processors reserved by
@@ -23,3 +26,40 @@
 		}
 	}
 }
+
+// BenchmarkScan measures a scan of 970 workers with 36 runs each, for which nothing is due.
+func BenchmarkScan(b *testing.B) {
+	const workers, runsPerWorker = 970, 36
+	sim := newSimulation(&testing.T{}, 1)
+	sim.configure()
+	var changes []*controlpb.WorkChange
+	for i := range workers {
+		changes = append(changes, &controlpb.WorkChange{Kind: &controlpb.WorkChange_PutWorker{PutWorker: &controlpb.WorkerLife{
+			Id: fmt.Sprintf("worker-%d", i), Host: fmt.Sprintf("host-%d", i), Pool: "pool", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200+1),
+			Processors: 128_000, Memory: 512 << 10, BornMs: 1,
+		}}})
+	}
+	step := serving(workers*runsPerWorker, "image")
+	changes = append(changes, &controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: &controlpb.WorkJob{Id: "a", Queue: "urgent", Steps: []*controlpb.WorkStep{step}}}})
+	for i := range uint32(workers * runsPerWorker) {
+		changes = append(changes, &controlpb.WorkChange{Kind: &controlpb.WorkChange_StartRun{StartRun: &controlpb.StartRun{
+			Task: workload.TaskKey{Job: "a", Index: i}.Ref(), Run: 1, Worker: 1 + i%workers,
+		}}})
+	}
+	sim.state.Apply(sim.now, &controlpb.WorkBatch{Changes: changes})
+	sim.changeLeader()
+	sim.run(50 * time.Millisecond)
+	d := sim.dispatcher
+	if len(d.runs) != workers*runsPerWorker {
+		b.Fatalf("%d runs are tracked, expected %d", len(d.runs), workers*runsPerWorker)
+	}
+	for _, w := range d.workers {
+		w.lastAnswer, w.nextPoll = d.now, d.now.Add(time.Hour)
+	}
+	for _, r := range d.runs {
+		r.seen = true
+	}
+	for b.Loop() {
+		d.tickWorkers()
+	}
+}
--- a/internal/decision/dispatch/blame.go
+++ b/internal/decision/dispatch/blame.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"galenamoor/internal/decision/imagepair"
@@ -37,7 +39,8 @@
 		w.quietSince = d.now
 	}
 	isQuiet := d.now.Sub(w.quietSince) >= quietTime
-	for victim, blames := range w.blames {
+	for _, victim := range slices.Sorted(maps.Keys(w.blames)) {
+		blames := w.blames[victim]
 		latencyRatio := worstRatios[victim]
 		switch {
 		case !imagepair.IsOverTarget(latencyRatio):
--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -199,10 +200,10 @@
 	if w.lastAnswer.IsZero() {
 		suspects = d.unseenSuspects(w)
 	}
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.unproven && !r.ended && !w.lastAnswer.IsZero() && mayRestart(r.task) {
+	for r := range w.liveRuns() {
+		if r.unproven && !r.ended && !w.lastAnswer.IsZero() && mayRestart(r.task) {
 			suspects = append(suspects, &controlpb.CrashSuspect{
-				Task: key.Task.Ref(), Started: r.seen || r.started,
+				Task: r.key.Task.Ref(), Started: r.seen || r.started,
 				Isolated: r.isSuspect && !w.othersUnproven(r.task.Step, 1) && d.areCrashesRare(r.task),
 			})
 		}
@@ -363,8 +364,8 @@
 			d.config.Log.Info("task paused: workers crash under it", "Task", key.String(), "Pauses", task.Pauses, "Suspects", suspectNames([]*controlpb.CrashSuspect{suspect}))
 		}
 	}
-	for job, ofJob := range byJob {
+	for _, job := range slices.Sorted(maps.Keys(byJob)) {
 		d.config.Count("JobsGivenUp")
-		d.config.Log.Info("given up: workers crash under it", "Job", job, "Suspects", suspectNames(ofJob))
+		d.config.Log.Info("given up: workers crash under it", "Job", job, "Suspects", suspectNames(byJob[job]))
 	}
 }
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -8,6 +8,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -168,7 +171,8 @@
 	submitting      map[string][]*controlpb.LeaderRequest // requests whose job is proposed, by job ID
 	announced       map[string]bool                       // workers whose change of incarnation is proposed
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
-	pendingRequests map[*controlpb.LeaderRequest]bool     // requests that wait for a deferred reply
+	pendingRequests map[*controlpb.LeaderRequest]uint64   // requests that wait for a deferred reply, numbered as they came
+	awaitedReplies  uint64                                // number of the newest of these
 
 	dirty           bool  // something has changed since the last pass
 	keepsEmptyHosts bool  // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
@@ -217,7 +221,7 @@
 	d.proposed = map[*controlpb.Command][]proposal{}
 	d.submitting = map[string][]*controlpb.LeaderRequest{}
 	d.announced = map[string]bool{}
-	d.pendingRequests = map[*controlpb.LeaderRequest]bool{}
+	d.pendingRequests = map[*controlpb.LeaderRequest]uint64{}
 	d.epoch, d.epochPending = 0, false
 	d.assignmentMarks, d.toldAt, d.recordsMatterUntil = nil, time.Time{}, time.Time{}
 	d.openAssignments, d.newestAssignment, d.newestAnswered = nil, 0, 0
@@ -293,7 +297,9 @@
 	if d.leading {
 		d.config.Log.Info("stopped leading", "Epoch", d.epoch, "PendingRequests", len(d.pendingRequests))
 	}
-	for request := range d.pendingRequests {
+	for _, request := range slices.SortedFunc(maps.Keys(d.pendingRequests), func(a, b *controlpb.LeaderRequest) int {
+		return cmp.Compare(d.pendingRequests[a], d.pendingRequests[b])
+	}) {
 		d.reply(request, unknown("the leader has changed"))
 	}
 	d.leading = false
@@ -382,6 +388,12 @@
 	return replies
 }
 
+// awaitReply notes that a request waits for a deferred reply.
+func (d *Dispatcher) awaitReply(request *controlpb.LeaderRequest) {
+	d.awaitedReplies++
+	d.pendingRequests[request] = d.awaitedReplies
+}
+
 // reply answers a pending request through TakeReplies.
 func (d *Dispatcher) reply(request *controlpb.LeaderRequest, reply *controlpb.LeaderReply) {
 	delete(d.pendingRequests, request)
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -186,11 +186,10 @@
 		return h.releases.ends
 	}
 	h.releases = &releases{priority: priority}
-	for key := range h.worker.incarnation.Runs {
-		r := d.runs[key]
+	for r := range h.worker.liveRuns() {
 		after := time.Duration(0)
 		switch {
-		case r == nil || r.released || r.task.Step.GetPerpetual() && !r.ended && !r.stopRequested:
+		case r.released || r.task.Step.GetPerpetual() && !r.ended && !r.stopRequested:
 			continue
 		case r.ended:
 		case r.stopRequested || d.isPreemptible(r, priority):
@@ -227,16 +226,16 @@
 	}
 	waiting := stepsOf(candidates)
 	maps.DeleteFunc(d.holdRetries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
-	for step, held := range d.holds {
-		for _, w := range slices.Clone(held) {
-			switch {
-			case !waiting[step]:
-				d.endHold(w, "no task waits for it")
-			case d.workers[w.incarnation.GetNumber()] != w || !d.isUsable(w):
-				d.endHold(w, "the worker is unusable")
-			case d.now.Sub(w.hold.since) >= holdTimeout:
-				d.endHold(w, "it has timed out")
-			}
+	held := slices.Concat(slices.Collect(maps.Values(d.holds))...)
+	slices.SortFunc(held, func(a, b *worker) int { return cmp.Compare(a.incarnation.GetNumber(), b.incarnation.GetNumber()) })
+	for _, w := range held {
+		switch {
+		case !waiting[w.hold.step]:
+			d.endHold(w, "no task waits for it")
+		case d.workers[w.incarnation.GetNumber()] != w || !d.isUsable(w):
+			d.endHold(w, "the worker is unusable")
+		case d.now.Sub(w.hold.since) >= holdTimeout:
+			d.endHold(w, "it has timed out")
 		}
 	}
 }
--- a/internal/decision/dispatch/interference.go
+++ b/internal/decision/dispatch/interference.go
@@ -33,9 +33,8 @@
 		wholeWindow, inWindow = nil, nil // paused runs can't interfere, so they give no evidence
 	}
 	worstRatios := map[string]float64{}
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
-		if r == nil || !r.task.Step.IsServing() || r.measurement < 0 || r.progress < servingProgress {
+	for r := range w.liveRuns() {
+		if !r.task.Step.IsServing() || r.measurement < 0 || r.progress < servingProgress {
 			continue
 		}
 		latencyRatio := float64(r.measurement) / float64(r.task.Step.GetTargetMs())
@@ -63,9 +62,8 @@
 // bestEffortOn returns the best-effort runs on a worker that aren't being stopped, and the images of those that have run
 // for a whole tail-latency window.
 func (d *Dispatcher) bestEffortOn(w *worker) (bestEffort []*run, wholeWindow []string) {
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
-		if r == nil || !r.seen || r.stopRequested || !r.task.Step.GetFills() {
+	for r := range w.liveRuns() {
+		if !r.seen || r.stopRequested || !r.task.Step.GetFills() {
 			continue
 		}
 		bestEffort = append(bestEffort, r)
--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -122,9 +122,8 @@
 // drain stops the runs on a host, and orders its maintenance once none is left. That is recorded first: an order may be
 // carried out late, so a later leader has to repeat it before it orders the maintenance of other hosts.
 func (d *Dispatcher) drain(host string, draining *drainingHost, w *worker) {
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
-		if r != nil && !r.stopRequested && d.mayStop(r) {
+	for r := range w.liveRuns() {
+		if !r.stopRequested && d.mayStop(r) {
 			d.requestStop(r, "its host is being drained for maintenance")
 		}
 	}
--- a/internal/decision/dispatch/pause.go
+++ b/internal/decision/dispatch/pause.go
@@ -97,9 +97,9 @@
 		return
 	}
 	var unpaused []string
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.isBestEffortAtWork() && r.speed != pausedSpeed {
-			unpaused = append(unpaused, fmt.Sprintf("%s/%d", key.Task, key.Run))
+	for r := range w.liveRuns() {
+		if r.isBestEffortAtWork() && r.speed != pausedSpeed {
+			unpaused = append(unpaused, fmt.Sprintf("%s/%d", r.key.Task, r.key.Run))
 		}
 	}
 	if len(unpaused) == 0 {
@@ -113,8 +113,8 @@
 // stoppingOn returns the number of best-effort runs on a worker that are being stopped and may still be at work.
 func (d *Dispatcher) stoppingOn(w *worker) int {
 	stopping := 0
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.isStoppingBestEffort() {
+	for r := range w.liveRuns() {
+		if r.isStoppingBestEffort() {
 			stopping++
 		}
 	}
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -120,10 +120,9 @@
 // processor time lost with them, in core-seconds. isEnough is false if stopping all of them wouldn't suffice.
 func (d *Dispatcher) victimsOn(w *worker, free, demand resource.Vector, priority int32) (victims []*run, cost float64, isEnough bool) {
 	var candidates []*run
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
+	for r := range w.liveRuns() {
 		switch {
-		case r == nil || r.released:
+		case r.released:
 		case r.stopRequested:
 			free = free.Add(r.task.Step.Demand())
 		case d.isPreemptible(r, priority):
@@ -153,7 +152,7 @@
 // processors. Less urgent steps need no search for victims.
 func (d *Dispatcher) findLeastUrgent() {
 	d.leastUrgent, d.leastUrgentDedicated = 0, 0
-	for _, r := range d.runs {
+	for r := range d.allRuns() {
 		step := r.task.Step
 		if step.GetPerpetual() {
 			continue
--- a/internal/decision/dispatch/recent.go
+++ b/internal/decision/dispatch/recent.go
@@ -167,7 +167,7 @@
 // recent ones wait for the longest lease.
 func (d *Dispatcher) logInherited() {
 	recent, open, until := 0, 0, d.now
-	for _, r := range d.runs {
+	for r := range d.allRuns() {
 		if d.hasOpenStart(r) {
 			open++
 		}
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -310,7 +310,7 @@
 	d.config.Count("RelocationsStarted")
 	d.config.Log.Info("moving tasks to make room", "Task", task.Key().String(), "Needed", task.Step.GetProcessors(), "Worker", target.worker.incarnation.GetId(),
 		"Free", target.Free.Processors, "Partner", partner.worker.incarnation.GetId(), "PartnerFree", partner.Free.Processors, "Moved", names)
-	for r := range moved {
+	for _, r := range slices.SortedFunc(maps.Keys(moved), func(a, b *run) int { return a.key.Compare(b.key) }) {
 		d.requestStop(r, "it is moved to make room")
 	}
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -82,7 +82,7 @@
 		pieces[min(freeCoresCap, max(0, hosts[i].Free.Processors)/1000)]++
 	}
 	stopping, ended := int64(0), int64(0)
-	for _, r := range d.runs {
+	for r := range d.allRuns() {
 		switch {
 		case r.released:
 		case r.ended:
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -88,7 +88,7 @@
 
 // proposeAndReply proposes a change and replies to the request once the change is decided.
 func (d *Dispatcher) proposeAndReply(r *controlpb.LeaderRequest, change *controlpb.WorkChange, reply func(*controlpb.Result) *controlpb.LeaderReply) {
-	d.pendingRequests[r] = true
+	d.awaitReply(r)
 	d.propose(change, func(result *controlpb.Result) {
 		if result == nil {
 			d.reply(r, unknown("the leader has changed"))
@@ -138,7 +138,7 @@
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
 	if earlier, isSubmitting := d.submitting[id]; isSubmitting {
-		d.pendingRequests[r] = true
+		d.awaitReply(r)
 		d.submitting[id] = append(earlier, r)
 		return nil, true
 	}
@@ -148,7 +148,7 @@
 	if available, needed := d.headroomFor(job); available < needed {
 		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay, "Available", available, "Needed", needed), false
 	}
-	d.pendingRequests[r] = true
+	d.awaitReply(r)
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
 	received := d.now
@@ -307,15 +307,13 @@
 	if !current.GetLeaving() {
 		return outcome(controlpb.WorkOutcome_WORK_OK), false
 	}
-	for key := range current.Runs {
-		if run := d.runs[key]; run != nil {
-			d.requestStop(run, "its worker terminates")
-		}
+	for run := range w.liveRuns() {
+		d.requestStop(run, "its worker terminates")
 	}
 	if len(w.leaveRequests) == 0 {
 		w.leaveAckBy = d.now.Add(leaveTimeout)
 	}
-	d.pendingRequests[r] = true
+	d.awaitReply(r)
 	w.leaveRequests = append(w.leaveRequests, r)
 	return nil, true
 }
--- a/internal/decision/dispatch/restartrecord.go
+++ b/internal/decision/dispatch/restartrecord.go
@@ -60,12 +60,11 @@
 	if !d.mayReachLater(w) {
 		return nil, time.Time{}
 	}
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
-		if r == nil || !r.startPending && !d.hasOpenStart(r) {
+	for r := range w.liveRuns() {
+		if !r.startPending && !d.hasOpenStart(r) {
 			continue
 		}
-		starts = append(starts, key)
+		starts = append(starts, r.key)
 		if expires := d.openStartUntil(r); expires.After(until) {
 			until = expires
 		}
@@ -88,8 +87,7 @@
 		return
 	}
 	w.grantedAt = time.Time{}
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
+	for r := range w.liveRuns() {
 		r.lastOrderedAt, r.recentUntil = time.Time{}, time.Time{}
 	}
 	until := d.withheldLeaseRecordedAt(record).Add(time.Duration(record.GetOpenStartsForMs()) * time.Millisecond)
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -73,20 +74,46 @@
 func (d *Dispatcher) addRun(key workload.RunKey, task *workload.Task, w *worker) *run {
 	r := &run{key: key, task: task, worker: w, began: d.now, progressAt: d.now, measurement: -1, speed: fullSpeed}
 	d.runs[key] = r
+	w.runs = append(w.runs, r)
 	d.charge(w, task.Step, 1)
 	return r
 }
 
-// forgetRun stops tracking a run that has ended or was dropped.
+// forgetRun stops tracking a run that has ended or was dropped. It must not be called while iterating over the runs of its worker.
 func (d *Dispatcher) forgetRun(key workload.RunKey, r *run) {
 	if d.runs[key] != r {
 		return
 	}
 	delete(d.runs, key)
+	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(other *run) bool { return other == r })
 	r.markProven()
 	d.release(r)
 }
 
+// allRuns returns the tracked runs by worker, in the order of worker.runs.
+func (d *Dispatcher) allRuns() iter.Seq[*run] {
+	return func(yield func(*run) bool) {
+		for _, w := range d.orderedWorkers {
+			for _, r := range w.runs {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// liveRuns returns the tracked runs of a worker that the replicated state knows as live, in the order of worker.runs.
+func (w *worker) liveRuns() iter.Seq[*run] {
+	return func(yield func(*run) bool) {
+		for _, r := range w.runs {
+			if _, isLive := w.incarnation.Runs[r.key]; isLive && !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // release frees what a run reserves.
 func (d *Dispatcher) release(r *run) {
 	if r.released {
@@ -433,8 +460,8 @@
 			r.ended = true
 		}
 	}
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && !listed[key] {
+	for r := range w.liveRuns() {
+		if !listed[r.key] {
 			d.observeMissing(r, a)
 		}
 	}
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -99,7 +99,7 @@
 // speculate starts copies of speculative tasks that are slow or whose worker doesn't answer. A member of a gang gets none, as it
 // works only together with the others.
 func (d *Dispatcher) speculate(hosts []host) {
-	for _, r := range d.runs {
+	for r := range d.allRuns() {
 		step := r.task.Step
 		if !step.GetSpeculative() || step.GetGang() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
 			continue
@@ -124,9 +124,8 @@
 // migrateLeaving stops runs on a leaving worker that wouldn't end in time, so that they restart elsewhere. Perpetual
 // tasks are stopped immediately: they are unavailable for a shorter time than if they ended with the worker.
 func (d *Dispatcher) migrateLeaving(w *worker) {
-	for key := range w.incarnation.Runs {
-		r := d.runs[key]
-		if r == nil || r.stopRequested || !r.seen || r.task.Step.GetGang() {
+	for r := range w.liveRuns() {
+		if r.stopRequested || !r.seen || r.task.Step.GetGang() {
 			continue
 		}
 		if r.task.Step.GetPerpetual() || !d.endsInTime(r) {
--- a/internal/decision/dispatch/superseded.go
+++ b/internal/decision/dispatch/superseded.go
@@ -97,8 +97,8 @@
 // what it has started that way. Unless there is a sign of one, only recent runs of the last leader count. It knows nothing of starts of
 // runs whose assignment was removed: their tasks don't wait.
 func (d *Dispatcher) hasOpenStarts(w *worker) bool {
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && d.mayRunLater(r) {
+	for r := range w.liveRuns() {
+		if d.mayRunLater(r) {
 			return true
 		}
 	}
@@ -142,9 +142,9 @@
 // is declared lost, and reports whether there were any. Runs that may have crashed the worker are dropped only then.
 func (d *Dispatcher) dropSettled(w *worker) bool {
 	dropped := false
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && !r.withdrawn && !r.unproven && !d.mayRunLater(r) {
-			d.config.Log.Info("run settled", "Task", key.Task.String(), "Run", key.Run, "Worker", w.incarnation.GetId())
+	for r := range w.liveRuns() {
+		if !r.withdrawn && !r.unproven && !d.mayRunLater(r) {
+			d.config.Log.Info("run settled", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", w.incarnation.GetId())
 			r.leaseExpired = true
 			d.drop(r)
 			dropped = true
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -84,6 +85,8 @@
 	rejectedPolls int    // consecutive polls that it rejected as unhealthy
 	fenced        bool   // it rejects this leader's fencing token
 
+	runs []*run // the tracked runs, in the order in which their tracking began
+
 	// Resource usage and placement, including proposed runs.
 	used                 resource.Vector              // reserved by runs and proposed runs
 	bestEffortProcessors int64                        // milli-cores that its best-effort tasks can use
@@ -151,7 +154,8 @@
 	w.unstableUntil = d.unstableUntil(incarnation.GetAddress())
 	d.workers[incarnation.GetNumber()] = w
 	d.orderedWorkers = append(d.orderedWorkers, w) // stays sorted, as incarnation numbers increase
-	for key, task := range incarnation.Runs {
+	for _, key := range slices.SortedFunc(maps.Keys(incarnation.Runs), workload.RunKey.Compare) {
+		task := incarnation.Runs[key]
 		r := d.addRun(key, task, w)
 		r.inherited, r.speed = true, unknownSpeed
 		if !task.IsStartAnswered(key.Run) {
@@ -198,21 +202,21 @@
 // dropEnded removes the workers whose incarnation has ended in the replicated state.
 func (d *Dispatcher) dropEnded() {
 	d.dirty = true
-	ended := map[*worker]bool{}
-	for number, w := range d.workers {
-		if d.state.Worker(number) == nil {
+	var ended []*worker
+	for _, w := range d.orderedWorkers {
+		if number := w.incarnation.GetNumber(); d.state.Worker(number) == nil {
 			d.acknowledgeLeave(w)
 			delete(d.workers, number)
-			ended[w] = true
+			ended = append(ended, w)
 		}
 	}
 	if len(ended) == 0 {
 		return
 	}
-	d.orderedWorkers = slices.DeleteFunc(d.orderedWorkers, func(w *worker) bool { return ended[w] })
-	for key, r := range d.runs {
-		if ended[r.worker] {
-			d.forgetRun(key, r)
+	d.orderedWorkers = slices.DeleteFunc(d.orderedWorkers, func(w *worker) bool { return d.workers[w.incarnation.GetNumber()] == nil })
+	for _, w := range ended {
+		for _, r := range slices.Clone(w.runs) {
+			d.forgetRun(r.key, r)
 		}
 	}
 }
@@ -285,7 +289,7 @@
 			d.poll(w)
 		}
 	}
-	for _, r := range d.runs {
+	for r := range d.allRuns() {
 		d.tickRun(r)
 	}
 }
@@ -351,8 +355,8 @@
 
 // hasUnlistedStart reports whether a start that was ordered since the newest list of a worker's runs has no answer.
 func (d *Dispatcher) hasUnlistedStart(w *worker) bool {
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.lastOrderedAt.After(w.listedAt) && (r.startPending || r.startUnanswered && r.acknowledgedAt.IsZero()) {
+	for r := range w.liveRuns() {
+		if r.lastOrderedAt.After(w.listedAt) && (r.startPending || r.startUnanswered && r.acknowledgedAt.IsZero()) {
 			return true
 		}
 	}
@@ -369,8 +373,8 @@
 
 // isStoppingLasting reports whether a lasting run is being stopped on a worker. Others wait for its room.
 func (d *Dispatcher) isStoppingLasting(w *worker) bool {
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && r.stopRequested && !r.ended && isLasting(r.task.Step) {
+	for r := range w.liveRuns() {
+		if r.stopRequested && !r.ended && isLasting(r.task.Step) {
 			return true
 		}
 	}
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -1,7 +1,9 @@
 package workload
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"galenamoor/internal/controlpb"
 	"galenamoor/pkg/resource"
@@ -13,6 +15,14 @@
 	Run  uint32
 }
 
+// Compare orders runs by task and number.
+func (k RunKey) Compare(other RunKey) int {
+	return cmp.Or(
+		strings.Compare(k.Task.Job, other.Task.Job), cmp.Compare(k.Task.Occurrence, other.Task.Occurrence), cmp.Compare(k.Task.Step, other.Task.Step),
+		cmp.Compare(k.Task.Index, other.Task.Index), cmp.Compare(k.Run, other.Run),
+	)
+}
+
 // Worker is one incarnation of a worker. A host that comes back after a crash or restart is a new incarnation.
 type Worker struct {
 	*controlpb.WorkerLife
@@ -48,6 +58,7 @@
 		incarnation.FollowsUnknownStart = incarnation.GetFollowsUnknownStart() || current.GetBornMs() == 0 || current.GetFollowsUnknownStart()
 		s.removeWorker(current)
 	}
+	var replaced []*Worker // more than one if an incarnation has changed its address
 	for _, other := range s.workers {
 		if other.GetAddress() != incarnation.GetAddress() {
 			continue
@@ -55,6 +66,10 @@
 		if incarnation.GetBornMs() < other.GetBornMs() {
 			return errorResult(controlpb.ResultCode_RESULT_CONFLICT, "a later life at this address is known")
 		}
+		replaced = append(replaced, other)
+	}
+	slices.SortFunc(replaced, func(a, b *Worker) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
+	for _, other := range replaced {
 		s.removeWorker(other)
 		s.rememberLost(other)
 	}
