dispatch: rounds of relocations wait longer for ends of lasting tasks

While jobs are cancelled one after the other, their ends leave room for some 0.1 s each.

A round now waits until no lasting task has ended for 3.5 s, and for at most 10 s (1 and 3 s before). Ends give room without any move.

--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -30,11 +30,12 @@
 	relocationInterval = 4 * time.Second
 	relocationRound    = 200 * time.Millisecond
 
-	// roomDelay is the time without an end of a lasting task after which a round may begin. Each end gives room without any move.
-	roomDelay = time.Second
+	// roomDelay is the time without an end of a lasting task after which a round may begin. Each end gives room without any move, and
+	// beside such ends the room that is free while tasks move would add to theirs.
+	roomDelay = 3500 * time.Millisecond
 
 	// maxRoundDelay is the longest time for which such ends put off a round.
-	maxRoundDelay = 3 * time.Second
+	maxRoundDelay = 10 * time.Second
 
 	// targetTicketTimeout is how long after its ticket was asked for a relocation may begin outside a round.
 	targetTicketTimeout = time.Second
--- a/internal/decision/dispatch/relocation_round_test.go
+++ b/internal/decision/dispatch/relocation_round_test.go
@@ -51,14 +51,14 @@
 
 // While lasting tasks end by themselves and give room, none may be moved at once, but ends that give none mustn't prevent it.
 func TestRelocationsAwaitEndsOfLastingTasks(t *testing.T) {
-	const jobs = 12
+	const jobs = 24
 	sim := newFullHosts(t, 1, 0)
 	extra := sim.addWorker("zone-0", "r-0")
-	extra.incarnation.Processors = 3000
+	extra.incarnation.Processors, extra.incarnation.Memory = 3000, 2*extra.incarnation.GetMemory()
 	extra.incarnation.Labels = append(extra.incarnation.Labels, "extra")
 	sim.run(2 * time.Second)
 	for i := range jobs {
-		sim.submit("urgent", fmt.Sprintf("extra-%d", i), labelled(servingWith(1, 250), "extra"))
+		sim.submit("urgent", fmt.Sprintf("extra-%d", i), labelled(servingWith(1, 125), "extra"))
 	}
 	sim.run(time.Second)
 	if runs := len(extra.runs); runs != jobs {
