dispatch: a run that is done ends the quarantine of its worker

Services waited for 2.5 s beside a worker with room for them. A worker gets no new runs for 5 s after three of its runs have failed in a row. Where 900 runs end each second, that happens by chance every few seconds, although other runs there are done meanwhile.

A run that began after the first of the failed ones and is done now ends the quarantine: the worker doesn't fail all that it starts. A worker that does stays put aside.

--- a/internal/decision/dispatch/runtimes.go
+++ b/internal/decision/dispatch/runtimes.go
@@ -73,7 +73,7 @@
 	// maxConsecutiveFailures is the number of consecutive failed runs after which a worker is quarantined: if one in
 	// twenty runs fails for other reasons, three in a row occur once in 8,000 runs.
 	maxConsecutiveFailures = 3
-	// quarantineTime is how long a worker that fails its runs gets no new ones.
+	// quarantineTime is how long a worker that fails its runs gets no new ones, unless one is done meanwhile.
 	quarantineTime = 5 * time.Second
 )
 
@@ -86,14 +86,20 @@
 	switch e.Result {
 	case controlpb.RunEnd_RUN_DONE:
 		w.consecutiveFailures = 0
+		if !r.began.Before(w.failingSince) {
+			w.failingUntil = time.Time{} // it doesn't fail all that it starts
+		}
 		if !r.orderedAt.IsZero() && r.checkpoint == "" && !r.wasSlowed { // otherwise the time worked is unknown
 			d.runtimes.add(d.now, r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
 		}
 	case controlpb.RunEnd_RUN_FAILED:
+		if w.consecutiveFailures == 0 {
+			w.failingSince = r.began
+		}
 		w.consecutiveFailures++
 		d.noteFailure(r.task, w)
 		if w.consecutiveFailures >= maxConsecutiveFailures {
-			w.quarantinedUntil = d.now.Add(quarantineTime)
+			w.failingUntil = d.now.Add(quarantineTime)
 			d.config.Log.Info("worker quarantined", "Worker", w.incarnation.GetId(), "ConsecutiveFailures", w.consecutiveFailures, "For", quarantineTime.String())
 		}
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -116,6 +116,8 @@
 	suspectUntil        time.Time
 	ignoresUntil        time.Time // until then it is avoided because it has answered no starts
 	quarantinedUntil    time.Time
+	failingSince        time.Time // when the first of the runs that failed in a row began
+	failingUntil        time.Time // until then it gets no new runs, unless one that began after failingSince is done
 	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
 	leavesAt            time.Time // earliest time at which a leaving worker terminates; zero until this leader has heard it
 	terminating         bool      // it has sent notice that it terminates, and no announcement since
@@ -408,7 +410,7 @@
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
 	return d.isStaying(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 && w.rejectedPolls == 0 && !w.fenced && !w.leaseWithheld &&
-		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.now.Before(w.quarantinedUntil)
+		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.now.Before(w.quarantinedUntil) && !d.now.Before(w.failingUntil)
 }
 
 // isStaying reports whether a worker is expected to get new runs again, though it may not be usable for the moment.
