--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -78,8 +78,8 @@
 	// passSpacing is the shortest time between two passes, times the square of the number of steps with waiting tasks, and
 	// maxPassSpacing the most. A pass takes longer the more steps wait, and with hundreds of them, passes after each answer would delay
 	// the calls to workers. With few, a pass at once starts the next steps of jobs sooner.
-	passSpacing    = 125 * time.Nanosecond
-	maxPassSpacing = 25 * time.Millisecond
+	passSpacing    = 250 * time.Nanosecond
+	maxPassSpacing = 50 * time.Millisecond
 
 	// scanInterval is the time between two scans of all workers and runs for due calls and expired leases.
 	scanInterval = 25 * time.Millisecond
