dispatch: shared pieces of relocations, holds and reports

The steps that a pass didn't reach are collected by stepsOf, runs that may move are found by liveRuns, and free room, new relocations and their reservations each have one place.

--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -248,8 +248,7 @@
 	case w.hold.step == step:
 		d.endHold(w, "its task is placed")
 	case isLasting(step):
-		h := &host{worker: w, Host: &colocation.Host{Free: w.incarnation.Capacity().Sub(w.used)}}
-		wait, ok := d.timeToFit(h, w.hold.step.Demand(), w.hold.priority)
+		wait, ok := d.timeToFit(hostWithRoom(w), w.hold.step.Demand(), w.hold.priority)
 		if !ok || d.now.Add(wait).Sub(w.hold.since) > maxHoldWait {
 			d.endHold(w, "another lasting task has taken the room")
 		}
--- a/internal/decision/dispatch/inherited_stop.go
+++ b/internal/decision/dispatch/inherited_stop.go
@@ -39,13 +39,11 @@
 		return
 	}
 	if w.relocation == nil {
-		w.relocation = &relocation{
-			since: d.now, waiting: task, destinations: map[*workload.Task]*worker{}, sources: map[*workload.Task]*worker{}, isReturning: true,
-		}
-		d.relocations.active = append(d.relocations.active, w.relocation)
+		w.relocation = d.newRelocation(task)
+		w.relocation.isReturning = true
 	}
-	w.relocation.destinations[task], w.relocation.sources[task] = w, w
-	d.relocations.reserved[task] = true
+	d.reserve(w.relocation, task, w)
+	w.relocation.sources[task] = w
 	d.config.Count("StopsInherited")
 	d.config.Log.Info("reserving room for a task that an earlier leader has stopped", "Task", task.Key().String(), "Worker", w.incarnation.GetId())
 }
@@ -56,7 +54,7 @@
 	if kindOf(step) != colocation.Serving || step.GetGang() || step.Job.IsTerminal() || d.mustIsolate(task) || task.IsPaused(d.config.Wall()) {
 		return false
 	}
-	h := &host{worker: w, Host: &colocation.Host{Free: w.incarnation.Capacity().Sub(w.used)}}
+	h := hostWithRoom(w)
 	hasRoom := step.Demand().Fits(h.Free) && respectsRelocations(step.Demand(), h)
 	return hasRoom && d.isStaying(w) && !d.awaitsMaintenance(w) && d.unadvisedExclusion(d.candidateOf(step), w) == occupancy.NotRefused
 }
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -333,10 +333,15 @@
 	return hosts
 }
 
+// hostWithRoom returns the description of a worker by its free room alone.
+func hostWithRoom(w *worker) *host {
+	return &host{worker: w, Host: &colocation.Host{Free: w.free()}}
+}
+
 // refresh updates the description from the worker's state, for example after a placement.
 func (h *host) refresh(now time.Time) {
 	w := h.worker
-	h.Free = w.incarnation.Capacity().Sub(w.used)
+	h.Free = w.free()
 	h.ServingTasks, h.LatencyRatio, h.BestEffortProcessors, h.Paused = w.servingTasks, w.latencyRatio, w.bestEffortProcessors, w.speed < fullSpeed
 	h.Processors, h.ThrottledProcessors = w.incarnation.GetProcessors(), w.throttledProcessors
 	h.Unmeasured = now.Before(w.measuredAt)
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -216,6 +216,19 @@
 	return false
 }
 
+// newRelocation adds a relocation that makes room for a task.
+func (d *Dispatcher) newRelocation(waiting *workload.Task) *relocation {
+	move := &relocation{since: d.now, waiting: waiting, destinations: map[*workload.Task]*worker{}, sources: map[*workload.Task]*worker{}}
+	d.relocations.active = append(d.relocations.active, move)
+	return move
+}
+
+// reserve keeps room for a task on its destination.
+func (d *Dispatcher) reserve(move *relocation, task *workload.Task, destination *worker) {
+	move.destinations[task] = destination
+	d.relocations.reserved[task] = true
+}
+
 // unreserve ends the reservation of room for a task.
 func (d *Dispatcher) unreserve(move *relocation, task *workload.Task) {
 	delete(move.destinations, task)
@@ -318,12 +331,12 @@
 
 // beginRelocation reserves room for a waiting task on the target and for the runs to move on their destinations, and stops these runs.
 func (d *Dispatcher) beginRelocation(task *workload.Task, target, partner *host, moved map[*run]*worker) {
-	move := &relocation{
-		since: d.now, waiting: task, destinations: map[*workload.Task]*worker{task: target.worker}, sources: map[*workload.Task]*worker{},
-	}
+	move := d.newRelocation(task)
+	d.reserve(move, task, target.worker)
 	var names []string
 	for r, destination := range moved {
-		move.destinations[r.task], move.sources[r.task] = destination, r.worker
+		d.reserve(move, r.task, destination)
+		move.sources[r.task] = r.worker
 		names = append(names, r.key.Task.String())
 	}
 	slices.Sort(names)
@@ -331,10 +344,6 @@
 		d.relocations.roundBegan, d.relocations.dueSince = d.now, time.Time{}
 	}
 	target.worker.relocation, partner.worker.relocation = move, move
-	d.relocations.active = append(d.relocations.active, move)
-	for reserved := range move.destinations {
-		d.relocations.reserved[reserved] = true
-	}
 	d.config.Count("RelocationsStarted")
 	d.config.Log.Info("moving tasks to make room", "Task", task.Key().String(), "Needed", task.Step.GetProcessors(), "Worker", target.worker.incarnation.GetId(),
 		"Free", target.Free.Processors, "Partner", partner.worker.incarnation.GetId(), "PartnerFree", partner.Free.Processors, "Moved", names)
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -115,8 +115,8 @@
 // movableRuns returns the runs that may be moved from a worker, in a fixed order.
 func (d *Dispatcher) movableRuns(w *worker) []*run {
 	var movable []*run
-	for key := range w.incarnation.Runs {
-		if r := d.runs[key]; r != nil && d.mayMove(r) {
+	for r := range w.liveRuns() {
+		if d.mayMove(r) {
 			movable = append(movable, r)
 		}
 	}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -101,10 +101,7 @@
 // waitCauses returns what keeps the most urgent steps from starting, and all steps that the last pass didn't reach. It adds the
 // lasting steps among the first to lasting.
 func (d *Dispatcher) waitCauses(candidates []candidate, hosts []host, lasting *lastingWaits) iter.Seq2[candidate, occupancy.Cause] {
-	unreached := make(map[*workload.Step]bool, len(d.unreached))
-	for _, c := range d.unreached {
-		unreached[c.step] = true
-	}
+	unreached := stepsOf(d.unreached)
 	return func(yield func(candidate, occupancy.Cause) bool) {
 		for i, c := range candidates {
 			switch {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -407,6 +407,9 @@
 // of them. Tokens remain exact as floating-point numbers for eight billion leaders.
 const fenceBits = 20
 
+// free returns what the runs and proposed runs of a worker leave of its capacity.
+func (w *worker) free() resource.Vector { return w.incarnation.Capacity().Sub(w.used) }
+
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
 	return d.isStaying(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 && w.rejectedPolls == 0 && !w.fenced && !w.leaseWithheld &&
