--- a/internal/decision/dispatch/ended_room_test.go
+++ b/internal/decision/dispatch/ended_room_test.go
@@ -14,7 +14,7 @@
 func TestRoomIsGivenWhileItsEndIsRecorded(t *testing.T) {
 	for name, end := range map[string]func(sim *simulation){
 		"finite task ends":      func(*simulation) {},
-		"lasting job cancelled": func(sim *simulation) { sim.cancelUrgent("lasting") },
+		"lasting job cancelled": func(sim *simulation) { sim.cancel("lasting") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulationWithWorkers(t, 1, 1)
@@ -70,7 +70,7 @@
 		t.Errorf("a worker on which nothing ends is polled after %v", delay)
 	}
 	sim.workers[0].stopTime = 300 * time.Millisecond
-	sim.cancelUrgent("lasting")
+	sim.cancel("lasting")
 	sim.run(100 * time.Millisecond)
 	if delay := sim.dispatcher.pollDelayAfter(w); len(sim.workers[0].runs) != 1 || delay > urgentPollDelay {
 		t.Errorf("a worker with %d lasting runs to stop is polled after %v", len(sim.workers[0].runs), delay)
@@ -138,7 +138,7 @@
 				case 3:
 					sim.commitTime = time.Duration(15+sim.random.IntN(300)) * time.Millisecond
 				default:
-					sim.cancelUrgent(fmt.Sprintf("job-%d", cancelled))
+					sim.cancel(fmt.Sprintf("job-%d", cancelled))
 					cancelled++
 				}
 				for range 1 + sim.random.IntN(8) {
--- a/internal/decision/dispatch/faults_test.go
+++ b/internal/decision/dispatch/faults_test.go
@@ -168,6 +168,15 @@
 	sim.dispatcher.Serve(sim.now, &controlpb.LeaderRequest{Kind: &controlpb.LeaderRequest_Work{Work: work}})
 }
 
+// cancel requests that a job is cancelled, unless it has ended.
+func (sim *simulation) cancel(id string) {
+	if job := sim.state.Job(id); job != nil {
+		sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
+			Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/" + job.Spec.GetQueue() + "/" + id,
+		}}})
+	}
+}
+
 // injectFaultWithSlowCommits starts a random fault, or ends it if it is in progress. No worker restarts if orders are late.
 func (sim *simulation) injectFaultWithSlowCommits() {
 	worker := sim.workers[sim.random.IntN(len(sim.workers))]
--- a/internal/decision/dispatch/hold_lasting_test.go
+++ b/internal/decision/dispatch/hold_lasting_test.go
@@ -24,26 +24,14 @@
 	t.Helper()
 	sim := newSimulation(t, 1)
 	sim.configure()
-	add := func(n int) {
-		for range n {
-			i := len(sim.workers)
-			w := sim.addWorker(fmt.Sprintf("zone-%d", i%4), fmt.Sprintf("r-%d", i/8))
-			w.incarnation.Processors, w.incarnation.Memory = 64_000, 250<<10
-			w.incarnation.Labels = append(w.incarnation.Labels, w.incarnation.GetId())
-		}
-		sim.run(3 * time.Second)
-	}
-	add(4)
+	sim.addLargeWorkers(4, 250<<10)
 	sim.submit("urgent", "large", largeLasting(8))
 	sim.run(time.Second)
 	if withSmall {
 		sim.submit("urgent", "small", lasting(4, "image"))
 	}
 	sim.run(time.Second)
-	add(37)
-	for _, w := range sim.workers[4:] {
-		sim.submit("urgent", "fixed-"+w.incarnation.GetId(), labelled(lasting(3, "other"), w.incarnation.GetId()))
-	}
+	sim.addOccupiedWorkers(37, 250<<10)
 	sim.run(time.Second)
 	flow := &finiteFlow{sim: sim, interval: 40 * time.Millisecond, tasks: 10, accepted: map[string]time.Time{}}
 	flow.run(5*time.Second, func() {})
--- a/internal/decision/dispatch/hold_test.go
+++ b/internal/decision/dispatch/hold_test.go
@@ -17,32 +17,38 @@
 	return step
 }
 
+// addLargeWorkers adds workers with 64 cores and the given memory that are labelled with their IDs.
+func (sim *simulation) addLargeWorkers(count int, memory int64) {
+	for range count {
+		i := len(sim.workers)
+		w := sim.addWorker(fmt.Sprintf("zone-%d", i%4), fmt.Sprintf("r-%d", i/8))
+		w.incarnation.Processors, w.incarnation.Memory = 64_000, memory
+		w.incarnation.Labels = append(w.incarnation.Labels, w.incarnation.GetId())
+	}
+	sim.run(3 * time.Second)
+}
+
+// addOccupiedWorkers adds such workers, and submits three lasting tasks for each that can't move.
+func (sim *simulation) addOccupiedWorkers(count int, memory int64) {
+	sim.addLargeWorkers(count, memory)
+	for _, w := range sim.workers[len(sim.workers)-count:] {
+		id := w.incarnation.GetId()
+		sim.submit("urgent", "fixed-"+id, labelled(lasting(3, "other"), id))
+	}
+}
+
 // newFragmentedFleet returns a simulation of 40 workers with 64 cores and the given memory. Three of them run the lasting tasks of
 // three jobs, lasting-0 to lasting-2. Each of the others has 25 cores and all but 78 GiB left beside lasting tasks that can't move.
 func newFragmentedFleet(t *testing.T, memory int64) *simulation {
 	t.Helper()
 	sim := newSimulation(t, 1)
 	sim.configure()
-	add := func(n int) {
-		for range n {
-			i := len(sim.workers)
-			w := sim.addWorker(fmt.Sprintf("zone-%d", i%4), fmt.Sprintf("r-%d", i/8))
-			w.incarnation.Processors, w.incarnation.Memory = 64_000, memory
-			w.incarnation.Labels = append(w.incarnation.Labels, w.incarnation.GetId())
-		}
-		sim.run(3 * time.Second)
-	}
-	add(3)
+	sim.addLargeWorkers(3, memory)
 	for i := range 3 {
 		sim.submit("urgent", fmt.Sprintf("lasting-%d", i), lasting(4, "image"))
 	}
 	sim.run(time.Second)
-	add(37)
-	for _, w := range sim.workers[3:] {
-		step := lasting(3, "other")
-		step.RequiredLabel = w.incarnation.GetId()
-		sim.submit("urgent", "fixed-"+w.incarnation.GetId(), step)
-	}
+	sim.addOccupiedWorkers(37, memory)
 	sim.run(time.Second)
 	return sim
 }
--- a/internal/decision/dispatch/isolation_test.go
+++ b/internal/decision/dispatch/isolation_test.go
@@ -30,20 +30,29 @@
 	}
 }
 
+// waits records since when tasks wait.
+type waits map[*workload.Task]time.Time
+
+// observe returns how long a task has been observed to wait, if it does.
+func (w waits) observe(task *workload.Task, isWaiting bool, now time.Time) time.Duration {
+	switch {
+	case !isWaiting:
+		delete(w, task)
+		return 0
+	case w[task].IsZero():
+		w[task] = now
+	}
+	return now.Sub(w[task])
+}
+
 // longestWait runs the simulation and returns the longest time for which a task was waiting. The members of a gang wait together.
 func (sim *simulation) longestWait(step *workload.Step, d time.Duration) time.Duration {
-	longest, since := time.Duration(0), map[*workload.Task]time.Time{}
+	longest, since := time.Duration(0), waits{}
 	for end := sim.now.Add(d); sim.now.Before(end); {
 		sim.run(10 * time.Millisecond)
 		for _, task := range step.Tasks {
-			switch {
-			case !task.IsWaiting(), step.GetGang() && step.Waiting < len(step.Tasks):
-				delete(since, task)
-			case since[task].IsZero():
-				since[task] = sim.now
-			default:
-				longest = max(longest, sim.now.Sub(since[task]))
-			}
+			isWaiting := task.IsWaiting() && !(step.GetGang() && step.Waiting < len(step.Tasks))
+			longest = max(longest, since.observe(task, isWaiting, sim.now))
 		}
 	}
 	return longest
--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -22,7 +22,7 @@
 		id := fmt.Sprintf("short-lived-%d", i)
 		sim.request(submission("urgent", id, step))
 		sim.run(500 * time.Millisecond)
-		sim.cancelUrgent(id)
+		sim.cancel(id)
 		sim.run(300 * time.Millisecond)
 	}
 	if sim.state.Job("waiting").LiveRuns() == 0 {
--- a/internal/decision/dispatch/relocation_round_test.go
+++ b/internal/decision/dispatch/relocation_round_test.go
@@ -4,17 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"galenamoor/internal/controlpb"
 )
 
-// cancelUrgent requests that a job of the queue "urgent" is cancelled.
-func (sim *simulation) cancelUrgent(id string) {
-	sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-		Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/urgent/" + id,
-	}}})
-}
-
 // Relocations one after the other left room free somewhere all the time, which a waiting task counts as room that it doesn't get.
 func TestRelocationsBeginInRounds(t *testing.T) {
 	const pairs = 4
@@ -67,7 +58,7 @@
 	sim.interrupt()
 	began := sim.now
 	for i := range jobs {
-		sim.cancelUrgent(fmt.Sprintf("extra-%d", i))
+		sim.cancel(fmt.Sprintf("extra-%d", i))
 		for range 50 {
 			if sim.run(10 * time.Millisecond); len(sim.dispatcher.relocations.active) == 0 {
 				continue
--- a/internal/decision/dispatch/relocation_test.go
+++ b/internal/decision/dispatch/relocation_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
-	"galenamoor/internal/decision/workload"
 )
 
 // servingWith returns a step of serving tasks of the given milli-cores.
@@ -75,18 +74,12 @@
 
 // longestOutage returns the longest time without a run of any lasting task but those of a job, while the simulation runs.
 func (sim *simulation) longestOutage(except string, d time.Duration) time.Duration {
-	longest, since := time.Duration(0), map[*workload.Task]time.Time{}
+	longest, since := time.Duration(0), waits{}
 	for end := sim.now.Add(d); sim.now.Before(end); sim.run(10 * time.Millisecond) {
 		for _, job := range sim.state.Jobs() {
 			for _, task := range job.Occurrences[0][0].Tasks {
-				switch {
-				case !task.Step.GetPerpetual() || job.Spec.GetId() == except || !task.IsWaiting():
-					delete(since, task)
-				case since[task].IsZero():
-					since[task] = sim.now
-				default:
-					longest = max(longest, sim.now.Sub(since[task]))
-				}
+				isOut := task.Step.GetPerpetual() && job.Spec.GetId() != except && task.IsWaiting()
+				longest = max(longest, since.observe(task, isOut, sim.now))
 			}
 		}
 	}
--- a/internal/decision/dispatch/renewed_start_test.go
+++ b/internal/decision/dispatch/renewed_start_test.go
@@ -5,31 +5,15 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
-	"galenamoor/internal/decision/order"
 )
 
-// lostStarts loses all start calls, and counts them.
-type lostStarts struct {
-	*simulation
-	count int
-}
-
-func (l *lostStarts) Send(call *order.Call) {
-	if call.Kind != order.Start {
-		l.simulation.Send(call)
-		return
-	}
-	l.count++
-	l.after(time.Second, func() { l.answer(call, &order.Answer{}) })
-}
-
 // A run that an earlier leader assigned was ordered although its job had been cancelled while its renewal was being committed.
 func TestRenewedRunOfCancelledJob(t *testing.T) {
 	sim := newSimulationWithWorkers(t, 1, 2)
-	calls := &lostStarts{simulation: sim}
+	calls := &unansweredOrders{simulation: sim, answersStops: true}
 	sim.dispatcher.config.WorkerCalls = calls
 	sim.submit("urgent", "a", dedicated(1, 5*time.Second))
-	for calls.count == 0 {
+	for calls.starts == 0 {
 		sim.run(10 * time.Millisecond)
 	}
 	sim.changeLeader()
@@ -39,7 +23,7 @@
 			if change.GetRenewAssignment() == nil || cancelled {
 				continue
 			}
-			cancelled, calls.count = true, 0
+			cancelled, calls.starts = true, 0
 			sim.state.Apply(sim.now, &controlpb.WorkBatch{Changes: []*controlpb.WorkChange{
 				{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: "a"}}},
 			}})
@@ -49,7 +33,7 @@
 	if !cancelled {
 		t.Fatal("the assignment wasn't renewed")
 	}
-	if calls.count > 0 {
-		t.Errorf("%d start calls after the job was cancelled", calls.count)
+	if calls.starts > 0 {
+		t.Errorf("%d start calls after the job was cancelled", calls.starts)
 	}
 }
--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -231,14 +231,6 @@
 	}
 }
 
-func (s *startScenario) cancel(id string) {
-	if job := s.state.Job(id); job != nil {
-		s.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-			Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/" + job.Spec.GetQueue() + "/" + id,
-		}}})
-	}
-}
-
 // submitDeadly submits a job of which one task crashes its workers, some of which restart under their IDs.
 func (s *startScenario) submitDeadly() {
 	id := fmt.Sprintf("deadly-%d", len(s.deadly))
--- a/internal/decision/dispatch/unanswered_starts_test.go
+++ b/internal/decision/dispatch/unanswered_starts_test.go
@@ -16,6 +16,7 @@
 	worker       *simWorker
 	delay        time.Duration
 	answersStops bool
+	unstarted    bool // see order.Answer
 	starts       int
 }
 
@@ -34,7 +35,7 @@
 	if u.delay > 0 {
 		u.after(u.delay, func() { worker.handle(call) })
 	}
-	u.after(time.Second, func() { u.answer(call, &order.Answer{}) })
+	u.after(time.Second, func() { u.answer(call, &order.Answer{Unstarted: u.unstarted}) })
 }
 
 // A task must start elsewhere if its worker answers polls but no starts, without a second run if the starts are carried out late.
--- a/internal/decision/dispatch/urgent_call_test.go
+++ b/internal/decision/dispatch/urgent_call_test.go
@@ -41,7 +41,7 @@
 			for _, worker := range sim.workers {
 				worker.stopTime = 2 * pollWait
 			}
-			sim.cancelUrgent("a")
+			sim.cancel("a")
 			sim.run(pollWait + 2*maxPollDelay)
 			reserves, tasks := !step.GetFills(), int(step.GetCount())
 			if calls.starts[reserves] != tasks || calls.starts[!reserves] != 0 {
