dispatch: the room of ended runs is given between passes

Each Tick between two passes gives what was released since the last pass to the steps that it left waiting, in its order. It looks at these hosts only.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -154,6 +154,8 @@
 	deferred       map[*workload.Step]time.Time // until when best-effort steps for which hosts were rated in vain are left out
 	vainRatings    int                          // hosts that the current pass has rated in vain for best-effort steps
 	unreached      []candidate                  // the steps that the last pass didn't reach
+	candidatesLeft []candidate                  // the steps of the last pass, most urgent first
+	vacated        []*worker                    // on which runs have released room since the last pass or refill
 	unreachedCause occupancy.Cause
 
 	victimless map[*workload.Step]time.Time // earliest next search for steps for which no run could be preempted
@@ -213,6 +215,7 @@
 	d.fruitless, d.victimless = map[*workload.Step]bool{}, map[*workload.Step]time.Time{}
 	d.deferred = map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
+	d.candidatesLeft, d.vacated = nil, nil
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
@@ -359,6 +362,8 @@
 			d.nextPass = now.Add(passInterval)
 			steps := d.pass()
 			d.earliestPass = now.Add(min(maxPassSpacing, time.Duration(steps*steps)*passSpacing))
+		} else if len(d.vacated) > 0 {
+			d.refill()
 		}
 	}
 	return d.flush()
@@ -366,7 +371,7 @@
 
 // NextDeadline returns the time at which Tick must be called next.
 func (d *Dispatcher) NextDeadline() time.Time {
-	if len(d.outbox) > 0 || !d.config.Mailbox.Empty() {
+	if len(d.outbox)+len(d.vacated) > 0 || !d.config.Mailbox.Empty() {
 		return d.now
 	}
 	pass := d.nextPass
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -69,7 +69,8 @@
 	d.endStaleHolds(candidates)
 	d.beginRelocations(candidates)
 	d.report(candidates, hosts)
-	budget := maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
+	budget := d.startBudget()
+	d.candidatesLeft, d.vacated = candidates, nil
 	d.holdSearches = 0
 	if !d.now.Before(d.nextSpeculation) {
 		d.nextSpeculation = d.now.Add(speculationInterval)
@@ -102,6 +103,11 @@
 	return len(candidates)
 }
 
+// startBudget returns the number of runs that may be assigned now.
+func (d *Dispatcher) startBudget() int {
+	return maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
+}
+
 // placement is the progress of a pass.
 type placement struct {
 	hosts       []host
@@ -321,18 +327,24 @@
 			continue
 		}
 		w.preempting = nil
-		h := host{worker: w, Host: &colocation.Host{
-			Rack:          rackOf(w.incarnation),
-			Suspect:       w.consecutiveFailures > 0 || d.now.Before(w.suspectUntil) || d.isUnstable(w),
-			IgnoresStarts: d.now.Before(w.ignoresUntil),
-		}}
-		h.refresh(d.now)
+		h := d.describe(w)
 		w.idle.advance(d.now, h.Free.Processors)
 		hosts = append(hosts, h)
 	}
 	return hosts
 }
 
+// describe returns the description of a worker for placements.
+func (d *Dispatcher) describe(w *worker) host {
+	h := host{worker: w, Host: &colocation.Host{
+		Rack:          rackOf(w.incarnation),
+		Suspect:       w.consecutiveFailures > 0 || d.now.Before(w.suspectUntil) || d.isUnstable(w),
+		IgnoresStarts: d.now.Before(w.ignoresUntil),
+	}}
+	h.refresh(d.now)
+	return h
+}
+
 // hostWithRoom returns the description of a worker by its free room alone.
 func hostWithRoom(w *worker) *host {
 	return &host{worker: w, Host: &colocation.Host{Free: w.free()}}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -121,6 +121,7 @@
 	}
 	r.released = true
 	d.noteRoom(r)
+	d.noteVacated(r)
 	d.charge(r.worker, r.task.Step, -1)
 	d.dirty = true
 }
