dispatch: lasting tasks stay on draining workers until there is room elsewhere

Callers lost 200 services for 8.5 s more than the drain of a quarter needed: all lasting tasks on a draining worker were stopped at its first poll, though no other host had room for a part of them and the workers worked on from 9.5 to 18 s.

Such a task now goes on until a host has room, which is reserved for it before it is stopped, and is stopped at the latest when its worker terminates. Interrupted tasks get room first, then those on draining workers, then others. Tasks of advised queues and suspects are stopped as before.

--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -86,6 +86,9 @@
 	d.unreached, d.unreachedCause = nil, ""
 	p.starts -= d.continueRelocations(hosts)
 	for i, c := range candidates {
+		if priority := c.queue.GetPriority(); !c.interrupted && (i == 0 || candidates[i-1].interrupted || priority > candidates[i-1].queue.GetPriority()) {
+			d.moveLeaving(hosts, priority)
+		}
 		switch {
 		case p.starts <= 0:
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.StartLimit
@@ -100,6 +103,7 @@
 		}
 	}
 	clear(d.fruitless)
+	d.moveLeaving(hosts, allPriorities)
 	return len(candidates)
 }
 
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -121,11 +121,11 @@
 	}
 }
 
-// migrateLeaving stops runs on a leaving worker that wouldn't end in time, so that they restart elsewhere. Perpetual
-// tasks are stopped immediately: they are unavailable for a shorter time than if they ended with the worker.
+// migrateLeaving stops runs on a leaving worker that wouldn't end in time, so that they restart elsewhere. Of the perpetual ones, it
+// leaves those to moveLeaving that go on until there is room for them.
 func (d *Dispatcher) migrateLeaving(w *worker) {
 	for r := range w.liveRuns() {
-		if r.stopRequested || !r.seen || r.task.Step.GetGang() {
+		if r.stopRequested || !r.seen || r.task.Step.GetGang() || d.awaitsRoom(r.task) {
 			continue
 		}
 		if r.task.Step.GetPerpetual() || !d.endsInTime(r) {
