--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -71,8 +71,8 @@
 // freeCoresCap is the number of free cores from which hosts are counted together.
 const freeCoresCap = 16
 
-// reportLasting logs why lasting tasks wait although hosts have room, and what is free but not usable: in pieces, or until runs that
-// are stopped or have ended are recorded.
+// reportLasting logs why lasting tasks wait although hosts have room, and what is free but not usable: in pieces, until runs that
+// are stopped or have ended are recorded, or on workers that are put aside.
 func (d *Dispatcher) reportLasting(waits *lastingWaits, hosts []host) {
 	if waits.tasks == 0 {
 		return
@@ -91,8 +91,15 @@
 			stopping += r.task.Step.Demand().Processors
 		}
 	}
+	quarantined, quarantinedFree := 0, int64(0)
+	for _, w := range d.orderedWorkers {
+		if d.isStaying(w) && (d.now.Before(w.failingUntil) || d.now.Before(w.quarantinedUntil)) {
+			quarantined++
+			quarantinedFree += max(0, w.free().Processors)
+		}
+	}
 	d.config.Log.Info("lasting tasks wait", "Tasks", waits.tasks, "SmallestNeed", waits.smallest, "Refusals", waits.refusals, "HostsByFreeCores", pieces,
-		"Stopping", stopping, "EndsUnrecorded", ended, "Unusable", len(d.workers)-len(hosts))
+		"Stopping", stopping, "EndsUnrecorded", ended, "Unusable", len(d.workers)-len(hosts), "Quarantined", quarantined, "QuarantinedFree", quarantinedFree)
 }
 
 // timelinessNames are the log names of timeliness values.
