dispatch: quarantines begin with a second and grow with the failures

Where 900 runs end each second and one in twenty fails, some worker fails three in a row by chance every few seconds. It got no runs for 5 s unless one that began after these was done, and there is often none, as it gets no new ones.

The first quarantine now lasts a second, and each further failure doubles it up to 5 s, until a run that began after the failed ones is done. A worker that fails all it starts reaches 5 s with the sixth failure, as most of its runs are under way when the third one is reported.

--- a/internal/decision/dispatch/runtimes.go
+++ b/internal/decision/dispatch/runtimes.go
@@ -73,8 +73,10 @@
 	// maxConsecutiveFailures is the number of consecutive failed runs after which a worker is quarantined: if one in
 	// twenty runs fails for other reasons, three in a row occur once in 8,000 runs.
 	maxConsecutiveFailures = 3
-	// quarantineTime is how long a worker that fails its runs gets no new ones, unless one is done meanwhile.
-	quarantineTime = 5 * time.Second
+	// firstQuarantine is how long a worker that fails its runs gets no new ones, unless one is done meanwhile. The time doubles with each
+	// further failure, up to quarantineTime: three in a row may come by chance, and lasting tasks may wait for its room.
+	firstQuarantine = time.Second
+	quarantineTime  = 5 * time.Second
 )
 
 // observeEnd updates runtime statistics and the health of the worker from an ended run.
@@ -87,7 +89,7 @@
 	case controlpb.RunEnd_RUN_DONE:
 		w.consecutiveFailures = 0
 		if !r.began.Before(w.failingSince) {
-			w.failingUntil = time.Time{} // it doesn't fail all that it starts
+			w.failingUntil, w.quarantine = time.Time{}, 0 // it doesn't fail all that it starts
 		}
 		if !r.orderedAt.IsZero() && r.checkpoint == "" && !r.wasSlowed { // otherwise the time worked is unknown
 			d.runtimes.add(d.now, r.task.Step.Job.Spec.GetQueue(), d.now.Sub(r.began))
@@ -99,8 +101,9 @@
 		w.consecutiveFailures++
 		d.noteFailure(r.task, w)
 		if w.consecutiveFailures >= maxConsecutiveFailures {
-			w.failingUntil = d.now.Add(quarantineTime)
-			d.config.Log.Info("worker quarantined", "Worker", w.incarnation.GetId(), "ConsecutiveFailures", w.consecutiveFailures, "For", quarantineTime.String())
+			w.quarantine = min(max(firstQuarantine, 2*w.quarantine), quarantineTime)
+			w.failingUntil = d.now.Add(w.quarantine)
+			d.config.Log.Info("worker quarantined", "Worker", w.incarnation.GetId(), "ConsecutiveFailures", w.consecutiveFailures, "For", w.quarantine.String())
 		}
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -116,12 +116,13 @@
 	suspectUntil        time.Time
 	ignoresUntil        time.Time // until then it is avoided because it has answered no starts
 	quarantinedUntil    time.Time
-	failingSince        time.Time // when the first of the runs that failed in a row began
-	failingUntil        time.Time // until then it gets no new runs, unless one that began after failingSince is done
-	hasOrphans          bool      // runs something that isn't in the replicated state and takes up resources
-	leavesAt            time.Time // earliest time at which a leaving worker terminates; zero until this leader has heard it
-	terminating         bool      // it has sent notice that it terminates, and no announcement since
-	leaveAckBy          time.Time // when leaveRequests are acknowledged at the latest
+	failingSince        time.Time     // when the first of the runs that failed in a row began
+	failingUntil        time.Time     // until then it gets no new runs, unless one that began after failingSince is done
+	quarantine          time.Duration // length of the newest quarantine for failed runs; 0 once a run that began after failingSince is done
+	hasOrphans          bool          // runs something that isn't in the replicated state and takes up resources
+	leavesAt            time.Time     // earliest time at which a leaving worker terminates; zero until this leader has heard it
+	terminating         bool          // it has sent notice that it terminates, and no announcement since
+	leaveAckBy          time.Time     // when leaveRequests are acknowledged at the latest
 	leaveRequests       []*controlpb.LeaderRequest
 	checkedSince        time.Time // since when a later incarnation here is checked for; zero once an answer shows whether it exists
 	recheck             recheck   // after announcements that come soon after a check
