dispatch: lasting tasks stop before their draining worker may terminate

A task that stayed on a draining worker until that was gone would be without a run for the rest of its lease, 5 s, if the worker gives no notice, as one that terminates at short notice does. Their lasting runs are stopped a poll and the stop grace before that.

TestLastingTasksAreStoppedBeforeTheirWorkerMayTerminate failed before.

--- a/internal/decision/dispatch/leaving.go
+++ b/internal/decision/dispatch/leaving.go
@@ -7,15 +7,23 @@
 )
 
 // A draining worker works on until it terminates, often for many seconds. A lasting task that was stopped there before another host has
-// room for it would be unavailable meanwhile, so it goes on until room is reserved for it elsewhere or its worker terminates.
+// room for it would be unavailable meanwhile, so it goes on until room is reserved for it elsewhere or the worker may terminate. It is
+// stopped before that, as the end of a worker that gives no notice is known only once its lease has expired.
 
-// allPriorities is lower than the priority of any queue.
-const allPriorities = math.MaxInt32
+const (
+	// lastStopLead is the time before a worker may terminate at which its lasting runs are stopped at the latest, besides the stop grace:
+	// a poll with its wait, and the delay before it.
+	lastStopLead = pollWait + maxPollDelay
 
-// awaitsRoom reports whether a task on a leaving worker goes on there until another host has room for it. Those of advised queues get
+	// allPriorities is lower than the priority of any queue.
+	allPriorities = math.MaxInt32
+)
+
+// awaitsRoom reports whether a run on a leaving worker goes on until another host has room for its task. Tasks of advised queues get
 // tickets only while they wait.
-func (d *Dispatcher) awaitsRoom(task *workload.Task) bool {
-	return isLasting(task.Step) && !d.candidateOf(task.Step).queue.GetAdvised() && !task.IsSuspect()
+func (d *Dispatcher) awaitsRoom(r *run) bool {
+	return isLasting(r.task.Step) && !d.candidateOf(r.task.Step).queue.GetAdvised() && !r.task.IsSuspect() &&
+		d.staysFor(r.worker, d.config.Limits.StopGrace+lastStopLead)
 }
 
 // moveLeaving moves lasting tasks of queues of a priority, or of more urgent ones, from leaving workers to hosts with room for them.
@@ -27,7 +35,7 @@
 		}
 		for r := range w.liveRuns() {
 			c := d.candidateOf(r.task.Step)
-			if !r.seen || r.ended || r.stopRequested || c.queue.GetPriority() > priority || !d.awaitsRoom(r.task) || c.step.Job.IsTerminal() {
+			if !r.seen || r.ended || r.stopRequested || c.queue.GetPriority() > priority || !d.awaitsRoom(r) || c.step.Job.IsTerminal() {
 				continue
 			}
 			c.interrupted = true // it will be, unless it moves
--- a/internal/decision/dispatch/leaving_test.go
+++ b/internal/decision/dispatch/leaving_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// A worker that is lost with its tasks, instead of sending notice, is noticed only after seconds.
+func TestLastingTasksAreStoppedBeforeTheirWorkerMayTerminate(t *testing.T) {
+	for _, left := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		sim, worker := newLeavingFleet(t)
+		worker.incarnation.Leaving, worker.leavesIn = true, left
+		began, stoppedAfter := sim.now, time.Duration(0)
+		for len(worker.runs) > 0 && stoppedAfter < 10*time.Second {
+			sim.run(10 * time.Millisecond)
+			stoppedAfter = sim.now.Sub(began)
+		}
+		const announcement, poll = 1100 * time.Millisecond, pollWait + pollDelay
+		if latest := max(left, poll+sim.dispatcher.config.Limits.StopGrace) + announcement; stoppedAfter > latest || stoppedAfter < left-2*time.Second {
+			t.Errorf("%v before a worker may terminate it announces that: its tasks end after %v", left, stoppedAfter)
+		}
+	}
+}
+
 // Each task that moves to a host with room must be without a run for about the time that its stop takes, and the moves of many tasks
 // mustn't give the same room twice.
 func TestLastingTasksLeaveForRoomElsewhere(t *testing.T) {
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -125,7 +125,7 @@
 // leaves those to moveLeaving that go on until there is room for them.
 func (d *Dispatcher) migrateLeaving(w *worker) {
 	for r := range w.liveRuns() {
-		if r.stopRequested || !r.seen || r.task.Step.GetGang() || d.awaitsRoom(r.task) {
+		if r.stopRequested || !r.seen || r.task.Step.GetGang() || d.awaitsRoom(r) {
 			continue
 		}
 		if r.task.Step.GetPerpetual() || !d.endsInTime(r) {
@@ -134,14 +134,16 @@
 	}
 }
 
-// endsInTime reports whether a run is expected to end before its leaving worker terminates. While a new leader doesn't know that time,
-// runs continue: a worker that terminates earlier sends notice, at which its runs are stopped.
-func (d *Dispatcher) endsInTime(r *run) bool {
-	w := r.worker
+// endsInTime reports whether a run is expected to end before its leaving worker terminates.
+func (d *Dispatcher) endsInTime(r *run) bool { return d.staysFor(r.worker, d.remainingTime(r)) }
+
+// staysFor reports whether a leaving worker doesn't terminate for a time. While a new leader doesn't know when it does, runs continue: a
+// worker that terminates earlier sends notice, at which its runs are stopped.
+func (d *Dispatcher) staysFor(w *worker, duration time.Duration) bool {
 	if w.leavesAt.IsZero() {
 		return d.now.Sub(w.addedAt) < leavesAtTimeout
 	}
-	return !d.now.Add(d.remainingTime(r)).After(w.leavesAt)
+	return !d.now.Add(duration).After(w.leavesAt)
 }
 
 // remainingTime estimates the time until a run ends.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -191,7 +191,15 @@
 		d.countForeignLeases(w)
 	}
 	d.config.Log.Info("worker changed", "Worker", incarnation.GetId(), "Number", number, "Zone", incarnation.GetZone(), "Address", incarnation.GetAddress(),
-		"Leaving", incarnation.GetLeaving(), "Processors", incarnation.GetProcessors())
+		"Leaving", incarnation.GetLeaving(), "LeavesIn", untilLeave(d.now, leavesAt).String(), "Processors", incarnation.GetProcessors())
+}
+
+// untilLeave returns the time until a worker may terminate, or 0 if it isn't known to leave.
+func untilLeave(now, leavesAt time.Time) time.Duration {
+	if leavesAt.IsZero() {
+		return 0
+	}
+	return leavesAt.Sub(now)
 }
 
 // observeLeavesAt notes when an announced worker terminates, if it is leaving. A late announcement gives too late a time, so that
