replica, dispatch: ends of stopped lasting runs needn't wait for the coordinator's turn

The listed end was taken up 10 ms later on average, as the coordinator proposes at most every 20 ms.

Ends listed by a worker on which a lasting run is being stopped are now urgent: the coordinator's turn may come 5 ms after its last proposals. The mark is on the poll, which is mostly sent before the stop, hence atomic.

--- a/internal/decision/coordinator/coordinator.go
+++ b/internal/decision/coordinator/coordinator.go
@@ -408,6 +408,9 @@
 	}
 }
 
+// IsUrgent reports whether Tick should be called sooner after the last proposals than usual, which it never has to be.
+func (c *Coordinator) IsUrgent() bool { return false }
+
 // NextDeadline returns the time at which Tick or TakeReplies has to be called next, or the zero time if there is none.
 func (c *Coordinator) NextDeadline() time.Time {
 	if !c.leading {
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 type Mailbox interface {
 	TakeAnswers() []*order.Answer
 	Empty() bool
+	// HasUrgent reports whether one of the answers is urgent.
+	HasUrgent() bool
 }
 
 // Config holds the dependencies and settings of a Dispatcher.
@@ -387,6 +389,9 @@
 	return pass
 }
 
+// IsUrgent reports whether room has become free for which tasks may wait, so that Tick should be called soon.
+func (d *Dispatcher) IsUrgent() bool { return len(d.vacated) > 0 || d.config.Mailbox.HasUrgent() }
+
 // TakeReplies returns the deferred replies that have become available since the last call.
 func (d *Dispatcher) TakeReplies(time.Time) []coordinator.DeferredReply {
 	replies := d.replies
--- a/internal/decision/dispatch/protocol_cluster_test.go
+++ b/internal/decision/dispatch/protocol_cluster_test.go
@@ -355,5 +355,8 @@
 	return taken
 }
 
+// HasUrgent implements Mailbox.
+func (c *cluster) HasUrgent() bool { return slices.ContainsFunc(c.mailbox, (*order.Answer).IsUrgent) }
+
 // Empty implements Mailbox.
 func (c *cluster) Empty() bool { return len(c.mailbox) == 0 }
--- a/internal/decision/dispatch/refill_test.go
+++ b/internal/decision/dispatch/refill_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/order"
 )
 
 // The room of ended runs stood idle until the next pass, up to 50 ms later, while many steps waited.
@@ -46,3 +47,35 @@
 		t.Errorf("the room of %d of %d runs is given", given, tasks)
 	}
 }
+
+// urgentMailbox notes whether the answers that the dispatcher took were urgent.
+type urgentMailbox struct {
+	*simulation
+	urgent bool
+}
+
+func (m *urgentMailbox) TakeAnswers() []*order.Answer {
+	m.urgent = m.urgent || m.HasUrgent()
+	return m.simulation.TakeAnswers()
+}
+
+// The end of a lasting run waited for the next turn of the coordinator while others waited for its room, also if its worker was being polled
+// when the stop was ordered. Other ends need no turn of their own.
+func TestListedEndOfStoppedLastingRunIsUrgent(t *testing.T) {
+	for _, after := range []time.Duration{1200, 1410, 1590, 1800, 2050} {
+		sim := newSimulationWithWorkers(t, 1, 1)
+		mailbox := &urgentMailbox{simulation: sim}
+		sim.dispatcher.config.Mailbox = mailbox
+		sim.submit("urgent", "lasting", serving(1, "image"))
+		sim.submit("urgent", "finite", dedicated(1, time.Second))
+		sim.run(after * time.Millisecond)
+		if mailbox.urgent {
+			t.Error("an end of a finite run is urgent")
+		}
+		sim.cancel("lasting")
+		sim.run(time.Second)
+		if !mailbox.urgent {
+			t.Errorf("the end of a lasting run that was stopped after %v isn't urgent", after*time.Millisecond)
+		}
+	}
+}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -194,6 +194,9 @@
 		return
 	}
 	r.stopRequested, r.stopReason, r.nextStop = true, reason, d.now
+	if r.worker.pendingPoll != nil && isLasting(r.task.Step) {
+		r.worker.pendingPoll.ExpediteEnds()
+	}
 	d.config.Count("RunsStopped")
 	d.config.Log.Info("stopping run", "Task", r.key.Task.String(), "Run", r.key.Run, "Worker", r.worker.incarnation.GetId(), "Reason", reason,
 		"Percent", r.progress, "Age", d.now.Sub(r.began).String())
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -256,6 +256,11 @@
 	return taken
 }
 
+// HasUrgent implements Mailbox.
+func (sim *simulation) HasUrgent() bool {
+	return slices.ContainsFunc(sim.mailbox, (*order.Answer).IsUrgent)
+}
+
 // Empty implements Mailbox.
 func (sim *simulation) Empty() bool { return len(sim.mailbox) == 0 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -324,7 +324,9 @@
 // listed: a later incarnation under the same ID would discard its own ends up to the acknowledged number.
 func (d *Dispatcher) poll(w *worker) {
 	call := d.newCall(order.Poll, w)
-	call.Urgent = d.isStoppingLasting(w)
+	if call.Urgent = d.isStoppingLasting(w); call.Urgent {
+		call.ExpediteEnds()
+	}
 	if !d.withholdsEnds(w) {
 		call.RecordedEnds = min(w.listedEnds, w.incarnation.GetEndsSeen())
 	}
--- a/internal/decision/order/order.go
+++ b/internal/decision/order/order.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"galenamoor/internal/controlpb"
@@ -28,7 +29,7 @@
 	return [...]string{"Start", "Stop", "Look", "Pace", "Advise", "ListHosts", "Maintain"}[k]
 }
 
-// Call is one call to a worker, the advice service or the platform. It must not be changed once it is sent.
+// Call is one call to a worker, the advice service or the platform. But for ExpediteEnds, it must not be changed once it is sent.
 type Call struct {
 	Kind               Kind
 	Incarnation        uint32 // number of the worker's incarnation
@@ -58,8 +59,13 @@
 
 	RecordedEnds uint64        // of Poll: number of the last run end that the leader has recorded
 	Wait         time.Duration // of Poll: long-poll timeout, within which the worker may wait for a run to end
+
+	hasUrgentEnds atomic.Bool
 }
 
+// ExpediteEnds makes the answer to a poll urgent if it lists ends. It may be called at any time, also after the call was sent.
+func (c *Call) ExpediteEnds() { c.hasUrgentEnds.Store(true) }
+
 // IsBound reports whether a call must reach no other incarnation of the worker than the one that it names, because it grants a lease or
 // acknowledges ends: a later one would go on with runs, or forget ends, that the leader doesn't know of.
 func (c *Call) IsBound() bool {
@@ -111,6 +117,9 @@
 	Err                error                // cause of NoAnswer
 }
 
+// IsUrgent reports whether the answer lists ends of runs whose room other tasks may wait for.
+func (a *Answer) IsUrgent() bool { return len(a.Ended) > 0 && a.Call.hasUrgentEnds.Load() }
+
 // HostState is the state of a host as listed by the platform.
 type HostState int
 
--- a/internal/shell/replica/core.go
+++ b/internal/shell/replica/core.go
@@ -46,6 +46,9 @@
 	// coordinatorInterval is the minimum time between proposals of the coordinator, whose changes in the meantime form one
 	// batch. At 380 task starts a second, proposals every 1 ms cause 360 appends a second to each member.
 	coordinatorInterval = 20 * time.Millisecond
+
+	// urgentInterval replaces coordinatorInterval while the coordinator has something urgent to propose.
+	urgentInterval = 5 * time.Millisecond
 )
 
 // Overloaded is the message of a RESULT_UNAVAILABLE reply when a queue is full. Daemons don't retry such a request,
@@ -78,6 +81,8 @@
 	Tick(now time.Time) []*controlpb.Command
 	TakeReplies(now time.Time) []coordinator.DeferredReply
 	NextDeadline() time.Time
+	// IsUrgent reports whether Tick should be called sooner after the last proposals than usual.
+	IsUrgent() bool
 }
 
 // CoreConfig configures a Core.
@@ -224,7 +229,7 @@
 	c.now = now
 	due := c.node.NextDeadline()
 	c.node.Tick(now)
-	if !due.IsZero() && !now.Before(due) || !c.leading || now.Before(c.nextProposalAt) {
+	if !due.IsZero() && !now.Before(due) || !c.leading || now.Before(c.earliestProposal()) {
 		return
 	}
 	for _, command := range c.coordinator.Tick(now) {
@@ -243,8 +248,8 @@
 	if coordinatorDeadline.IsZero() {
 		return deadline
 	}
-	if coordinatorDeadline.Before(c.nextProposalAt) {
-		coordinatorDeadline = c.nextProposalAt
+	if earliest := c.earliestProposal(); coordinatorDeadline.Before(earliest) {
+		coordinatorDeadline = earliest
 	}
 	if deadline.IsZero() || coordinatorDeadline.Before(deadline) {
 		return coordinatorDeadline
@@ -252,6 +257,14 @@
 	return deadline
 }
 
+// earliestProposal returns the time before which the coordinator isn't to propose anything more.
+func (c *Core) earliestProposal() time.Time {
+	if c.coordinator.IsUrgent() {
+		return c.nextProposalAt.Add(urgentInterval - coordinatorInterval)
+	}
+	return c.nextProposalAt
+}
+
 // Ready returns the next Output and whether there is any. It applies committed entries, up to the limits of
 // CoreConfig.Consensus on one Output.
 func (c *Core) Ready() (Output, bool) {
--- a/internal/shell/replica/work_simulation_test.go
+++ b/internal/shell/replica/work_simulation_test.go
@@ -148,6 +148,9 @@
 	return taken
 }
 
+// HasUrgent implements dispatch.Mailbox.
+func (w *workCalls) HasUrgent() bool { return slices.ContainsFunc(w.answers, (*order.Answer).IsUrgent) }
+
 // Empty implements dispatch.Mailbox.
 func (w *workCalls) Empty() bool { return len(w.answers) == 0 }
 
--- a/internal/shell/workercall/sender.go
+++ b/internal/shell/workercall/sender.go
@@ -56,6 +56,7 @@
 	queue    []queuedCall
 	starting bool // startCalls is running
 	answers  []*order.Answer
+	isUrgent bool // one of the answers is urgent
 }
 
 // queuedCall is a call and the time by which it must be answered.
@@ -64,7 +65,7 @@
 	deadline time.Time
 }
 
-// New returns a Sender whose calls are cancelled with ctx. It calls wake when the queue of answers becomes non-empty.
+// New returns a Sender whose calls are cancelled with ctx. It calls wake when the queue of answers becomes non-empty or urgent.
 func New(ctx context.Context, client Client, clock clockwork.Clock, wake func()) *Sender {
 	return &Sender{ctx: ctx, client: client, clock: clock, wake: wake, semaphore: make(chan struct{}, maxCalls)}
 }
@@ -153,10 +154,11 @@
 
 func (s *Sender) addAnswer(answer *order.Answer) {
 	s.mutex.Lock()
-	wasEmpty := len(s.answers) == 0
-	s.answers = append(s.answers, answer)
+	becomesUrgent := !s.isUrgent && answer.IsUrgent()
+	wakes := becomesUrgent || len(s.answers) == 0
+	s.answers, s.isUrgent = append(s.answers, answer), s.isUrgent || becomesUrgent
 	s.mutex.Unlock()
-	if wasEmpty {
+	if wakes {
 		s.wake()
 	}
 }
@@ -166,7 +168,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	answers := s.answers
-	s.answers = nil
+	s.answers, s.isUrgent = nil, false
 	return answers
 }
 
@@ -176,3 +178,10 @@
 	defer s.mutex.Unlock()
 	return len(s.answers) == 0
 }
+
+// HasUrgent reports whether one of the queued answers is urgent.
+func (s *Sender) HasUrgent() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.isUrgent
+}
--- a/internal/shell/workercall/sender_test.go
+++ b/internal/shell/workercall/sender_test.go
@@ -71,24 +71,23 @@
 
 // Reserved room stood unused while the order to start there waited behind hundreds of polls and best-effort starts.
 func TestUrgentCallOvertakesBurst(t *testing.T) {
-	testOvertakesBurst(t, &order.Call{Kind: order.Start, Urgent: true}, order.Call{Kind: order.Start})
+	testOvertakesBurst(t, &order.Call{Kind: order.Start, Urgent: true}, order.Start, false)
 }
 
 // A poll behind thousands of urgent calls wasn't sent before its timeout, and nothing else renews the lease of a worker that
 // gets only stops.
 func TestPollOvertakesUrgentBurst(t *testing.T) {
-	testOvertakesBurst(t, &order.Call{Kind: order.Poll}, order.Call{Kind: order.Stop, Urgent: true})
+	testOvertakesBurst(t, &order.Call{Kind: order.Poll}, order.Stop, true)
 }
 
-// testOvertakesBurst checks that few calls of a burst start before a call that is sent after them.
-func testOvertakesBurst(t *testing.T, last *order.Call, others order.Call) {
+// testOvertakesBurst checks that few calls of a burst, of a kind and urgent or not, start before a call that is sent after them.
+func testOvertakesBurst(t *testing.T, last *order.Call, others order.Kind, areUrgent bool) {
 	const burst, most = 1000, 2 * callsPerTurn
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	client := &recordingClient{}
 	s := New(t.Context(), client, clockwork.NewRealClock(), func() {})
 	for range burst {
-		call := others
-		s.Send(&call)
+		s.Send(&order.Call{Kind: others, Urgent: areUrgent})
 	}
 	s.Send(last)
 	for answered := 0; answered <= burst; answered += len(s.TakeAnswers()) {
@@ -112,3 +111,34 @@
 		t.Errorf("%d calls started, answers %v", client.started.Load(), answers)
 	}
 }
+
+// endingClient answers each call with an end.
+type endingClient struct{}
+
+func (endingClient) Call(context.Context, *order.Call) *order.Answer {
+	return &order.Answer{Status: order.OK, Ended: []order.Ended{{Number: 1}}}
+}
+
+// The control loop slept on when an urgent answer came after others that it hadn't taken yet.
+func TestUrgentAnswerWakes(t *testing.T) {
+	wakeups := make(chan struct{}, 10)
+	s := New(t.Context(), endingClient{}, clockwork.NewRealClock(), func() { wakeups <- struct{}{} })
+	for _, urgent := range []bool{false, true} {
+		call := &order.Call{Kind: order.Poll}
+		if urgent {
+			call.ExpediteEnds()
+		}
+		s.Send(call)
+		select {
+		case <-wakeups:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no wakeup by an answer, urgent: %v", urgent)
+		}
+		if got := s.HasUrgent(); got != urgent {
+			t.Errorf("an answer is urgent: %v, expected %v", got, urgent)
+		}
+	}
+	if s.TakeAnswers(); s.HasUrgent() {
+		t.Error("an answer is urgent after all were taken")
+	}
+}
