dispatch: tasks on draining workers keep their turn before new ones

A host took one task from draining workers at a time, and tasks that had never run took the rest of its room at once, so that running services waited behind new ones and were stopped when their workers terminated.

All tasks that fit now get room on a host together.

TestTasksOnLeavingWorkersPrecedeNewOnes failed before: three of four tasks were still on the draining worker and three new ones ran. Also names and a function of its own for the condition in pass, without a change of behaviour.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -156,7 +156,7 @@
 	deferred       map[*workload.Step]time.Time // until when best-effort steps for which hosts were rated in vain are left out
 	vainRatings    int                          // hosts that the current pass has rated in vain for best-effort steps
 	unreached      []candidate                  // the steps that the last pass didn't reach
-	candidatesLeft []candidate                  // the steps of the last pass, most urgent first
+	lastCandidates []candidate                  // the steps of the last pass, most urgent first
 	vacated        []*worker                    // on which runs have released room since the last pass or refill
 	unreachedCause occupancy.Cause
 
@@ -217,7 +217,7 @@
 	d.fruitless, d.victimless = map[*workload.Step]bool{}, map[*workload.Step]time.Time{}
 	d.deferred = map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
-	d.candidatesLeft, d.vacated = nil, nil
+	d.lastCandidates, d.vacated = nil, nil
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
--- a/internal/decision/dispatch/leaving.go
+++ b/internal/decision/dispatch/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"galenamoor/internal/decision/workload"
 )
@@ -15,8 +16,8 @@
 	// a poll with its wait, and the delay before it.
 	lastStopLead = pollWait + maxPollDelay
 
-	// allPriorities is lower than the priority of any queue.
-	allPriorities = math.MaxInt32
+	// leastPriority is that of no queue that is more urgent than another one.
+	leastPriority = math.MaxInt32
 )
 
 // awaitsRoom reports whether a run on a leaving worker goes on until another host has room for its task. Tasks of advised queues get
@@ -28,7 +29,7 @@
 
 // moveLeaving moves lasting tasks of queues of a priority, or of more urgent ones, from leaving workers to hosts with room for them.
 func (d *Dispatcher) moveLeaving(hosts []host, priority int32) {
-	full := map[placementClass]*workload.Step{} // the step with the least need for which no host had room
+	tooLarge := map[placementClass]*workload.Step{} // with the least need of those for which no host had room
 	for _, w := range d.orderedWorkers {
 		if !w.incarnation.GetLeaving() || w.terminating || w.ending || w.superseded || d.silenceOf(w) >= unresponsiveAfter {
 			continue
@@ -40,26 +41,36 @@
 			}
 			c.interrupted = true // it will be, unless it moves
 			class := placementClassOf(c)
-			if smallest := full[class]; smallest != nil && smallest.Demand().Fits(c.step.Demand()) {
+			if smallest := tooLarge[class]; smallest != nil && smallest.Demand().Fits(c.step.Demand()) {
 				continue
 			}
 			if !d.moveToHost(r, c, hosts) && c.step.GetMaxPerWorker() == 0 {
-				full[class] = c.step
+				tooLarge[class] = c.step
 			}
 		}
 	}
 }
 
+// admits reports whether further tasks from leaving workers may join a relocation, which leaves them enough time before it is given up.
+func (r *relocation) admits(now time.Time) bool {
+	return r.isFromLeaving && now.Sub(r.since) < relocationTimeout/2
+}
+
 // moveToHost reserves room for a run's task on another host and stops the run. It returns false if no host has room.
 func (d *Dispatcher) moveToHost(r *run, c candidate, hosts []host) bool {
-	chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool { return w.relocation != nil })
+	chosen := d.choose(c, d.demand(c), hosts, func(w *worker) bool {
+		return w.relocation != nil && !w.relocation.admits(d.now) || c.step.GetMaxPerWorker() > 0 && w.isReservedFor(c.step)
+	})
 	if chosen == nil {
 		return false
 	}
-	move := d.newRelocation(r.task)
+	move := chosen.worker.relocation
+	if move == nil {
+		move = d.newRelocation(r.task)
+		move.isFromLeaving, chosen.worker.relocation = true, move
+	}
 	d.reserve(move, r.task, chosen.worker)
 	move.sources[r.task] = r.worker
-	chosen.worker.relocation = move
 	d.config.Count("LeavingTasksMoved")
 	d.requestStop(r, "its worker leaves")
 	return true
--- a/internal/decision/dispatch/leaving_test.go
+++ b/internal/decision/dispatch/leaving_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// Tasks that have never run must not take the room for which those on a draining worker wait.
+func TestTasksOnLeavingWorkersPrecedeNewOnes(t *testing.T) {
+	sim, worker := newLeavingFleet(t)
+	worker.drain()
+	step := serving(4, "image")
+	step.Processors = 8000
+	sim.request(submission("urgent", "new", step))
+	sim.run(time.Second)
+	sim.cancel("stay-1")
+	sim.run(2 * time.Second)
+	if leaving, others := sim.servingRuns("leave"), sim.servingRuns("new"); len(worker.runs) != 0 || leaving != 4 || others != 0 {
+		t.Errorf("%d tasks are still on the draining worker; %d of its tasks and %d new ones run", len(worker.runs), leaving, others)
+	}
+}
+
 // The tasks that a draining worker has kept must be stopped when it terminates, so that its leave is acknowledged in time.
 func TestTerminatingWorkerStopsTheTasksThatItHasKept(t *testing.T) {
 	sim, worker := newLeavingFleet(t)
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -70,7 +70,7 @@
 	d.beginRelocations(candidates)
 	d.report(candidates, hosts)
 	budget := d.startBudget()
-	d.candidatesLeft, d.vacated = candidates, nil
+	d.lastCandidates, d.vacated = candidates, nil
 	d.holdSearches = 0
 	if !d.now.Before(d.nextSpeculation) {
 		d.nextSpeculation = d.now.Add(speculationInterval)
@@ -86,8 +86,8 @@
 	d.unreached, d.unreachedCause = nil, ""
 	p.starts -= d.continueRelocations(hosts)
 	for i, c := range candidates {
-		if priority := c.queue.GetPriority(); !c.interrupted && (i == 0 || candidates[i-1].interrupted || priority > candidates[i-1].queue.GetPriority()) {
-			d.moveLeaving(hosts, priority)
+		if followsInterrupted(candidates, i) {
+			d.moveLeaving(hosts, c.queue.GetPriority())
 		}
 		switch {
 		case p.starts <= 0:
@@ -103,10 +103,18 @@
 		}
 	}
 	clear(d.fruitless)
-	d.moveLeaving(hosts, allPriorities)
+	d.moveLeaving(hosts, leastPriority)
 	return len(candidates)
 }
 
+// followsInterrupted reports whether a candidate is the first one of its priority that isn't interrupted.
+func followsInterrupted(candidates []candidate, i int) bool {
+	if candidates[i].interrupted {
+		return false
+	}
+	return i == 0 || candidates[i-1].interrupted || candidates[i].queue.GetPriority() > candidates[i-1].queue.GetPriority()
+}
+
 // startBudget returns the number of runs that may be assigned now.
 func (d *Dispatcher) startBudget() int {
 	return maxOpenStarts - len(d.assigning) - d.config.WorkerCalls.QueuedStarts()
--- a/internal/decision/dispatch/refill.go
+++ b/internal/decision/dispatch/refill.go
@@ -31,7 +31,7 @@
 	}
 	starts, keepsEmptyHosts := d.startBudget(), d.keepsEmptyHosts
 	defer func() { d.keepsEmptyHosts = keepsEmptyHosts }() // it depends on all hosts
-	for _, c := range d.candidatesLeft {
+	for _, c := range d.lastCandidates {
 		if starts <= 0 {
 			return
 		}
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -58,6 +58,8 @@
 	destinations map[*workload.Task]*worker // of the tasks that aren't assigned yet
 	sources      map[*workload.Task]*worker // of the moved tasks
 	isReturning  bool                       // it was given up: tasks return to where they ran
+
+	isFromLeaving bool // its tasks come from leaving workers, each of them by itself, to one host
 }
 
 // relocationState is the leader's soft state of relocations.
@@ -135,7 +137,7 @@
 			d.unreserve(move, task)
 		case h == nil:
 			hasLeft = hasLeft || !d.isHere(destination) // others may be unusable for a moment only
-		case d.isWaiting(task) && (task != move.waiting || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
+		case d.isWaiting(task) && (task != move.waiting || move.isFromLeaving || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
 			d.allows(d.candidateOf(task.Step), destination):
 			d.unreserve(move, task)
 			d.assign(task, destination, task.LastRun+1, false)
@@ -177,7 +179,7 @@
 func (d *Dispatcher) giveUpRelocation(move *relocation, reason string) {
 	d.config.Count("RelocationsGivenUp")
 	d.config.Log.Info("relocation given up", "Task", move.waiting.Key().String(), "Reason", reason, "Open", len(move.destinations))
-	if !move.isReturning {
+	if !move.isReturning && !move.isFromLeaving {
 		move.isReturning, move.since = true, d.now
 		d.unreserve(move, move.waiting)
 		for _, task := range move.openTasks() {
