--- a/internal/decision/dispatch/failing_worker_test.go
+++ b/internal/decision/dispatch/failing_worker_test.go
@@ -85,7 +85,9 @@
 					end(trial, controlpb.RunEnd_RUN_DONE)
 				}
 				began := sim.now
-				for sim.run(10 * time.Millisecond); !sim.dispatcher.isUsable(w); sim.run(10 * time.Millisecond) {
+				sim.run(10 * time.Millisecond)
+				for !sim.dispatcher.isUsable(w) {
+					sim.run(10 * time.Millisecond)
 				}
 				waits = append(waits, sim.now.Sub(began))
 			}
