dispatch: one check for quarantined workers; moves from leaving workers keep no sources

isUsable and the report of waiting tasks share isQuarantined. A task that leaves a draining worker never returns, so that its source wasn't read. The fleet of the tests of leaving workers uses servingWith. No behaviour changes; the assertions stay.

--- a/internal/decision/dispatch/leaving.go
+++ b/internal/decision/dispatch/leaving.go
@@ -64,13 +64,11 @@
 	if chosen == nil {
 		return false
 	}
-	move := chosen.worker.relocation
-	if move == nil {
-		move = d.newRelocation(r.task)
-		move.isFromLeaving, chosen.worker.relocation = true, move
+	if chosen.worker.relocation == nil {
+		chosen.worker.relocation = d.newRelocation(r.task)
+		chosen.worker.relocation.isFromLeaving = true
 	}
-	d.reserve(move, r.task, chosen.worker)
-	move.sources[r.task] = r.worker
+	d.reserve(chosen.worker.relocation, r.task, chosen.worker)
 	d.config.Count("LeavingTasksMoved")
 	d.requestStop(r, "its worker leaves")
 	return true
--- a/internal/decision/dispatch/leaving_test.go
+++ b/internal/decision/dispatch/leaving_test.go
@@ -13,9 +13,7 @@
 	t.Helper()
 	sim := newSimulationWithWorkers(t, 1, 4)
 	for _, job := range []string{"stay-0", "stay-1", "stay-2", "leave"} {
-		step := serving(4, "image")
-		step.Processors = 8000
-		sim.submit("urgent", job, step)
+		sim.submit("urgent", job, servingWith(4, 8000))
 		sim.run(time.Second)
 	}
 	worker := sim.busyWorker("leave")
@@ -47,9 +45,7 @@
 func TestTasksOnLeavingWorkersPrecedeNewOnes(t *testing.T) {
 	sim, worker := newLeavingFleet(t)
 	worker.drain()
-	step := serving(4, "image")
-	step.Processors = 8000
-	sim.request(submission("urgent", "new", step))
+	sim.request(submission("urgent", "new", servingWith(4, 8000)))
 	sim.run(time.Second)
 	sim.cancel("stay-1")
 	sim.run(2 * time.Second)
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -51,12 +51,13 @@
 
 // relocation is a move of running tasks that makes room for a waiting one. Until each of the tasks is assigned to its destination,
 // the room for it is reserved there. The waiting task comes last, so that the others can return if a host becomes unusable. One for tasks
-// that an earlier leader has stopped only returns them, and the waiting task is the first of them.
+// that an earlier leader has stopped only returns them, and the waiting task is the first of them. One that takes tasks
+// from leaving workers to a host has no other waiting task than the first of them either, and they don't return.
 type relocation struct {
 	since        time.Time
 	waiting      *workload.Task
 	destinations map[*workload.Task]*worker // of the tasks that aren't assigned yet
-	sources      map[*workload.Task]*worker // of the moved tasks
+	sources      map[*workload.Task]*worker // of the moved tasks that may return
 	isReturning  bool                       // it was given up: tasks return to where they ran
 
 	isFromLeaving bool // its tasks come from leaving workers, each of them by itself, to one host
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -93,7 +93,7 @@
 	}
 	quarantined, quarantinedFree := 0, int64(0)
 	for _, w := range d.orderedWorkers {
-		if d.isStaying(w) && (d.now.Before(w.failingUntil) || d.now.Before(w.quarantinedUntil)) {
+		if d.isStaying(w) && d.isQuarantined(w) {
 			quarantined++
 			quarantinedFree += max(0, w.free().Processors)
 		}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -424,7 +424,12 @@
 // isUsable reports whether a worker may get new runs.
 func (d *Dispatcher) isUsable(w *worker) bool {
 	return d.isStaying(w) && !w.clockReadAt.IsZero() && w.checkedSince.IsZero() && !w.hasOrphans && w.missedCalls == 0 && w.rejectedPolls == 0 && !w.fenced && !w.leaseWithheld &&
-		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.now.Before(w.quarantinedUntil) && !d.now.Before(w.failingUntil)
+		d.now.Sub(w.lastAnswer) < unresponsiveAfter && !d.isQuarantined(w)
+}
+
+// isQuarantined reports whether a worker gets no new runs because it has rejected a call or failed runs.
+func (d *Dispatcher) isQuarantined(w *worker) bool {
+	return d.now.Before(w.quarantinedUntil) || d.now.Before(w.failingUntil)
 }
 
 // isStaying reports whether a worker is expected to get new runs again, though it may not be usable for the moment.
