--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -90,8 +90,10 @@
 	return fmt.Sprintf("%08x%08x", network, c.next)
 }
 
-func frontURL(n int, id string) string {
-	return fmt.Sprintf("http://%s:%d%s%s", entryIP(n%entries), callerPort, prefix, id)
+func frontURL(n int, id string) string { return frontPath(n, prefix+id) }
+
+func frontPath(n int, path string) string {
+	return fmt.Sprintf("http://%s:%d%s", entryIP(n%entries), callerPort, path)
 }
 
 // submit hands in a job with up to 5 attempts, and returns whether it was accepted.
@@ -100,7 +102,7 @@
 	body["spec"] = job.spec
 	c.judge.addJob(job)
 	for attempt := range 5 {
-		a := call(http.MethodPost, frontURL(attempt, job.id), host, body, 3*time.Second)
+		a := call(http.MethodPost, frontPath(attempt, job.path()), host, body, 3*time.Second)
 		c.record.add("client", "POST", job.id, fmt.Sprintf("status %d", a.status))
 		if a.status/100 == 2 {
 			c.judge.mutex.Lock()
--- a/review/harness2/executor.go
+++ b/review/harness2/executor.go
@@ -27,6 +27,8 @@
 	record    *record
 	judge     *judge
 	executors []*executor
+	advisor   *advisor
+	disturbs  bool    // tasks that fill raise the tail of those that serve beside them over its target
 	late      float64 // share of the calls to executors that get no answer and are carried out late
 }
 
@@ -44,6 +46,7 @@
 	machine string
 	zone    string
 	rack    string
+	kind    string
 	cpu     int64
 	memory  int64
 
@@ -239,6 +242,10 @@
 	if spec == nil {
 		return http.StatusBadRequest, nil
 	}
+	if spec.ticketed && !e.fleet.advisor.allows(e, o) {
+		e.fleet.judge.ended(e, o.Task, o.Run, "no ticket")
+		return http.StatusConflict, map[string]any{"reason": "ticket"}
+	}
 	r := &activeRun{task: o.Task, run: o.Run, saved: o.Saved, began: time.Now(), work: spec.work, spec: spec, percent: 100}
 	e.runs[o.Task] = r
 	if spec.gang {
@@ -313,7 +320,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range e.runs {
-		running = append(running, []any{r.task, r.run, r.checkpoint(), r.progress(), r.measure()})
+		running = append(running, []any{r.task, r.run, r.checkpoint(), r.progress(), e.measure(r)})
 	}
 	for _, end := range e.ended {
 		if end.number > e.seen && len(ended) < 500 {
@@ -333,11 +340,17 @@
 	return min(99, int(100*time.Since(r.began)/max(r.work, time.Millisecond)))
 }
 
-func (r *activeRun) measure() int64 {
-	if r.spec.lasts && r.spec.target > 0 {
-		return 1
+// measure returns the tail of a task that serves, which is higher while a task that fills works beside it, and the cpu in use of any other.
+func (e *executor) measure(r *activeRun) int64 {
+	if !r.spec.lasts || r.spec.target == 0 {
+		return r.spec.cpu
+	}
+	for _, other := range e.runs {
+		if other.spec.fills && other.percent > 0 && e.fleet.disturbs {
+			return r.spec.target * 3 / 2
+		}
 	}
-	return r.spec.cpu
+	return r.spec.target * 8 / 10
 }
 
 func (r *activeRun) checkpoint() string {
@@ -426,7 +439,7 @@
 	e.seq++
 	return map[string]any{
 		"service": "pool", "address": e.address(), "zone": e.zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-		"capacity": map[string]any{"cpu": e.cpu, "mem_mb": e.memory, "gpu": 0}, "labels": []string{"a", e.rack}, "machine": e.machine,
+		"capacity": map[string]any{"cpu": e.cpu, "mem_mb": e.memory, "gpu": 0}, "labels": []string{e.kind, e.rack}, "machine": e.machine,
 		"clock_ms": e.clock().Milliseconds(), "seq": e.seq, "born": e.born.UnixMilli(), "remaining_ms": 4000,
 	}
 }
--- a/review/harness2/judge.go
+++ b/review/harness2/judge.go
@@ -19,6 +19,9 @@
 	saves  bool
 	fails  bool
 	target int64
+	fills  bool // its cpu isn't counted against the capacity
+
+	ticketed bool // its queue has a hint
 }
 
 // taskState is what executors have seen of a task.
@@ -43,6 +46,15 @@
 	cancelled time.Time
 	tasks     map[string]*taskState
 	shown     string
+	prefix    string // of its queue; empty for the usual one
+}
+
+// path returns the path of the job.
+func (job *jobState) path() string {
+	if job.prefix == "" {
+		return prefix + job.id
+	}
+	return job.prefix + job.id
 }
 
 // judge checks the rules on what clients and executors see.
@@ -194,11 +206,19 @@
 	}
 }
 
+// reserved returns the cpu that counts against the capacity of an executor.
+func (t *taskSpec) reserved() int64 {
+	if t.fills {
+		return 0
+	}
+	return t.cpu
+}
+
 // checkRoom checks that an executor holds what it is told to start.
 func (j *judge) checkRoom(e *executor, spec *taskSpec, o *orderBody) {
-	cpu, mem := spec.cpu, spec.mem
+	cpu, mem := spec.reserved(), spec.mem
 	for _, r := range e.runs {
-		cpu += r.spec.cpu
+		cpu += r.spec.reserved()
 		mem += r.spec.mem
 	}
 	if cpu > e.cpu || mem > e.memory {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -21,6 +21,16 @@
 	clients  *clients
 	operator *operator
 	trouble  bool
+	kinds    func(number int) string // label of the kind of an executor; nil for one kind
+	config   map[string]any          // the first configuration; nil for one queue
+}
+
+// kindOf returns the label of the kind of an executor.
+func (b *bench) kindOf(number int) string {
+	if b.kinds == nil {
+		return "a"
+	}
+	return b.kinds(number)
 }
 
 var cases = map[string]func(*bench){
@@ -28,6 +38,7 @@
 	"crashes":    playCrashes,
 	"scheduled":  playScheduled,
 	"shards":     playShards,
+	"advice":     playAdvice,
 	"soak":       playSoak,
 }
 
@@ -81,22 +92,36 @@
 		return false
 	}
 	time.Sleep(3 * time.Second)
-	if !b.operator.order(0, "PUT", "/config", configuration(3, maxAttempts), 20*time.Second) {
+	if b.config == nil {
+		b.config = configuration(3, maxAttempts)
+	}
+	if !b.operator.order(0, "PUT", "/config", b.config, 20*time.Second) {
 		b.fail("no controller has acknowledged the first configuration")
 		return false
 	}
-	for i := range executors {
+	if !b.addExecutors(executors, zones, cpu) {
+		return false
+	}
+	time.Sleep(4 * time.Second)
+	return true
+}
+
+// addExecutors starts further executors. It returns false if that fails.
+func (b *bench) addExecutors(count, zones int, cpu int64) bool {
+	for range count {
+		i := len(b.fleet.executors)
 		e := &executor{
 			fleet: b.fleet, number: i, machine: fmt.Sprintf("m-%d", i), zone: fmt.Sprintf("z%d", i%zones), rack: fmt.Sprintf("r%d-%d", i%zones, i%(2*zones)/zones),
-			cpu: cpu, memory: 256_000,
+			kind: b.kindOf(i), cpu: cpu, memory: 256_000,
 		}
+		b.fleet.mutex.Lock()
 		b.fleet.executors = append(b.fleet.executors, e)
+		b.fleet.mutex.Unlock()
 		if err := e.start(false); err != nil {
 			b.fail(err.Error())
 			return false
 		}
 	}
-	time.Sleep(4 * time.Second)
 	return true
 }
 
