--- a/review/harness2/executor.go
+++ b/review/harness2/executor.go
@@ -28,8 +28,11 @@
 	judge     *judge
 	executors []*executor
 	advisor   *advisor
-	disturbs  bool    // tasks that fill raise the tail of those that serve beside them over its target
-	late      float64 // share of the calls to executors that get no answer and are carried out late
+
+	refusesUntil time.Time // until then starts are answered with 503
+
+	disturbs bool    // tasks that fill raise the tail of those that serve beside them over its target
+	late     float64 // share of the calls to executors that get no answer and are carried out late
 }
 
 // isLate draws whether a call is carried out late.
@@ -238,6 +241,9 @@
 	case time.Duration(o.UntilMs)*time.Millisecond <= e.clock():
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
+	if time.Now().Before(e.fleet.refusesUntil) {
+		return http.StatusServiceUnavailable, nil
+	}
 	spec := e.fleet.judge.started(e, o)
 	if spec == nil {
 		return http.StatusBadRequest, nil
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -39,6 +39,9 @@
 	"scheduled":  playScheduled,
 	"shards":     playShards,
 	"advice":     playAdvice,
+	"seed":       playLostSeed,
+	"overflow":   playOverflow,
+	"pending":    playPending,
 	"soak":       playSoak,
 }
 
--- a/review/harness2/proxy.go
+++ b/review/harness2/proxy.go
@@ -6,9 +6,12 @@
 	"time"
 )
 
-// roundTrip is the time from a client to a controller and back: the end of a connection that follows held bytes is sent once these are
-// acknowledged.
-const roundTrip = 6 * time.Millisecond
+// The end of a connection that follows held bytes is sent once these are acknowledged: after the time from a client to a controller and back,
+// and the time for which a receiver may delay its acknowledgement.
+const (
+	roundTrip  = 6 * time.Millisecond
+	delayedAck = 40 * time.Millisecond
+)
 
 // proxy is the path from the operator to the machine of a controller. While the machine stands still, no byte passes, and the sender keeps what
 // it has sent, as TCP does.
@@ -86,7 +89,7 @@
 		held = p.await() || held
 		if err != nil {
 			if held {
-				time.Sleep(roundTrip)
+				time.Sleep(roundTrip + delayedAck)
 			}
 			return
 		}
