dispatch: bound a pass, whatever the number of steps of a job

Cause: for each waiting step a pass walked the dependencies of all steps of its job twice, on the thread that also sends heartbeats. Other parts of a pass grew in the same way: steps that fit nowhere, limits per worker, labels, runs to preempt.

Evidence: each leader logs one iteration with 2.0 to 2.3 s of decisions and 4 to 42 us of commits, and then loses its leadership.

Change: the state tracks which steps may run and the lengths of dependency chains; a pass tries a window of each job's steps, which moves on, and ends after a bounded number of hosts and tasks looked at; a job that runs nothing gets a start ahead of the remaining tasks of large jobs.

Why it works: no part of a pass depends on the size of a job any more.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -116,6 +116,7 @@
 func (d *Dispatcher) placeSuspects(c candidate, hosts []host) (placed, missing int) {
 	c.suspect = true
 	demand, waiting := d.demand(c), 0
+	d.visitBudget -= len(c.step.Tasks)
 	for _, task := range c.step.Tasks {
 		if !d.mustIsolate(task) || !d.isPlaceable(task) {
 			continue
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -79,9 +79,11 @@
 
 	// passSpacing is the shortest time between two passes, times the square of the number of steps with waiting tasks, and
 	// maxPassSpacing the most. A pass takes longer the more steps wait, and with hundreds of them, passes after each answer would delay
-	// the calls to workers. With few, a pass at once starts the next steps of jobs sooner.
+	// the calls to workers. With few, a pass at once starts the next steps of jobs sooner. With thousands of steps, passes are at least
+	// stepSpacing apart for each of them.
 	passSpacing    = 250 * time.Nanosecond
 	maxPassSpacing = 50 * time.Millisecond
+	stepSpacing    = 10 * time.Microsecond
 
 	// scanInterval is the time between two scans of all workers and runs for due calls and expired leases.
 	scanInterval = 25 * time.Millisecond
@@ -155,6 +157,7 @@
 	fruitless      map[*workload.Step]bool      // steps for which hosts were rated in vain since a pass last reached all steps
 	deferred       map[*workload.Step]time.Time // until when best-effort steps for which hosts were rated in vain are left out
 	vainRatings    int                          // hosts that the current pass has rated in vain for best-effort steps
+	windows        stepWindows                  // the steps that passes try, of jobs with many
 	unreached      []candidate                  // the steps that the last pass didn't reach
 	lastCandidates []candidate                  // the steps of the last pass, most urgent first
 	vacated        []*worker                    // on which runs have released room since the last pass or refill
@@ -181,6 +184,7 @@
 	dirty           bool  // something has changed since the last pass
 	keepsEmptyHosts bool  // serving tasks leave hosts without serving tasks to dedicated tasks, as of the last pass
 	ratingBudget    int   // hosts that the current pass may still rate
+	visitBudget     int   // hosts and tasks that it may still look at
 	victimBudget    int   // of ratingBudget, those that it may still rate for preemptions
 	mostProcessors  int64 // that a host had free when the current pass began
 	holdSearches    int   // steps for which the current pass may still search for hosts to hold
@@ -218,6 +222,7 @@
 	d.deferred = map[*workload.Step]time.Time{}
 	d.unreached, d.unreachedCause = nil, ""
 	d.lastCandidates, d.vacated = nil, nil
+	d.windows = newStepWindows()
 	d.trials = map[trial]int{}
 	d.advices, d.adviceCalls = map[*workload.Step]*advice{}, 0
 	d.maintenance = maintenanceState{draining: map[string]*drainingHost{}}
@@ -361,9 +366,9 @@
 		}
 		if d.dirty && !now.Before(d.earliestPass) || !now.Before(d.nextPass) {
 			d.dirty = false
-			d.nextPass = now.Add(passInterval)
-			steps := d.pass()
-			d.earliestPass = now.Add(min(maxPassSpacing, time.Duration(steps*steps)*passSpacing))
+			steps := time.Duration(d.pass())
+			d.earliestPass = now.Add(min(steps*steps*passSpacing, max(maxPassSpacing, steps*stepSpacing)))
+			d.nextPass = now.Add(max(passInterval, steps*stepSpacing))
 		} else if len(d.vacated) > 0 {
 			d.refill()
 		}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 
+	"galenamoor/internal/decision/colocation"
 	"galenamoor/internal/decision/workload"
 )
 
 // placeGang assigns all tasks of a gang to workers, or none, and returns the number of tasks placed.
 func (d *Dispatcher) placeGang(c candidate, hosts []host) int {
 	number := uint32(0)
+	d.visitBudget -= len(c.step.Tasks)
 	c.suspect = slices.ContainsFunc(c.step.Tasks, d.mustIsolate)
 	for _, task := range c.step.Tasks {
 		if !d.isPlaceable(task) {
@@ -53,8 +55,11 @@
 	return racks
 }
 
-// fitGang returns a worker for each task of a gang, all in one rack if one is given, or nil if the gang doesn't fit.
+// fitGang returns a worker for each task of a gang, all in one rack if one is given, or nil if the gang doesn't fit. The tasks of a gang
+// that would otherwise take more ratings than a pass has are put on the best host several at a time.
 func (d *Dispatcher) fitGang(c candidate, hosts []host, rack string) []*worker {
+	limit := int(c.step.GetMaxPerWorker())
+	block := 1 + len(c.step.Tasks)*len(hosts)/maxRatingsPerPass
 	scratch := slices.Clone(hosts)
 	for i := range scratch {
 		h := *scratch[i].Host
@@ -64,18 +69,22 @@
 	placed := map[*worker]int{}
 	hasFailed := d.hasFailed(c.step.Tasks[0])
 	chosen := make([]*worker, 0, len(c.step.Tasks))
-	for range c.step.Tasks {
+	for len(chosen) < len(c.step.Tasks) {
 		best := d.choose(c, demand, scratch, func(w *worker) bool {
-			limit := int(c.step.GetMaxPerWorker())
 			return rack != "" && rackOf(w.incarnation) != rack || limit > 0 && placed[w] >= limit || hasFailed != nil && hasFailed(w)
 		})
 		if best == nil {
 			return nil
 		}
-		best.Free = best.Free.Sub(demand.Need)
-		best.Spare -= demand.Processors
-		placed[best.worker]++
-		chosen = append(chosen, best.worker)
+		for n := 0; n < min(block, len(c.step.Tasks)-len(chosen)); n++ {
+			if n > 0 && (!colocation.HasRoom(demand, best.Host) || limit > 0 && placed[best.worker] >= limit) {
+				break
+			}
+			best.Free = best.Free.Sub(demand.Need)
+			best.Spare -= demand.Processors
+			placed[best.worker]++
+			chosen = append(chosen, best.worker)
+		}
 	}
 	return chosen
 }
--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -61,9 +61,15 @@
 		return 0, 0
 	}
 	available = total - serving - wanted
-	for step := range d.waitingSteps(d.config.Wall()) {
-		if kindOf(step) == colocation.Serving {
-			available -= int64(step.Waiting) * step.GetProcessors()
+	wall := d.config.Wall()
+	for _, other := range d.state.Jobs() {
+		if !other.HasServing() || other.IsTerminal() {
+			continue
+		}
+		for _, step := range other.WaitingSteps(wall, 0) {
+			if kindOf(step) == colocation.Serving {
+				available -= int64(step.Waiting) * step.GetProcessors()
+			}
 		}
 	}
 	return available, d.neededHeadroom(total)
--- a/internal/decision/dispatch/hold.go
+++ b/internal/decision/dispatch/hold.go
@@ -220,17 +220,17 @@
 }
 
 // endStaleHolds ends the holds that have timed out, those on workers that may get no runs, and those for steps of which no task waits.
-func (d *Dispatcher) endStaleHolds(candidates []candidate) {
+func (d *Dispatcher) endStaleHolds() {
 	if len(d.holds)+len(d.holdRetries) == 0 {
 		return
 	}
-	waiting := stepsOf(candidates)
-	maps.DeleteFunc(d.holdRetries, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+	wall := d.config.Wall()
+	maps.DeleteFunc(d.holdRetries, func(step *workload.Step, _ time.Time) bool { return !hasWaiting(step, wall) })
 	held := slices.Concat(slices.Collect(maps.Values(d.holds))...)
 	slices.SortFunc(held, func(a, b *worker) int { return cmp.Compare(a.incarnation.GetNumber(), b.incarnation.GetNumber()) })
 	for _, w := range held {
 		switch {
-		case !waiting[w.hold.step]:
+		case !hasWaiting(w.hold.step, wall):
 			d.endHold(w, "no task waits for it")
 		case d.workers[w.incarnation.GetNumber()] != w || !d.isUsable(w):
 			d.endHold(w, "the worker is unusable")
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -28,8 +28,15 @@
 	// maxRatingsPerPass bounds the hosts that one pass rates, so that a pass stays short when thousands of waiting tasks
 	// fit on no host. Rating a host takes about 200 ns.
 	maxRatingsPerPass = 40_000
+
+	// maxVisitsPerPass bounds the hosts and tasks that one pass looks at. Most hosts are full and are never rated, but looking at each
+	// of them for thousands of steps, or at each task of a step that has thousands, takes as long as many ratings.
+	maxVisitsPerPass = 500_000
 )
 
+// unreachedShare is the share of the starts of a pass that are set aside for jobs that the last one didn't reach and that run nothing.
+const unreachedShare = 0.25
+
 const (
 	// maxVainRatings is the number of hosts that a pass may rate in vain for best-effort steps before it defers further such steps for
 	// deferralTime. Where hundreds of steps wait because of interference, rating all hosts for each of them in each pass would delay
@@ -66,12 +73,13 @@
 	hosts := d.hosts()
 	d.keepsEmptyHosts = d.areEmptyHostsScarce(hosts)
 	candidates := d.candidates()
-	d.endStaleHolds(candidates)
-	d.beginRelocations(candidates)
+	d.endStaleHolds()
+	d.beginRelocations()
 	d.report(candidates, hosts)
 	budget := d.startBudget()
 	d.lastCandidates, d.vacated = candidates, nil
 	d.holdSearches = 0
+	d.beginBudgets()
 	if !d.now.Before(d.nextSpeculation) {
 		d.nextSpeculation = d.now.Add(speculationInterval)
 		d.holdSearches, d.relocations.searches = maxHoldSearches, maxRelocationSearches
@@ -79,12 +87,12 @@
 		d.countTrials()
 		d.findLeastUrgent()
 	}
-	d.ratingBudget, d.vainRatings = maxRatingsPerPass, 0
 	maps.DeleteFunc(d.deferred, func(_ *workload.Step, until time.Time) bool { return !d.now.Before(until) })
 	d.beginVictimSearches(hosts)
 	p := &placement{hosts: hosts, fleet: vacancyOf(hosts), starts: budget, preemptions: maxPreemptionsPerPass, exhausted: map[placementClass][]resource.Vector{}}
-	d.unreached, d.unreachedCause = nil, ""
 	p.starts -= d.continueRelocations(hosts)
+	d.placeUnreached(candidates, p)
+	d.unreached, d.unreachedCause = nil, ""
 	for i, c := range candidates {
 		if followsInterrupted(candidates, i) {
 			d.moveLeaving(hosts, c.queue.GetPriority())
@@ -94,8 +102,11 @@
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.StartLimit
 			clear(d.fruitless)
 			return len(candidates)
-		case d.ratingBudget <= 0:
+		case d.isBudgetSpent():
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.RatingLimit
+			if d.visitBudget <= 0 {
+				d.leaveOut(p.unplaced)
+			}
 			return len(candidates) // the next pass goes on from here
 		}
 		if !d.fruitless[c.step] && d.deferred[c.step].IsZero() {
@@ -103,10 +114,54 @@
 		}
 	}
 	clear(d.fruitless)
+	d.windows.advance()
 	d.moveLeaving(hosts, leastPriority)
 	return len(candidates)
 }
 
+// placeUnreached starts a task of each job that runs nothing and that the last pass didn't reach, as it had no starts left. Without it
+// such a job would run nothing until all tasks of the large jobs before it have started.
+func (d *Dispatcher) placeUnreached(candidates []candidate, p *placement) {
+	if d.unreachedCause != occupancy.StartLimit {
+		return
+	}
+	wasUnreached, tried := stepsOf(d.unreached), map[*workload.Job]bool{}
+	share := int(unreachedShare * float64(p.starts))
+	for _, c := range candidates {
+		if share <= 0 || d.isBudgetSpent() {
+			return
+		}
+		job, needed := c.step.Job, 1
+		if c.step.GetGang() {
+			needed = len(c.step.Tasks)
+		}
+		if !wasUnreached[c.step] || tried[job] || job.LiveRuns() > 0 || needed > share {
+			continue
+		}
+		tried[job] = true
+		starts := p.starts
+		p.starts = needed
+		d.place(c, p)
+		placed := needed - p.starts
+		p.starts, share = starts-placed, share-placed
+	}
+}
+
+// beginBudgets sets the limits of a pass or a refill.
+func (d *Dispatcher) beginBudgets() {
+	d.ratingBudget, d.visitBudget, d.vainRatings = maxRatingsPerPass, maxVisitsPerPass, 0
+}
+
+// isBudgetSpent reports whether a pass or a refill has to end.
+func (d *Dispatcher) isBudgetSpent() bool { return d.ratingBudget <= 0 || d.visitBudget <= 0 }
+
+// leaveOut keeps steps out of the passes until one has reached all steps.
+func (d *Dispatcher) leaveOut(steps []*workload.Step) {
+	for _, step := range steps {
+		d.fruitless[step] = true
+	}
+}
+
 // followsInterrupted reports whether a candidate is the first one of its priority that isn't interrupted.
 func followsInterrupted(candidates []candidate, i int) bool {
 	if candidates[i].interrupted {
@@ -126,21 +181,28 @@
 	fleet       vacancy
 	starts      int                                  // runs that may still be assigned
 	preemptions int                                  // hosts on which runs may still be preempted
-	exhausted   map[placementClass][]resource.Vector // demands for which no host had room
+	exhausted   map[placementClass][]resource.Vector // smallest demands for which no host had room
+	unplaced    []*workload.Step                     // steps of which no task was placed
+}
+
+// isExhausted reports whether no host had room for a demand of a class that is no larger.
+func (p *placement) isExhausted(class placementClass, needed resource.Vector) bool {
+	return slices.ContainsFunc(p.exhausted[class], func(failed resource.Vector) bool { return failed.Fits(needed) })
 }
 
-// isExhausted reports whether no host had room for a demand of the same class that is no larger.
-func (p *placement) isExhausted(c candidate, needed resource.Vector) bool {
-	return slices.ContainsFunc(p.exhausted[placementClassOf(c)], func(failed resource.Vector) bool { return failed.Fits(needed) })
+// noteExhausted records that no host had room for a demand of a class.
+func (p *placement) noteExhausted(class placementClass, needed resource.Vector) {
+	p.exhausted[class] = append(slices.DeleteFunc(p.exhausted[class], needed.Fits), needed)
 }
 
 // place assigns the waiting tasks of a step to workers as far as possible. A step for which hosts were rated in vain, other than for
 // preemptions, is noted as fruitless, unless it lasts: whether a lasting task fits is found without ratings.
 func (d *Dispatcher) place(c candidate, p *placement) {
 	starts, ratings := p.starts, d.ratingBudget-d.victimBudget
-	needed := need(c.step)
+	needed, class := need(c.step), placementClassOf(c)
+	d.visitBudget -= 1 + len(p.exhausted[class])
 	switch {
-	case p.isExhausted(c, needed) && len(d.holds[c.step]) == 0:
+	case p.isExhausted(class, needed) && len(d.holds[c.step]) == 0:
 		if isLasting(c.step) {
 			missing := d.countPlaceable(c.step)
 			d.updateHolds(c, p.hosts, missing)
@@ -154,7 +216,10 @@
 		p.starts -= d.placeGang(c, p.hosts)
 	default:
 		d.renewAdvice(c, p.hosts)
-		d.placeSingly(c, p, needed)
+		d.placeSingly(c, p, class, needed)
+	}
+	if p.starts == starts {
+		p.unplaced = append(p.unplaced, c.step)
 	}
 	if p.starts == starts && d.ratingBudget-d.victimBudget < ratings && !isLasting(c.step) {
 		d.fruitless[c.step] = true
@@ -174,18 +239,21 @@
 }
 
 // placeSingly assigns the waiting tasks of a step that isn't a gang to workers, and makes room for those that fit on none.
-func (d *Dispatcher) placeSingly(c candidate, p *placement, needed resource.Vector) {
+func (d *Dispatcher) placeSingly(c candidate, p *placement, class placementClass, needed resource.Vector) {
 	placedSuspects, missingSuspects := d.placeSuspects(c, p.hosts)
-	placed, missing := d.placeTasks(c, p.hosts)
-	p.starts -= placedSuspects + placed
+	p.starts -= placedSuspects
+	placed, missing, triedAll := d.placeTasks(c, p.hosts, p.starts)
+	p.starts -= placed
+	if !triedAll {
+		return // the next pass goes on from here
+	}
 	d.updateHolds(c, p.hosts, missing)
 	d.relocate(c, p.hosts, missing)
 	if missing > 0 && p.fleet.allowsThrottled(c) {
 		p.starts -= d.placeThrottled(c, p.hosts)
 	}
 	if missing > 0 && c.step.GetMaxPerWorker() == 0 { // otherwise the limit per worker may be the reason, not a lack of room
-		class := placementClassOf(c)
-		p.exhausted[class] = append(p.exhausted[class], needed)
+		p.noteExhausted(class, needed)
 	}
 	if kindOf(c.step) != colocation.BestEffort {
 		p.preemptions -= d.preempt(c, p.hosts, missing+missingSuspects, p.preemptions)
@@ -225,11 +293,11 @@
 	return resource.Vector{Processors: step.GetProcessors(), Memory: step.GetMemory(), Accelerators: step.GetAccelerators()}
 }
 
-// candidates returns the steps with waiting tasks, most urgent first.
+// candidates returns the steps with waiting tasks that the next pass tries to place, most urgent first.
 func (d *Dispatcher) candidates() []candidate {
 	wall := d.config.Wall()
 	var found []candidate
-	for step := range d.waitingSteps(wall) {
+	for step := range d.windows.steps(d.state.Jobs(), wall) {
 		found = append(found, d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue())))
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
@@ -265,6 +333,11 @@
 	return isLasting(step) && slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return task.IsWaiting() && task.LastRun > 0 })
 }
 
+// hasWaiting reports whether a step has waiting tasks that may start.
+func hasWaiting(step *workload.Step, wall time.Time) bool {
+	return step.Waiting > 0 && !step.Job.IsTerminal() && step.IsReady(wall)
+}
+
 // waitingSteps returns the steps that are ready and have waiting tasks.
 func (d *Dispatcher) waitingSteps(wall time.Time) iter.Seq[*workload.Step] {
 	return func(yield func(*workload.Step) bool) {
@@ -272,11 +345,9 @@
 			if job.IsTerminal() {
 				continue
 			}
-			for _, steps := range job.Occurrences {
-				for _, step := range steps {
-					if step.Waiting > 0 && step.IsReady(wall) && !yield(step) {
-						return
-					}
+			for _, step := range job.WaitingSteps(wall, 0) {
+				if !yield(step) {
+					return
 				}
 			}
 		}
@@ -291,9 +362,7 @@
 		start = time.UnixMilli(job.Spec.GetAcceptedMs())
 	}
 	mean := d.runtimes.meanRuntime(queue.GetName())
-	steps := job.Occurrences[step.Occurrence]
-	total := time.Duration(longestChain(steps, func(*workload.Step) bool { return true })) * mean
-	remaining := time.Duration(longestChain(steps, func(s *workload.Step) bool { return s.Unfinished > 0 })) * mean
+	total, remaining := time.Duration(job.LongestChain())*mean, time.Duration(job.RemainingChain(step.Occurrence))*mean
 	objective := time.Duration(float64(total)*max(1, queue.GetStretch())) + time.Duration(queue.GetTargetRuntimeMs())*time.Millisecond
 	c := candidate{step: step, queue: queue, due: start.Add(objective), interrupted: isInterrupted(step)}
 	if step.GetPerpetual() {
@@ -308,22 +377,6 @@
 	return c
 }
 
-// longestChain returns the largest number of steps on one dependency chain, of those that counts selects.
-func longestChain(steps []*workload.Step, counts func(*workload.Step) bool) int {
-	lengths := make([]int, len(steps))
-	longest := 0
-	for n, step := range steps {
-		for _, dependency := range step.GetAfter() {
-			lengths[n] = max(lengths[n], lengths[dependency])
-		}
-		if counts(step) {
-			lengths[n]++
-		}
-		longest = max(longest, lengths[n])
-	}
-	return longest
-}
-
 // host combines a worker with its description for the placement score.
 type host struct {
 	*colocation.Host
@@ -404,16 +457,20 @@
 	}
 }
 
-// placeTasks assigns waiting tasks of a step to workers. It returns the number of tasks placed and of those for which no
-// host was found.
-func (d *Dispatcher) placeTasks(c candidate, hosts []host) (placed, missing int) {
+// placeTasks assigns waiting tasks of a step to workers, at most as many as starts are left. It returns the number of tasks placed and of
+// those for which no host was found, and whether it has tried all before a limit was reached.
+func (d *Dispatcher) placeTasks(c candidate, hosts []host, starts int) (placed, missing int, triedAll bool) {
 	demand := d.demand(c)
+	d.visitBudget -= len(c.step.Tasks)
 	for _, task := range c.step.Tasks {
 		if !d.isPlaceable(task) || d.mustIsolate(task) {
 			continue
 		}
 		var chosen *host
 		if missing == 0 {
+			if placed > 0 && (placed >= starts || d.isBudgetSpent()) {
+				return placed, 0, false
+			}
 			hasFailed := d.hasFailed(task)
 			chosen = d.choose(c, demand, hosts, hasFailed)
 			if chosen == nil && hasFailed != nil && d.choose(c, demand, hosts, nil) != nil {
@@ -432,7 +489,7 @@
 		}
 		placed++
 	}
-	return placed, missing
+	return placed, missing, true
 }
 
 // isPlaceable reports whether a task waits for a run that isn't proposed yet, and no room is reserved for it.
@@ -450,6 +507,7 @@
 func (d *Dispatcher) choose(c candidate, demand colocation.Demand, hosts []host, avoid func(*worker) bool) *host {
 	var best *host
 	var bestScore int64
+	d.visitBudget -= len(hosts)
 	for i := range hosts {
 		h := &hosts[i]
 		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c, demand.Need, h) || !respectsRelocations(demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
@@ -507,15 +565,7 @@
 
 // tasksOn counts the runs of a step that are assigned to a worker or proposed for it.
 func (d *Dispatcher) tasksOn(step *workload.Step, w *worker) int {
-	count := 0
-	for _, task := range step.Tasks {
-		for _, r := range task.Runs {
-			if r.Worker == w.incarnation.GetNumber() {
-				count++
-			}
-		}
-	}
-	return count + w.proposedRuns[step]
+	return w.incarnation.RunsOf(step) + w.proposedRuns[step]
 }
 
 // assign reserves resources for a run and proposes it. The worker is called once the assignment is committed. A
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -91,6 +91,7 @@
 	for i := range hosts {
 		d.ratingBudget--
 		d.victimBudget--
+		d.visitBudget--
 		w := hosts[i].worker
 		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
 			continue // only best-effort runs could be preempted, and they reserve no processors
@@ -119,30 +120,37 @@
 // victimsOn returns the less urgent runs on a worker that have to be stopped for a demand, cheapest first, and the
 // processor time lost with them, in core-seconds. isEnough is false if stopping all of them wouldn't suffice.
 func (d *Dispatcher) victimsOn(w *worker, free, demand resource.Vector, priority int32) (victims []*run, cost float64, isEnough bool) {
-	var candidates []*run
+	d.visitBudget -= len(w.runs)
+	var preemptible []preemptibleRun
 	for r := range w.liveRuns() {
 		switch {
 		case r.released:
 		case r.stopRequested:
 			free = free.Add(r.task.Step.Demand())
 		case d.isPreemptible(r, priority):
-			candidates = append(candidates, r)
+			preemptible = append(preemptible, preemptibleRun{r, d.preemptionCost(r)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(d.preemptionCost(a), d.preemptionCost(b)), cmp.Compare(a.key.Task.String(), b.key.Task.String()))
+	slices.SortFunc(preemptible, func(a, b preemptibleRun) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), a.key.Compare(b.key))
 	})
-	for _, r := range candidates {
+	for _, r := range preemptible {
 		if demand.Fits(free) {
 			break
 		}
 		free = free.Add(r.task.Step.Demand())
-		cost += d.preemptionCost(r)
-		victims = append(victims, r)
+		cost += r.cost
+		victims = append(victims, r.run)
 	}
 	return victims, cost, demand.Fits(free)
 }
 
+// preemptibleRun is a run with the processor time, in core-seconds, that is lost when it is preempted.
+type preemptibleRun struct {
+	*run
+	cost float64
+}
+
 // isPreemptible reports whether a run may be preempted for a task of the given priority.
 func (d *Dispatcher) isPreemptible(r *run, priority int32) bool {
 	return r.seen && !r.ended && !r.task.Step.GetPerpetual() && d.state.Queue(r.task.Step.Job.Spec.GetQueue()).GetPriority() > priority
--- a/internal/decision/dispatch/refill.go
+++ b/internal/decision/dispatch/refill.go
@@ -31,13 +31,15 @@
 	}
 	starts, keepsEmptyHosts := d.startBudget(), d.keepsEmptyHosts
 	defer func() { d.keepsEmptyHosts = keepsEmptyHosts }() // it depends on all hosts
+	d.beginBudgets()
 	for _, c := range d.lastCandidates {
-		if starts <= 0 {
+		if starts <= 0 || d.isBudgetSpent() {
 			return
 		}
+		d.visitBudget -= len(hosts)
 		if mayRefill(c.step) && hasRoomFor(c.step, hosts) {
 			c.queue, c.interrupted = d.state.Queue(c.step.Job.Spec.GetQueue()), isInterrupted(c.step)
-			placed, _ := d.placeTasks(c, hosts)
+			placed, _, _ := d.placeTasks(c, hosts, starts)
 			starts -= placed
 		}
 	}
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -257,17 +257,13 @@
 }
 
 // beginRelocations prepares the searches of a pass, and forgets the steps of which no task waits.
-func (d *Dispatcher) beginRelocations(candidates []candidate) {
+func (d *Dispatcher) beginRelocations() {
 	state := &d.relocations
 	state.searches, state.hosts = 0, nil
 	state.hasHeadroom = sync.OnceValue(d.hasHeadroom)
-	times := []map[*workload.Step]time.Time{state.shortSince, state.retries, state.askedAt}
-	if !slices.ContainsFunc(times, func(m map[*workload.Step]time.Time) bool { return len(m) > 0 }) {
-		return
-	}
-	waiting := stepsOf(candidates)
-	for _, m := range times {
-		maps.DeleteFunc(m, func(step *workload.Step, _ time.Time) bool { return !waiting[step] })
+	wall := d.config.Wall()
+	for _, times := range []map[*workload.Step]time.Time{state.shortSince, state.retries, state.askedAt} {
+		maps.DeleteFunc(times, func(step *workload.Step, _ time.Time) bool { return !hasWaiting(step, wall) })
 	}
 }
 
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -41,7 +41,7 @@
 		d.config.Count("StepsWaiting." + string(cause))
 	}
 	d.config.Log.Info("fleet", "Workers", len(d.workers), "Usable", len(hosts), "Serving", account.ServingHosts, "SpareBesideServing", account.SpareBesideServing,
-		"SpareElsewhere", account.SpareElsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting,
+		"SpareElsewhere", account.SpareElsewhere, "Runs", len(d.runs), "Jobs", len(d.state.Jobs()), "Waiting", waiting, "JobsInPart", len(d.windows.ends),
 		"Total", account.Total, "Reserved", account.Reserved, "ReservedServing", account.Serving, "BestEffort", account.BestEffort, "Free", account.Free,
 		"LargestFree", account.LargestFree, "HeldWorkers", d.heldWorkers(), "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -100,6 +100,9 @@
 // works only together with the others.
 func (d *Dispatcher) speculate(hosts []host) {
 	for r := range d.allRuns() {
+		if d.isBudgetSpent() {
+			return
+		}
 		step := r.task.Step
 		if !step.GetSpeculative() || step.GetGang() || r.stopRequested || r.task.Done || len(r.task.Runs) != 1 || d.assigning[r.key.Task] || step.Job.IsTerminal() || r.mayCrash() {
 			continue
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -57,6 +57,8 @@
 
 	unfinished int // tasks that aren't done
 	liveRuns   int // runs that are assigned and not known to have ended
+	order      *stepOrder
+	hasServing bool
 }
 
 // Step is one step of one occurrence of a job.
@@ -68,6 +70,8 @@
 	Tasks      []*Task
 	Waiting    int // tasks that aren't done and have no live run
 	Unfinished int // tasks that aren't done
+
+	blockers uint32 // dependencies that have tasks that aren't done
 }
 
 // Task is one task of a step.
@@ -113,15 +117,13 @@
 
 // IsReady reports whether the step's occurrence is due and all tasks of the steps it depends on are done.
 func (s *Step) IsReady(now time.Time) bool {
-	if now.Before(s.Job.DueAt(s.Occurrence)) {
-		return false
-	}
-	for _, dependency := range s.GetAfter() {
-		if s.Job.Occurrences[s.Occurrence][dependency].Unfinished > 0 {
-			return false
-		}
-	}
-	return true
+	return s.blockers == 0 && !now.Before(s.Job.DueAt(s.Occurrence))
+}
+
+// countWaiting adds delta to the number of tasks that aren't done and have no live run.
+func (s *Step) countWaiting(delta int) {
+	s.Waiting += delta
+	s.Job.order.update(s)
 }
 
 // IsServing reports whether the step's tasks are long-running and have a latency target.
@@ -190,6 +192,9 @@
 	return time.UnixMilli(j.Spec.GetStartAtMs() + int64(occurrence)*j.Spec.GetPeriodMs())
 }
 
+// HasServing reports whether the job has serving tasks.
+func (j *Job) HasServing() bool { return j.hasServing }
+
 // LiveRuns returns the number of the job's live runs.
 func (j *Job) LiveRuns() int { return j.liveRuns }
 
@@ -232,12 +237,17 @@
 
 // newJob returns a job without any runs.
 func newJob(spec *controlpb.WorkJob) *Job {
-	j := &Job{Spec: spec}
+	j := &Job{Spec: spec, order: newStepOrder(spec)}
 	for occurrence := range max(1, spec.GetRepeats()) {
 		steps := make([]*Step, len(spec.GetSteps()))
 		for n, stepSpec := range spec.GetSteps() {
 			count := int(stepSpec.GetCount())
-			step := &Step{WorkStep: stepSpec, Job: j, Occurrence: occurrence, Number: uint32(n), Waiting: count, Unfinished: count}
+			step := &Step{
+				WorkStep: stepSpec, Job: j, Occurrence: occurrence, Number: uint32(n), Waiting: count, Unfinished: count,
+				blockers: j.order.graph.Blockers(uint32(n)),
+			}
+			j.hasServing = j.hasServing || step.IsServing()
+			j.order.update(step)
 			step.Tasks = make([]*Task, count)
 			for i := range step.Tasks {
 				step.Tasks[i] = &Task{Step: step, Index: uint32(i)}
@@ -294,13 +304,13 @@
 		return errorResult(controlpb.ResultCode_RESULT_REJECTED, "the run's number is taken")
 	}
 	if len(t.Runs) == 0 {
-		t.Step.Waiting--
+		t.Step.countWaiting(-1)
 	}
 	t.LastRun = start.GetRun()
 	t.StoppedOn, t.StoppedMs = 0, 0
 	s.assignments++
 	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time, Assignment: s.assignments})
-	w.Runs[RunKey{Task: t.Key(), Run: start.GetRun()}] = t
+	w.addRun(RunKey{Task: t.Key(), Run: start.GetRun()}, t)
 	s.noteAnswered(w)
 	t.Step.Job.liveRuns++
 	t.Step.Job.Started = true
@@ -433,12 +443,15 @@
 	if t.Done {
 		return
 	}
+	t.Done = true
 	if len(t.Runs) == 0 {
-		t.Step.Waiting--
+		t.Step.countWaiting(-1)
 	}
-	t.Done = true
 	t.Step.Unfinished--
 	t.Step.Job.unfinished--
+	if t.Step.Unfinished == 0 {
+		t.Step.Job.finishStep(t.Step)
+	}
 }
 
 // endRun removes a run from its task and worker.
@@ -446,7 +459,7 @@
 	for _, r := range t.Runs {
 		if r.Number == number {
 			if w := s.workers[r.Worker]; w != nil {
-				delete(w.Runs, RunKey{Task: t.Key(), Run: number})
+				w.removeRun(RunKey{Task: t.Key(), Run: number})
 			}
 			t.removeRun(number, r.Worker)
 			return
@@ -462,7 +475,7 @@
 	}
 	t.Step.Job.liveRuns--
 	if len(t.Runs) == 0 && !t.Done {
-		t.Step.Waiting++
+		t.Step.countWaiting(1)
 	}
 }
 
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -151,7 +151,7 @@
 			return trace.BadParameter("task %s: no record of its worker %d", t.Key(), r.GetWorker())
 		}
 		if len(t.Runs) == 0 && !t.Done {
-			t.Step.Waiting--
+			t.Step.countWaiting(-1)
 		}
 		assignment := r.GetAssignment()
 		if assignment == 0 {
@@ -159,7 +159,7 @@
 		}
 		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: assignment, startAnswered: r.GetStartAnswered()})
 		t.Step.Job.liveRuns++
-		w.Runs[RunKey{Task: t.Key(), Run: r.GetRun()}] = t
+		w.addRun(RunKey{Task: t.Key(), Run: r.GetRun()}, t)
 	}
 	return nil
 }
--- a/internal/decision/workload/worker.go
+++ b/internal/decision/workload/worker.go
@@ -27,6 +27,27 @@
 type Worker struct {
 	*controlpb.WorkerLife
 	Runs map[RunKey]*Task // live runs: assigned, and not known to have ended
+
+	stepRuns map[*Step]int // the number of Runs of each step
+}
+
+// RunsOf returns the number of live runs of a step on the worker.
+func (w *Worker) RunsOf(step *Step) int { return w.stepRuns[step] }
+
+func (w *Worker) addRun(key RunKey, t *Task) {
+	w.Runs[key] = t
+	w.stepRuns[t.Step]++
+}
+
+func (w *Worker) removeRun(key RunKey) {
+	t := w.Runs[key]
+	if t == nil {
+		return
+	}
+	delete(w.Runs, key)
+	if w.stepRuns[t.Step]--; w.stepRuns[t.Step] == 0 {
+		delete(w.stepRuns, t.Step)
+	}
 }
 
 // Capacity returns the worker's total capacity, including what its runs reserve.
@@ -87,7 +108,7 @@
 }
 
 func (s *State) insertWorker(incarnation *controlpb.WorkerLife) *Worker {
-	w := &Worker{WorkerLife: incarnation, Runs: map[RunKey]*Task{}}
+	w := &Worker{WorkerLife: incarnation, Runs: map[RunKey]*Task{}, stepRuns: map[*Step]int{}}
 	s.workers[incarnation.GetNumber()] = w
 	s.workersByID[incarnation.GetId()] = w
 	return w
