dispatch: ask for tickets where a step would be placed

Cause: tickets were asked for on hosts with room in the order of registration, and enough tickets there ended the search, whether or not the step would be placed on one of them. Where it interfered with serving tasks on as many hosts as one call names, their tickets were renewed for ever.

Change: a step is placed first, and tickets are asked for the tasks that are left, on hosts that the score would accept for one of them: known ones first, then the best. The same for throttled starts, gangs and suspect tasks.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"galenamoor/internal/decision/colocation"
 	"galenamoor/internal/decision/occupancy"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
@@ -78,42 +80,69 @@
 	}
 }
 
-// requestAdvice asks the service about a step that has fewer usable workers with tickets than waiting tasks. Expired
-// tickets are renewed before other workers are asked about.
-func (d *Dispatcher) requestAdvice(c candidate, hosts []host) {
-	cached := d.adviceOn(c.step)
-	if !d.mayAsk(cached) {
+// requestAdvice asks the service about the hosts on which missing tasks of a step would be placed if there were a ticket, and about those on
+// which room is reserved for one. It does nothing for a queue without advice. A host that wouldn't get a task, for example because the task would interfere
+// with others there, isn't asked about: there may be more of these than a call can name.
+func (d *Dispatcher) requestAdvice(c candidate, hosts []host, missing int) {
+	if missing == 0 && len(d.relocations.active) == 0 || !d.mayAskFor(c) {
 		return
 	}
-	usable := 0
-	var unasked, expired []*worker
+	workers := d.lackingTickets(c, d.demand(c), hosts, missing > 0)
+	if len(workers) == 0 && missing > 0 && c.suspect {
+		c.suspect = false // a host can be reserved for suspect tasks only with a ticket
+		workers = d.lackingTickets(c, d.demand(c), hosts, true)
+	}
+	d.sendAdviceCall(c.step, workers)
+}
+
+// requestThrottledAdvice does the same for hosts on which a throttled task of a step would be placed.
+func (d *Dispatcher) requestThrottledAdvice(c candidate, hosts []host) {
+	if d.mayAskFor(c) {
+		d.sendAdviceCall(c.step, d.lackingTickets(c, d.throttledDemand(c), hosts, true))
+	}
+}
+
+// lackingTickets returns the workers without a valid ticket for a step on which room is reserved for one of its tasks and, if isMissing is
+// set, those on which one would be placed otherwise. Workers that the service is known to allow come first, then those with the best score.
+func (d *Dispatcher) lackingTickets(c candidate, demand colocation.Demand, hosts []host, isMissing bool) []*worker {
+	type option struct {
+		*worker
+		isReserved, isAllowed bool
+		score                 int64
+	}
+	var options []option
+	tickets := d.adviceOn(c.step).tickets
+	d.visitBudget -= len(hosts)
 	for i := range hosts {
-		w := hosts[i].worker
-		hasRoom := c.step.Demand().Fits(hosts[i].Free) || w.isReservedFor(c.step) // once tasks have moved
-		if !hasRoom || d.unadvisedExclusion(c, w) != occupancy.NotRefused {
+		h := &hosts[i]
+		t, isAnswered := tickets[h.worker.incarnation.GetNumber()]
+		if isAnswered && (t.text == "" || d.now.Before(t.expires)) {
 			continue
 		}
-		t, answered := cached.tickets[w.incarnation.GetNumber()]
-		switch {
-		case !answered:
-			unasked = append(unasked, w)
-		case t.text == "": // it may not run the step
-		case d.now.Before(t.expires):
-			usable++
-		default:
-			expired = append(expired, w)
+		o := option{worker: h.worker, isReserved: h.worker.isReservedFor(c.step), isAllowed: isAnswered}
+		if d.unadvisedExclusion(c, h.worker) != occupancy.NotRefused {
+			continue
 		}
+		if !o.isReserved {
+			if !isMissing || !d.hasRoom(c, demand, h) {
+				continue
+			}
+			var ok bool
+			d.ratingBudget--
+			if o.score, ok = d.score(c, demand, h); !ok {
+				continue
+			}
+		}
+		options = append(options, o)
 	}
-	if usable >= c.step.Waiting {
-		return
-	}
-	workers := expired
-	if len(workers) == 0 {
-		workers = unasked
-	}
-	if len(workers) > 0 {
-		d.sendAdviceCall(c.step, cached, workers[:min(len(workers), maxAdviceWorkers)])
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(compareTrueFirst(a.isReserved, b.isReserved), compareTrueFirst(a.isAllowed, b.isAllowed), cmp.Compare(b.score, a.score))
+	})
+	workers := make([]*worker, len(options))
+	for i, o := range options {
+		workers[i] = o.worker
 	}
+	return workers
 }
 
 // awaitsTicket reports whether the start of an inherited run has to wait for a ticket, as those of earlier leaders aren't known, and
@@ -158,9 +187,7 @@
 			}
 		}
 	}
-	if len(workers) > 0 {
-		d.sendAdviceCall(step, cached, workers[:min(len(workers), maxAdviceWorkers)])
-	}
+	d.sendAdviceCall(step, workers)
 }
 
 // mayAsk reports whether the service may be asked about a step now.
@@ -168,8 +195,18 @@
 	return cached.asking == nil && !d.now.Before(cached.retryAt) && d.adviceCalls < maxAdviceCalls
 }
 
-func (d *Dispatcher) sendAdviceCall(step *workload.Step, cached *advice, workers []*worker) {
-	cached.asking = workers
+// mayAskFor reports whether the queue of a step has advice and the service may be asked about the step now.
+func (d *Dispatcher) mayAskFor(c candidate) bool {
+	return c.queue.GetAdvised() && d.mayAsk(d.adviceOn(c.step))
+}
+
+// sendAdviceCall asks the service whether a step may run on workers, as many as a call may name. It does nothing without workers.
+func (d *Dispatcher) sendAdviceCall(step *workload.Step, workers []*worker) {
+	if len(workers) == 0 {
+		return
+	}
+	workers = workers[:min(len(workers), maxAdviceWorkers)]
+	d.adviceOn(step).asking = workers
 	d.adviceCalls++
 	var ids []string
 	for _, w := range workers {
@@ -188,6 +225,8 @@
 	d.adviceCalls--
 	d.dirty = true
 	delete(d.relocations.retries, a.Call.Step)
+	delete(d.fruitless, a.Call.Step)
+	delete(d.deferred, a.Call.Step)
 	if a.Status != order.OK {
 		cached.retryAt = d.now.Add(adviceRetryDelay)
 		d.config.Log.Info("advice call failed", "Step", a.Call.Step.Name(), "Status", a.Status.String(), "Error", errorText(a.Err))
--- a/internal/decision/dispatch/advice_test.go
+++ b/internal/decision/dispatch/advice_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,3 +78,71 @@
 		}
 	}
 }
+
+// advisedFleet describes a fleet of an advised queue whose best-effort tasks interfere with the serving tasks on some of its workers.
+type advisedFleet struct {
+	serving, empty int  // workers with serving tasks, and others that are added later
+	added          bool // the others announce themselves only after the best-effort job was submitted
+	allowed        int  // number of the others for which the service issues tickets, the last ones
+	busy           bool // the others have no room at first
+	jobs           int  // best-effort jobs
+}
+
+// Tickets were asked for and renewed only for workers on which an advised step interfered with serving tasks, as there were more of them
+// than one call can name, and never for others: the job had nothing running beside empty workers.
+func TestAdviceOnWorkersWithoutInterference(t *testing.T) {
+	for name, fleet := range map[string]advisedFleet{
+		"added before":        {serving: 30, empty: 10, allowed: 10, jobs: 1},
+		"added after":         {serving: 30, empty: 10, added: true, allowed: 10, jobs: 1},
+		"one allowed":         {serving: 40, empty: 40, added: true, allowed: 1, jobs: 1},
+		"many serving":        {serving: 130, empty: 4, allowed: 4, jobs: 1},
+		"many refused":        {serving: 20, empty: 130, allowed: 1, jobs: 1},
+		"without room before": {serving: 70, empty: 10, allowed: 10, busy: true, jobs: 1},
+		"many jobs":           {serving: 60, empty: 20, added: true, allowed: 10, jobs: 40},
+	} {
+		for _, interference := range []float64{0.4, 2} {
+			t.Run(fmt.Sprintf("%s %v", name, interference), func(t *testing.T) { fleet.play(t, interference) })
+		}
+	}
+}
+
+func (f *advisedFleet) play(t *testing.T, interference float64) {
+	sim := newSimulation(t, 1)
+	sim.allowsAll = true
+	sim.configure()
+	sim.ownLoad = func(time.Time) float64 { return 0.4 } // a latency ratio of 0.8
+	sim.interference = func(string, string) float64 { return interference }
+	sim.addWorkers(f.serving)
+	sim.run(3 * time.Second)
+	step := servingOnAll(uint32(f.serving))
+	sim.submit("urgent", "serving", step)
+	sim.run(3 * time.Second)
+	addEmpty := func() {
+		sim.addWorkers(f.empty)
+		for _, w := range sim.workers[f.serving : f.serving+f.empty-f.allowed] {
+			w.unadvised = true
+		}
+		sim.run(3 * time.Second)
+	}
+	if !f.added {
+		addEmpty()
+	}
+	if f.busy {
+		sim.submit("urgent", "busy", dedicated(uint32(8*f.empty), 20*time.Second))
+		sim.run(time.Second)
+	}
+	for n := range f.jobs {
+		sim.submit("advised", fmt.Sprint("a-", n), bestEffort(1, "fill", 4*time.Second))
+	}
+	sim.run(12 * time.Second)
+	if f.busy {
+		sim.run(15 * time.Second)
+	}
+	if f.added {
+		addEmpty()
+	}
+	sim.run(finishTime)
+	for n := range f.jobs {
+		sim.expect(fmt.Sprint("a-", n), controlpb.WorkState_WORK_COMPLETED)
+	}
+}
--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -138,6 +138,9 @@
 	if waiting > 0 && !d.reserveFor(c, hosts) {
 		missing = waiting
 	}
+	if waiting > 0 {
+		d.requestAdvice(c, hosts, waiting)
+	}
 	return placed, missing
 }
 
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -41,6 +41,7 @@
 		}
 		d.reserveFor(c, hosts)
 	}
+	d.requestAdvice(c, hosts, len(c.step.Tasks))
 	return 0
 }
 
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -212,10 +212,8 @@
 			p.starts -= d.placeThrottled(c, p.hosts)
 		}
 	case c.step.GetGang():
-		d.renewAdvice(c, p.hosts)
 		p.starts -= d.placeGang(c, p.hosts)
 	default:
-		d.renewAdvice(c, p.hosts)
 		d.placeSingly(c, p, class, needed)
 	}
 	if p.starts == starts {
@@ -252,6 +250,10 @@
 	if missing > 0 && p.fleet.allowsThrottled(c) {
 		p.starts -= d.placeThrottled(c, p.hosts)
 	}
+	d.requestAdvice(c, p.hosts, missing)
+	if missing > 0 && p.fleet.allowsThrottled(c) && mayThrottle(c.step) {
+		d.requestThrottledAdvice(c, p.hosts)
+	}
 	if missing > 0 && c.step.GetMaxPerWorker() == 0 { // otherwise the limit per worker may be the reason, not a lack of room
 		p.noteExhausted(class, needed)
 	}
@@ -260,13 +262,6 @@
 	}
 }
 
-// renewAdvice asks the advice service about a step of an advised queue.
-func (d *Dispatcher) renewAdvice(c candidate, hosts []host) {
-	if c.queue.GetAdvised() {
-		d.requestAdvice(c, hosts)
-	}
-}
-
 // placementClass is what determines, besides resource demand, which hosts may run a task.
 type placementClass struct {
 	pool, image, label string
@@ -318,11 +313,14 @@
 
 // compareInterrupted orders steps with interrupted tasks before the others. Their jobs may have been accepted later than one that has
 // waited for more room than any host had.
-func compareInterrupted(a, b candidate) int {
+func compareInterrupted(a, b candidate) int { return compareTrueFirst(a.interrupted, b.interrupted) }
+
+// compareTrueFirst orders what has a property before what hasn't.
+func compareTrueFirst(a, b bool) int {
 	switch {
-	case a.interrupted == b.interrupted:
+	case a == b:
 		return 0
-	case a.interrupted:
+	case a:
 		return -1
 	}
 	return 1
@@ -510,7 +508,7 @@
 	d.visitBudget -= len(hosts)
 	for i := range hosts {
 		h := &hosts[i]
-		if !colocation.HasRoom(demand, h.Host) || !respectsHold(c, demand.Need, h) || !respectsRelocations(demand.Need, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
+		if !d.hasRoom(c, demand, h) || !d.allows(c, h.worker) || avoid != nil && avoid(h.worker) {
 			continue
 		}
 		d.ratingBudget--
@@ -521,6 +519,11 @@
 	return best
 }
 
+// hasRoom reports whether a host has room for a task of a step beside what is held or reserved there for others.
+func (d *Dispatcher) hasRoom(c candidate, demand colocation.Demand, h *host) bool {
+	return colocation.HasRoom(demand, h.Host) && respectsHold(c, demand.Need, h) && respectsRelocations(demand.Need, h)
+}
+
 // score rates a host for a task of a step, considering the interference with what runs there.
 func (d *Dispatcher) score(c candidate, demand colocation.Demand, h *host) (score int64, ok bool) {
 	demand.WorstRating, demand.MixesImages = d.interferenceWith(c.step, h.worker), mixesImages(c.step, h.worker)
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -77,7 +77,7 @@
 	d.relocations.searches--
 	if exchange, ok := d.findExchange(c, task, d.mayGetTicket); ok {
 		d.relocations.askedAt[c.step] = d.now
-		d.sendAdviceCall(c.step, cached, []*worker{d.relocations.hosts[exchange.Target].worker})
+		d.sendAdviceCall(c.step, []*worker{d.relocations.hosts[exchange.Target].worker})
 	}
 }
 
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -55,6 +55,7 @@
 
 	tickets         map[string]simTicket // issued by the advice service, by text
 	adviceBusyUntil time.Time            // when the advice service has handled all calls
+	allowsAll       bool                 // the advice service allows all workers, not only every other one
 
 	endedUnder map[workload.TaskKey]int // incarnations that restarted while the task ran on them
 
@@ -287,7 +288,7 @@
 		answer := &order.Answer{Status: order.OK, Tickets: map[string]string{}, ValidFor: ticketValidity}
 		for _, worker := range sim.workers {
 			id := worker.incarnation.GetId()
-			if n := id[len(id)-1]; n%2 == 0 && worker.up && !worker.unadvised && slices.Contains(call.WorkerIDs, id) {
+			if n := id[len(id)-1]; (sim.allowsAll || n%2 == 0) && worker.up && !worker.unadvised && slices.Contains(call.WorkerIDs, id) {
 				text := fmt.Sprintf("ticket-%d", len(sim.tickets))
 				sim.tickets[text] = simTicket{call.Step.Name(), worker, worker.incarnation.GetBornMs(), sim.now.Add(ticketValidity)}
 				answer.Tickets[id] = text
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -52,14 +52,25 @@
 	return max(1, step.GetProcessors()*throttledSpeed/fullSpeed)
 }
 
+// mayThrottle reports whether a throttled start is of use to a step: its job has no live run.
+func mayThrottle(step *workload.Step) bool {
+	return kindOf(step) == colocation.BestEffort && !step.GetGang() && step.Job.LiveRuns() == 0
+}
+
+// throttledDemand returns the demand of one throttled task of a step for the placement score.
+func (d *Dispatcher) throttledDemand(c candidate) colocation.Demand {
+	demand := d.demand(c)
+	demand.Throttled = throttledUse(c.step)
+	return demand
+}
+
 // placeThrottled assigns one task of a best-effort step to a worker, throttled and regardless of interference, if its job
 // has no live run. It returns the number of tasks placed.
 func (d *Dispatcher) placeThrottled(c candidate, hosts []host) int {
-	if kindOf(c.step) != colocation.BestEffort || c.step.GetGang() || c.step.Job.LiveRuns() > 0 {
+	if !mayThrottle(c.step) {
 		return 0
 	}
-	demand := d.demand(c)
-	demand.Throttled = throttledUse(c.step)
+	demand := d.throttledDemand(c)
 	for _, task := range c.step.Tasks {
 		c.suspect = d.mustIsolate(task)
 		switch {
