dispatch: tickets for hosts on which runs can be preempted

Seen: an urgent step of an advised queue waits on a fleet full of less urgent work until that ends by itself.

Cause: runs are preempted only on hosts for which there is a ticket, and tickets were asked for only on hosts with room.

Change: if nothing can be preempted with the tickets at hand, tickets are asked for on hosts on which preempting would free enough room.

--- a/internal/decision/dispatch/advice_test.go
+++ b/internal/decision/dispatch/advice_test.go
@@ -146,3 +146,23 @@
 		sim.expect(fmt.Sprint("a-", n), controlpb.WorkState_WORK_COMPLETED)
 	}
 }
+
+// Tickets were asked for only on workers with room, so that an urgent step of an advised queue never preempted less urgent work: it waited
+// until that ended by itself.
+func TestAdviceForPreemption(t *testing.T) {
+	for _, workers := range []int{4, 80} {
+		sim := newSimulationWithWorkers(t, 1, workers)
+		sim.submit("batch", "batch", dedicated(uint32(8*workers), 2*time.Minute))
+		sim.run(5 * time.Second)
+		submitted := sim.now
+		sim.submit("advised", "a", dedicated(3, time.Second))
+		for sim.servingRuns("a") < 3 && sim.now.Sub(submitted) < 30*time.Second {
+			sim.run(10 * time.Millisecond)
+		}
+		waited := sim.now.Sub(submitted)
+		t.Logf("on %d workers the urgent tasks wait %v", workers, waited)
+		if waited > 2400*time.Millisecond {
+			t.Errorf("on %d workers the urgent tasks wait %v", workers, waited)
+		}
+	}
+}
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if len(victims) == 0 {
-			if freed == 0 {
+			if freed == 0 && !d.requestVictimTickets(c, hosts) {
 				d.noteVictimless(c.step)
 			}
 			break
@@ -89,14 +89,8 @@
 	demand := c.step.Demand()
 	lowestCost := -1.0
 	for i := range hosts {
-		d.ratingBudget--
-		d.victimBudget--
-		d.visitBudget--
 		w := hosts[i].worker
-		if demand.Processors > hosts[i].Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
-			continue // only best-effort runs could be preempted, and they reserve no processors
-		}
-		if !d.allows(c, w) || w.preempting[c.step] || w.isHeldFrom(c) || w.relocation != nil {
+		if !d.mayPreemptOn(c, &hosts[i], d.allows) {
 			continue
 		}
 		chosen, cost, isEnough := d.victimsOn(w, hosts[i].Free, demand, c.queue.GetPriority())
@@ -117,6 +111,41 @@
 	return victims, false
 }
 
+// mayPreemptOn reports whether runs on a host may be preempted for a step that may run there.
+func (d *Dispatcher) mayPreemptOn(c candidate, h *host, allows func(candidate, *worker) bool) bool {
+	d.ratingBudget--
+	d.victimBudget--
+	d.visitBudget--
+	if c.step.Demand().Processors > h.Free.Processors && c.queue.GetPriority() >= d.leastUrgentDedicated {
+		return false // only best-effort runs could be preempted, and they reserve no processors
+	}
+	w := h.worker
+	return allows(c, w) && !w.preempting[c.step] && !w.isHeldFrom(c) && w.relocation == nil
+}
+
+// requestVictimTickets asks the advice service about the hosts without a ticket for a step on which preempting runs would free room for it. It returns
+// false if there is none or the service may not be asked now.
+func (d *Dispatcher) requestVictimTickets(c candidate, hosts []host) bool {
+	if !d.mayAskFor(c) {
+		return false
+	}
+	var workers []*worker
+	for i := range hosts {
+		h := &hosts[i]
+		if len(workers) == maxAdviceWorkers || d.victimBudget <= 0 {
+			break
+		}
+		if d.ticketFor(c.step, h.worker) != "" || !d.mayPreemptOn(c, h, d.mayGetTicket) {
+			continue
+		}
+		if _, _, isEnough := d.victimsOn(h.worker, h.Free, c.step.Demand(), c.queue.GetPriority()); isEnough {
+			workers = append(workers, h.worker)
+		}
+	}
+	d.sendAdviceCall(c.step, workers)
+	return len(workers) > 0
+}
+
 // victimsOn returns the less urgent runs on a worker that have to be stopped for a demand, cheapest first, and the
 // processor time lost with them, in core-seconds. isEnough is false if stopping all of them wouldn't suffice.
 func (d *Dispatcher) victimsOn(w *worker, free, demand resource.Vector, priority int32) (victims []*run, cost float64, isEnough bool) {
