platform: orders on zones name the number of orders that they follow

Cause: nothing orders an order on a zone against others, so that the last one to arrive holds. The end of its sender's connection comes after it.

Evidence: the leader commits a fourth order when the delayed request is delivered, 1.2 s after the host woke, under the same epoch.

Change: the state counts the orders on each zone. Leaders of earlier versions get orders without a number, and a leader accepts these, so that versions can run side by side.

--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -44,8 +44,7 @@
 		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_ReplaceRouting{ReplaceRouting: kind.ReplaceRouting}}
 		return d.commit(r, change, "routing", kind.ReplaceRouting.GetVersion())
 	case *controlpb.WorkRequest_SetZoneOut:
-		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: kind.SetZoneOut}}
-		return d.commit(r, change, "zone", kind.SetZoneOut.GetZone())
+		return d.setZoneOut(r, kind.SetZoneOut)
 	case *controlpb.WorkRequest_BeginMaintenance:
 		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_BeginMaintenance{BeginMaintenance: kind.BeginMaintenance}}
 		return d.commit(r, change, "maintenance", kind.BeginMaintenance.GetWave())
@@ -71,12 +70,44 @@
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
 		}
 		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, Completed: workload.IsWaveComplete(wave)})
+	case *controlpb.WorkRequest_ReadZone:
+		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, ZoneOrders: d.state.ZoneOrders(kind.ReadZone.GetZone())})
 	case *controlpb.WorkRequest_Ping:
 		return outcome(controlpb.WorkOutcome_WORK_OK)
 	}
 	return &controlpb.LeaderReply{Result: &controlpb.Result{Code: controlpb.ResultCode_RESULT_INVALID, Message: "a request that this version doesn't know"}}
 }
 
+// setZoneOut proposes an operator's order on a zone. It rejects an order that another one has followed: it was delayed on its way, and would undo
+// what the operator has ordered since.
+func (d *Dispatcher) setZoneOut(r *controlpb.LeaderRequest, change *controlpb.SetZoneOut) (*controlpb.LeaderReply, bool) {
+	zone := change.GetZone()
+	if change.AfterOrders != nil {
+		if orders := d.state.ZoneOrders(zone); orders != change.GetAfterOrders() {
+			d.config.Count("ZoneOrdersSuperseded")
+			d.config.Log.Info("order on a zone is superseded", "Zone", zone, "Out", change.GetOut(), "AfterOrders", change.GetAfterOrders(), "Orders", orders)
+			return &controlpb.LeaderReply{Result: &controlpb.Result{Code: controlpb.ResultCode_RESULT_REJECTED, Message: "a later order on the zone is known"}}, false
+		}
+		if d.openZoneOrders[zone] > 0 {
+			return unavailable("another order on the zone is being committed"), false
+		}
+	}
+	d.openZoneOrders[zone]++
+	d.awaitReply(r)
+	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: change}}, func(result *controlpb.Result) {
+		if d.openZoneOrders[zone]--; d.openZoneOrders[zone] == 0 {
+			delete(d.openZoneOrders, zone)
+		}
+		if result == nil {
+			d.reply(r, unknown("the leader has changed"))
+			return
+		}
+		d.config.Log.Info("operator's change committed", "Change", "zone", "Subject", zone, "Out", change.GetOut(), "Orders", d.state.ZoneOrders(zone), "Epoch", d.epoch)
+		d.reply(r, &controlpb.LeaderReply{Result: result, Work: &controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK}})
+	})
+	return nil, true
+}
+
 // commit proposes an operator's change and replies to the request once the change is decided.
 func (d *Dispatcher) commit(r *controlpb.LeaderRequest, change *controlpb.WorkChange, changeName string, subject any) (*controlpb.LeaderReply, bool) {
 	d.proposeAndReply(r, change, func(result *controlpb.Result) *controlpb.LeaderReply {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -31,6 +31,9 @@
 	for _, e := range s.epochs {
 		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
 	}
+	for _, zone := range slices.Sorted(maps.Keys(s.zoneOrders)) {
+		snapshot.ZoneOrders = append(snapshot.ZoneOrders, &controlpb.ZoneOrders{Zone: zone, Count: s.zoneOrders[zone]})
+	}
 	for _, address := range slices.Sorted(maps.Keys(s.unsettled)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, s.unsettled[address])
 	}
@@ -99,6 +102,9 @@
 	for _, zone := range snapshot.GetZonesOut() {
 		s.zonesOut[zone] = true
 	}
+	for _, orders := range snapshot.GetZoneOrders() {
+		s.zoneOrders[orders.GetZone()] = orders.GetCount()
+	}
 	for _, incarnation := range snapshot.GetWorkers() {
 		s.insertWorker(proto.CloneOf(incarnation))
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -38,6 +38,8 @@
 	pools    map[string]*controlpb.WorkPool
 	zonesOut map[string]bool
 
+	zoneOrders map[string]uint64 // number of orders on each zone so far
+
 	workers          map[uint32]*Worker
 	workersByID      map[string]*Worker
 	lastWorkerNumber uint32
@@ -69,6 +71,7 @@
 		queues:      map[string]*controlpb.WorkQueue{},
 		pools:       map[string]*controlpb.WorkPool{},
 		zonesOut:    map[string]bool{},
+		zoneOrders:  map[string]uint64{},
 		workers:     map[uint32]*Worker{},
 		workersByID: map[string]*Worker{},
 		lostWorkers: map[string]*controlpb.LostWorker{},
@@ -164,6 +167,9 @@
 // IsZoneOut reports whether operators have taken an availability zone out of service.
 func (s *State) IsZoneOut(zone string) bool { return s.zonesOut[zone] }
 
+// ZoneOrders returns the number of orders on an availability zone so far.
+func (s *State) ZoneOrders(zone string) uint64 { return s.zoneOrders[zone] }
+
 // Epoch returns the latest leader's epoch, on which the fencing tokens of its calls are based.
 func (s *State) Epoch() uint64 { return s.epoch }
 
@@ -247,6 +253,7 @@
 }
 
 func (s *State) setZoneOut(change *controlpb.SetZoneOut) *controlpb.Result {
+	s.zoneOrders[change.GetZone()]++
 	if change.GetOut() {
 		s.zonesOut[change.GetZone()] = true
 	} else {
