dispatch: a cancelled job doesn't start when its submission comes later

Seen: a caller cancels a job whose submission got no answer, and gets 410.

Cause: the cancellation of a job that isn't known left no trace.

A leader that accepts a job of such an ID proposes its cancellation right behind.

Why it works: both changes are in one sequence of the log, so that no pass sees the job between them. Replicas of earlier versions carry out the same changes; they only don't remember the cancellation.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -176,6 +176,7 @@
 	outbox          []proposal // changes to propose by the next flush
 	proposed        map[*controlpb.Command][]proposal
 	submitting      map[string][]*controlpb.LeaderRequest // requests whose job is proposed, by job ID
+	withdrawing     map[string]int                        // number of proposed cancellations of each unknown job
 	openZoneOrders  map[string]int                        // number of orders on each zone that are proposed and not yet decided
 	announced       map[string]bool                       // workers whose change of incarnation is proposed
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
@@ -231,7 +232,7 @@
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]proposal{}
 	d.submitting = map[string][]*controlpb.LeaderRequest{}
-	d.openZoneOrders = map[string]int{}
+	d.withdrawing, d.openZoneOrders = map[string]int{}, map[string]int{}
 	d.announced = map[string]bool{}
 	d.pendingRequests = map[*controlpb.LeaderRequest]uint64{}
 	d.epoch, d.epochPending = 0, false
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -183,13 +183,14 @@
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
 	received := d.now
+	isWithdrawn := d.isWithdrawn(id)
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}, func(result *controlpb.Result) {
 		reply := unknown("the leader has changed")
 		if result != nil {
 			d.config.Count("JobsAccepted")
 			d.observeArrival(job)
 			d.config.Observe("Accept", d.now.Sub(received))
-			d.config.Log.Info("job accepted", "Job", id, "Queue", queue.GetName(), "Steps", len(job.GetSteps()), "Routing", d.state.Routing().GetVersion())
+			d.config.Log.Info("job accepted", "Job", id, "Queue", queue.GetName(), "Steps", len(job.GetSteps()), "Routing", d.state.Routing().GetVersion(), "Withdrawn", isWithdrawn)
 			reply = outcome(controlpb.WorkOutcome_WORK_OK)
 		}
 		for _, waiting := range d.submitting[id] {
@@ -197,9 +198,21 @@
 		}
 		delete(d.submitting, id)
 	})
+	if isWithdrawn {
+		d.propose(cancellation(id), func(*controlpb.Result) {})
+	}
 	return nil, true
 }
 
+// isWithdrawn reports whether the cancellation of a job that isn't known is recorded or proposed.
+func (d *Dispatcher) isWithdrawn(id string) bool {
+	return d.state.IsWithdrawn(id) || d.withdrawing[id] > 0
+}
+
+func cancellation(id string) *controlpb.WorkChange {
+	return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: id}}}
+}
+
 // refuse rejects a job that hasn't been proposed, so that it certainly never runs. The inputs of the decision are logged, as
 // alternating names and values.
 func (d *Dispatcher) refuse(queue *controlpb.WorkQueue, id, reason string, retryAfter time.Duration, inputs ...any) *controlpb.LeaderReply {
@@ -209,13 +222,16 @@
 	return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OVERLOADED, RetryAfterMs: retryAfter.Milliseconds()})
 }
 
-// cancel cancels a job. The reply says WORK_NOT_FOUND if there is none.
+// cancel cancels a job. The reply says WORK_NOT_FOUND if there is none. That is recorded first, because the submission of the job may be
+// on its way.
 func (d *Dispatcher) cancel(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string) (*controlpb.LeaderReply, bool) {
-	if state, _ := d.state.Lookup(id); state == controlpb.WorkState_WORK_UNKNOWN && d.submitting[id] == nil {
+	if id == "" {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
-	change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: id}}}
-	d.proposeAndReply(r, change, func(result *controlpb.Result) *controlpb.LeaderReply {
+	if state, _ := d.state.Lookup(id); state == controlpb.WorkState_WORK_UNKNOWN && d.submitting[id] == nil {
+		return d.withdraw(r, id)
+	}
+	d.proposeAndReply(r, cancellation(id), func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_NOT_FOUND {
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
 		}
@@ -226,6 +242,30 @@
 	return nil, true
 }
 
+// maxWithdrawnID is the length in bytes up to which the ID of an unknown job is recorded. Callers choose IDs of 16 characters.
+const maxWithdrawnID = 256
+
+// withdraw records the cancellation of an unknown job.
+func (d *Dispatcher) withdraw(r *controlpb.LeaderRequest, id string) (*controlpb.LeaderReply, bool) {
+	if len(id) > maxWithdrawnID || d.state.IsWithdrawn(id) {
+		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+	}
+	d.withdrawing[id]++
+	d.awaitReply(r)
+	d.propose(cancellation(id), func(result *controlpb.Result) {
+		if d.withdrawing[id]--; d.withdrawing[id] == 0 {
+			delete(d.withdrawing, id)
+		}
+		if result == nil {
+			d.reply(r, unknown("the leader has changed"))
+			return
+		}
+		d.config.Log.Info("unknown job cancelled", "Job", id)
+		d.reply(r, outcome(controlpb.WorkOutcome_WORK_NOT_FOUND))
+	})
+	return nil, true
+}
+
 // announce handles a worker's announcement of itself. One without changes is acknowledged immediately.
 func (d *Dispatcher) announce(r *controlpb.LeaderRequest, a *controlpb.AnnounceLife) (*controlpb.LeaderReply, bool) {
 	incarnation := a.GetLife()
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -272,13 +272,14 @@
 	return &controlpb.Result{}
 }
 
-// cancel cancels a job that isn't terminal. It is idempotent.
+// cancel cancels a job that isn't terminal, and remembers the cancellation of one that isn't known. It is idempotent.
 func (s *State) cancel(c *controlpb.CancelWork) *controlpb.Result {
 	j := s.jobs[c.GetId()]
 	if j == nil {
 		if s.finished[c.GetId()] != nil {
 			return &controlpb.Result{}
 		}
+		s.withdraw(c.GetId())
 		return errorResult(controlpb.ResultCode_RESULT_NOT_FOUND, "no such job")
 	}
 	if !j.IsTerminal() {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -27,6 +27,7 @@
 		LedMs:       s.ledMs,
 		Crashes:     slices.Clone(s.crashes),
 		LostWorkers: s.lostByID(),
+		Withdrawn:   slices.Clone(s.withdrawnOrder),
 	}
 	for _, e := range s.epochs {
 		snapshot.Epochs = append(snapshot.Epochs, proto.CloneOf(e))
@@ -96,6 +97,7 @@
 	}
 	s.learnPairs(&controlpb.LearnPairs{Pairs: snapshot.GetPairs()})
 	s.restoreLost(snapshot)
+	s.restoreWithdrawn(snapshot.GetWithdrawn())
 	for _, loss := range snapshot.GetUnsettled() {
 		s.unsettled[loss.GetAddress()] = loss
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -56,13 +56,17 @@
 	jobOrder      []*Job // in order of submission
 	finished      map[string]*controlpb.FinishedWork
 	finishedOrder []*controlpb.FinishedWork // in order of completion, oldest first
-	maintenance   map[uint64]*controlpb.Maintenance
-	pairs         map[imagePair]float64 // log-odds that the aggressor interferes with the victim
-	epoch         uint64
-	newestEpoch   *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
-	time          int64                 // time of the latest command, in Unix milliseconds
-	elapsedMs     int64                 // see Elapsed
-	ledMs         int64                 // for which the leader of the latest epoch had led when it proposed its newest batch
+
+	withdrawn      map[string]*controlpb.WithdrawnWork
+	withdrawnOrder []*controlpb.WithdrawnWork // in order of cancellation, oldest first
+
+	maintenance map[uint64]*controlpb.Maintenance
+	pairs       map[imagePair]float64 // log-odds that the aggressor interferes with the victim
+	epoch       uint64
+	newestEpoch *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
+	time        int64                 // time of the latest command, in Unix milliseconds
+	elapsedMs   int64                 // see Elapsed
+	ledMs       int64                 // for which the leader of the latest epoch had led when it proposed its newest batch
 }
 
 // New returns an empty state.
@@ -78,6 +82,7 @@
 		unsettled:   map[string]*controlpb.UnsettledLoss{},
 		jobs:        map[string]*Job{},
 		finished:    map[string]*controlpb.FinishedWork{},
+		withdrawn:   map[string]*controlpb.WithdrawnWork{},
 		maintenance: map[uint64]*controlpb.Maintenance{},
 		pairs:       map[imagePair]float64{},
 	}
@@ -94,6 +99,7 @@
 	s.settle(batch)
 	s.pruneCrashes()
 	s.pruneFinished()
+	s.pruneWithdrawn()
 	return &controlpb.Result{Results: results}
 }
 
