dispatch: count the unavailable tasks of a step once per search

Seen: a leader works for 229 ms at a time while a lasting task waits beside a job of 2,400 lasting tasks with a disruption budget on 12 hosts.

Cause: whether a run may be stopped was decided by counting all tasks of its step, for each run of each host in a search for tasks to move or in a drain.

Change: a search counts them once per step, and a drain again after each stop.

--- a/internal/decision/dispatch/large_job_test.go
+++ b/internal/decision/dispatch/large_job_test.go
@@ -203,3 +203,23 @@
 		t.Errorf("a step of the control loop takes %v, longer than a heartbeat interval, %v", longest, consensus.DefaultHeartbeatInterval)
 	}
 }
+
+// TestRelocationAmongManyTasks guards against a search for tasks to move that counts, for each of the runs on all hosts, all tasks of a job of thousands.
+func TestRelocationAmongManyTasks(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 12)
+	wide := small(2400, 0)
+	wide.Processors, wide.Perpetual, wide.Image, wide.TargetMs, wide.MayMiss, wide.MaxPerWorker = 120, true, "image", 100, 10, 200
+	sim.submit("urgent", "wide", wide)
+	sim.run(20 * time.Second)
+	if runs := sim.servingRuns("wide"); runs != 2400 {
+		t.Fatalf("%d lasting tasks run, expected 2400", runs)
+	}
+	longest := time.Duration(0)
+	sim.onStep = func(_ string, took time.Duration) { longest = max(longest, took) }
+	sim.request(submission("urgent", "waiting", servingWith(2, 12_000)))
+	sim.run(10 * time.Second)
+	t.Logf("longest step of the control loop: %v", longest)
+	if longest > consensus.DefaultHeartbeatInterval {
+		t.Errorf("a step of the control loop takes %v, longer than a heartbeat interval, %v", longest, consensus.DefaultHeartbeatInterval)
+	}
+}
--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -7,6 +7,7 @@
 	"galenamoor/internal/controlpb"
 	"galenamoor/internal/decision/maintenance"
 	"galenamoor/internal/decision/order"
+	"galenamoor/internal/decision/workload"
 )
 
 const (
@@ -122,9 +123,11 @@
 // drain stops the runs on a host, and orders its maintenance once none is left. That is recorded first: an order may be
 // carried out late, so a later leader has to repeat it before it orders the maintenance of other hosts.
 func (d *Dispatcher) drain(host string, draining *drainingHost, w *worker) {
+	budgets := d.disruptionBudgets()
 	for r := range w.liveRuns() {
-		if !r.stopRequested && d.mayStop(r) {
+		if !r.stopRequested && budgets.allowsStop(r) {
 			d.requestStop(r, "its host is being drained for maintenance")
+			delete(budgets.unavailable, r.task.Step)
 		}
 	}
 	if len(w.incarnation.Runs) > 0 || len(w.proposedRuns) > 0 || draining.ordering || draining.recording || d.now.Before(draining.orderAt) {
@@ -139,18 +142,36 @@
 	d.config.WorkerCalls.Send(&order.Call{Kind: order.Maintain, Epoch: d.epoch, Fence: d.epoch, Sent: d.now, Host: host, Wave: draining.wave})
 }
 
-// mayStop reports whether a run may be stopped for maintenance. The step's disruption budget (MayMiss) counts all
-// unavailable tasks, whatever the cause.
-func (d *Dispatcher) mayStop(r *run) bool {
+// disruptionBudgets tells which runs may be stopped. It counts the tasks of a step once, so that it is valid only until something changes.
+type disruptionBudgets struct {
+	dispatcher  *Dispatcher
+	unavailable map[*workload.Step]int // number of tasks that aren't serving
+}
+
+func (d *Dispatcher) disruptionBudgets() disruptionBudgets {
+	return disruptionBudgets{dispatcher: d, unavailable: map[*workload.Step]int{}}
+}
+
+// mayStop reports whether a run may be stopped for maintenance or to make room.
+func (d *Dispatcher) mayStop(r *run) bool { return d.disruptionBudgets().allowsStop(r) }
+
+// allowsStop does so too. The step's disruption budget (MayMiss) counts all unavailable tasks, whatever the cause.
+func (b disruptionBudgets) allowsStop(r *run) bool {
 	step := r.task.Step
 	if !step.GetPerpetual() || step.GetMayMiss() == 0 || r.progress < servingProgress {
 		return true
 	}
-	unavailable := 0
-	for _, task := range step.Tasks {
-		if task != r.task && !d.isServing(task) {
-			unavailable++
+	unavailable, isCounted := b.unavailable[step]
+	if !isCounted {
+		for _, task := range step.Tasks {
+			if !b.dispatcher.isServing(task) {
+				unavailable++
+			}
 		}
+		b.unavailable[step] = unavailable
+	}
+	if !b.dispatcher.isServing(r.task) {
+		unavailable--
 	}
 	return unavailable < int(step.GetMayMiss())
 }
--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -242,11 +242,11 @@
 	sim := newFullHosts(t, 1, 1)
 	d, tasks := sim.dispatcher, sim.state.Job("target").Occurrences[0][0].Tasks
 	first, second := d.runs[workload.RunKey{Task: tasks[0].Key(), Run: 1}], d.runs[workload.RunKey{Task: tasks[1].Key(), Run: 1}]
-	if !d.mayMove(first) {
+	if !d.mayMove(first, d.disruptionBudgets()) {
 		t.Fatal("a task may not be moved while all others serve")
 	}
 	second.progress = 0
-	if d.mayMove(first) {
+	if d.mayMove(first, d.disruptionBudgets()) {
 		t.Error("a task may be moved while another one isn't ready")
 	}
 }
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -106,21 +106,22 @@
 	idle := func(h compactable) int64 { return h.worker.idle.atMost(h.Free).Processors }
 	slices.SortStableFunc(found, func(a, b compactable) int { return cmp.Compare(idle(b), idle(a)) })
 	found = found[:min(len(found), compaction.MaxHosts)]
+	budgets := d.disruptionBudgets()
 	for i := range found {
-		found[i].runs = d.movableRuns(found[i].worker)
+		found[i].runs = d.movableRuns(found[i].worker, budgets)
 	}
 	return found
 }
 
 // movableRuns returns the runs that may be moved from a worker, in a fixed order.
-func (d *Dispatcher) movableRuns(w *worker) []*run {
+func (d *Dispatcher) movableRuns(w *worker, budgets disruptionBudgets) []*run {
 	var movable []*run
 	for r := range w.liveRuns() {
-		if d.mayMove(r) {
+		if d.mayMove(r, budgets) {
 			movable = append(movable, r)
 		}
 	}
-	slices.SortFunc(movable, func(a, b *run) int { return cmp.Compare(a.key.Task.String(), b.key.Task.String()) })
+	slices.SortFunc(movable, func(a, b *run) int { return a.key.Compare(b.key) })
 	return movable
 }
 
@@ -133,8 +134,8 @@
 }
 
 // mayMove reports whether a run may be stopped to be started on another host.
-func (d *Dispatcher) mayMove(r *run) bool {
+func (d *Dispatcher) mayMove(r *run, budgets disruptionBudgets) bool {
 	step := r.task.Step
 	return kindOf(step) == colocation.Serving && !step.GetGang() && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress &&
-		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && d.mayStop(r)
+		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && budgets.allowsStop(r)
 }
