workload: tasks exist only while they may run

All controllers are killed, again after each restart.

Change: the tasks of an occurrence exist from when one of them is looked up until all are done. Jobs are rejected by an estimate of what may exist at the same time, too.

Why it works: the memory follows from what is due, not from what is scheduled, and what is due is bounded when a job is accepted.

--- a/internal/decision/dispatch/common_cause_test.go
+++ b/internal/decision/dispatch/common_cause_test.go
@@ -14,13 +14,9 @@
 func (sim *simulation) suspects() []string {
 	var names []string
 	for _, job := range sim.state.Jobs() {
-		for _, steps := range job.Occurrences {
-			for _, step := range steps {
-				for _, task := range step.Tasks {
-					if task.IsSuspect() {
-						names = append(names, task.Key().String())
-					}
-				}
+		for task := range job.CurrentTasks() {
+			if task.IsSuspect() {
+				names = append(names, task.Key().String())
 			}
 		}
 	}
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -178,6 +178,7 @@
 	submitting      map[string][]*controlpb.LeaderRequest // requests whose job is proposed, by job ID
 	withdrawing     map[string]int                        // number of proposed cancellations of each unknown job
 	openZoneOrders  map[string]int                        // number of orders on each zone that are proposed and not yet decided
+	submittingLoad  int                                   // of these jobs, see workload.Load
 	announced       map[string]bool                       // workers whose change of incarnation is proposed
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
 	pendingRequests map[*controlpb.LeaderRequest]uint64   // requests that wait for a deferred reply, numbered as they came
@@ -231,7 +232,7 @@
 	d.recordingMaintained = map[maintainedKey]bool{}
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]proposal{}
-	d.submitting = map[string][]*controlpb.LeaderRequest{}
+	d.submitting, d.submittingLoad = map[string][]*controlpb.LeaderRequest{}, 0
 	d.withdrawing, d.openZoneOrders = map[string]int{}, map[string]int{}
 	d.announced = map[string]bool{}
 	d.pendingRequests = map[*controlpb.LeaderRequest]uint64{}
--- a/internal/decision/dispatch/flapping_test.go
+++ b/internal/decision/dispatch/flapping_test.go
@@ -189,7 +189,7 @@
 			w.countUnproven(sim.state.Job("other"), false, 1)
 		}
 	}
-	sim.endSuspect(sim.state.Job("a").Occurrences[0][0].Tasks[0])
+	sim.endSuspect(sim.state.Job("a").Steps(0)[0].Tasks[0])
 	if worker := sim.workerOf("a"); worker == unstable {
 		t.Error("the task starts on the host that has just crashed")
 	}
@@ -215,7 +215,7 @@
 				sim := newSimulationWithWorkers(t, seed, 24)
 				sim.replaceRouting(2, 2)
 				sim.submit("urgent", "a", serving(1, "web"))
-				task, first := sim.state.Job("a").Occurrences[0][0].Tasks[0], sim.workerOf("a")
+				task, first := sim.state.Job("a").Steps(0)[0].Tasks[0], sim.workerOf("a")
 				for i, worker := range sim.workers {
 					if i/4%2 == 0 && worker != first {
 						worker.fail(time.Second, false)
@@ -262,7 +262,7 @@
 	}
 	sim.run(8 * time.Second)
 	running, paused := sim.servingRuns("a"), 0
-	for _, task := range sim.state.Job("a").Occurrences[0][0].Tasks {
+	for _, task := range sim.state.Job("a").Steps(0)[0].Tasks {
 		if task.IsPaused(sim.now) {
 			paused++
 		}
--- a/internal/decision/dispatch/headroom_test.go
+++ b/internal/decision/dispatch/headroom_test.go
@@ -99,7 +99,7 @@
 				if sim.submit("urgent", fmt.Sprint("further-", i), further) == controlpb.WorkOutcome_WORK_OK {
 					accepted++
 				}
-				interrupted = sim.state.Job("serving").Occurrences[0][0].Waiting
+				interrupted = sim.state.Job("serving").Steps(0)[0].Waiting
 			}
 			if accepted > 0 {
 				t.Errorf("%d serving jobs are accepted into the room of the tasks of leaving workers, of which %d wait", accepted, interrupted)
--- a/internal/decision/dispatch/hold_lasting_test.go
+++ b/internal/decision/dispatch/hold_lasting_test.go
@@ -50,7 +50,7 @@
 
 // stepOf returns the only step of a job.
 func (sim *simulation) stepOf(job string) *workload.Step {
-	return sim.state.Job(job).Occurrences[0][0]
+	return sim.state.Job(job).Steps(0)[0]
 }
 
 // hostsWithRoom returns the number of usable workers with free room for a task of a step.
--- a/internal/decision/dispatch/hold_test.go
+++ b/internal/decision/dispatch/hold_test.go
@@ -56,9 +56,11 @@
 // waitingLasting returns the number of lasting tasks without a run.
 func (sim *simulation) waitingLasting() int {
 	waiting := 0
-	for step := range sim.dispatcher.waitingSteps(sim.now) {
-		if step.GetPerpetual() {
-			waiting += step.Waiting
+	for _, job := range sim.state.Jobs() {
+		for _, step := range job.WaitingSteps(sim.now, 0) {
+			if step.GetPerpetual() && !job.IsTerminal() {
+				waiting += step.Waiting
+			}
 		}
 	}
 	return waiting
@@ -243,7 +245,7 @@
 			id := job.Spec.GetId()
 			switch {
 			case strings.HasPrefix(id, "lasting-"):
-				lost += job.Occurrences[0][0].Waiting
+				lost += job.Steps(0)[0].Waiting
 			case strings.HasPrefix(id, "later-"):
 				later += job.LiveRuns()
 			}
--- a/internal/decision/dispatch/inherited_stop.go
+++ b/internal/decision/dispatch/inherited_stop.go
@@ -16,9 +16,9 @@
 // inheritStops reserves room for the tasks of which earlier leaders have lately recorded that they were stopped.
 func (d *Dispatcher) inheritStops() {
 	wall := d.config.Wall()
-	for step := range d.waitingSteps(wall) {
-		for _, task := range step.Tasks {
-			if wall.Sub(time.UnixMilli(task.StoppedMs)) < relocationTimeout {
+	for _, job := range d.state.Jobs() {
+		for task := range job.CurrentTasks() {
+			if hasWaiting(task.Step, wall) && wall.Sub(time.UnixMilli(task.StoppedMs)) < relocationTimeout {
 				d.returnStopped(task)
 			}
 		}
--- a/internal/decision/dispatch/inherited_stop_test.go
+++ b/internal/decision/dispatch/inherited_stop_test.go
@@ -53,7 +53,7 @@
 	newHostService(sim, 1)
 	sim.submit("urgent", "a", serving(1, "image"))
 	sim.run(3 * time.Second)
-	task := sim.state.Job("a").Occurrences[0][0].Tasks[0]
+	task := sim.state.Job("a").Steps(0)[0].Tasks[0]
 	w := sim.dispatcher.workers[task.Runs[0].Worker]
 	for _, worker := range sim.workers {
 		worker.stopTime = 400 * time.Millisecond
--- a/internal/decision/dispatch/interrupted_test.go
+++ b/internal/decision/dispatch/interrupted_test.go
@@ -20,7 +20,7 @@
 	for _, w := range sim.workers[:lost] {
 		w.up = false
 	}
-	interrupted := sim.state.Job("running").Occurrences[0][0]
+	interrupted := sim.state.Job("running").Steps(0)[0]
 	for interrupted.Waiting < lost {
 		sim.run(10 * time.Millisecond)
 	}
@@ -35,7 +35,7 @@
 		if restarted == 0 && interrupted.Waiting == 0 {
 			restarted = sim.now.Sub(since)
 		}
-		if started == 0 && sim.state.Job("new").Occurrences[0][0].Waiting == 0 {
+		if started == 0 && sim.state.Job("new").Steps(0)[0].Waiting == 0 {
 			started = sim.now.Sub(since)
 		}
 	}
--- a/internal/decision/dispatch/isolation_test.go
+++ b/internal/decision/dispatch/isolation_test.go
@@ -72,7 +72,7 @@
 					sim.submit("urgent", "lasting", step)
 					sim.run(2 * time.Second)
 					sim.disquiet()
-					steps := sim.state.Job("lasting").Occurrences[0]
+					steps := sim.state.Job("lasting").Steps(0)
 					for i, task := range steps[0].Tasks {
 						sim.after(time.Duration(i)*interval, func() { sim.endSuspect(task) })
 					}
@@ -95,7 +95,7 @@
 	sim.submit("urgent", "lasting", step)
 	sim.run(2 * time.Second)
 	sim.disquiet()
-	gang := sim.state.Job("lasting").Occurrences[0][0]
+	gang := sim.state.Job("lasting").Steps(0)[0]
 	for i, task := range gang.Tasks {
 		sim.endSuspect(task)
 		task.Crashes = 0
--- a/internal/decision/dispatch/large_job_test.go
+++ b/internal/decision/dispatch/large_job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,7 +170,7 @@
 		return small(1, 200*time.Millisecond)
 	})...)
 	sim.run(10 * time.Second)
-	for _, step := range sim.state.Job("a").Occurrences[0][impossible:] {
+	for _, step := range sim.state.Job("a").Steps(0)[impossible:] {
 		if step.Unfinished > 0 {
 			t.Fatalf("step %d isn't done", step.Number)
 		}
@@ -223,3 +224,38 @@
 		t.Errorf("a step of the control loop takes %v, longer than a heartbeat interval, %v", longest, consensus.DefaultHeartbeatInterval)
 	}
 }
+
+// TestLargeJobsAreBounded guards against accepted jobs that together take more memory than a controller has.
+func TestLargeJobsAreBounded(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	for name, job := range map[string]*controlpb.WorkJob{
+		"tasks":          {Steps: []*controlpb.WorkStep{small(20_000, time.Hour)}},
+		"steps":          {Steps: manySteps(12_000, func(int) *controlpb.WorkStep { return small(1, time.Hour) })},
+		"occurrences":    {Steps: []*controlpb.WorkStep{small(1, time.Hour)}, Repeats: 20_000, StartAtMs: sim.now.Add(time.Hour).UnixMilli(), PeriodMs: 1},
+		"specifications": {Spec: strings.Repeat("x", 4<<20), Steps: []*controlpb.WorkStep{small(1, time.Hour)}}, // sixteen times a body
+	} {
+		for n := range 60 {
+			work := submission("batch", fmt.Sprint(name, n), job.GetSteps()...)
+			if job.GetSpec() != "" {
+				work.GetCaller().Job.Spec = job.GetSpec()
+			}
+			work.GetCaller().Job.Repeats, work.GetCaller().Job.StartAtMs, work.GetCaller().Job.PeriodMs = job.GetRepeats(), job.GetStartAtMs(), job.GetPeriodMs()
+			sim.request(work) // several before the first one is committed
+			if n%5 == 4 {
+				sim.run(50 * time.Millisecond)
+			}
+		}
+		sim.run(100 * time.Millisecond)
+		load := sim.state.Load()
+		if load > maxLoad*nonUrgentShare || load < maxLoad/2 {
+			t.Errorf("%s: jobs with a load of %d are accepted, expected at most %d", name, load, int(maxLoad*nonUrgentShare))
+		}
+		if got := sim.submit("urgent", name+"-urgent", dedicated(1, time.Second)); got != controlpb.WorkOutcome_WORK_OK {
+			t.Errorf("%s: an urgent job beside them: %v", name, got)
+		}
+		for n := range 60 {
+			sim.cancel(fmt.Sprint(name, n))
+		}
+		sim.run(5 * time.Second)
+	}
+}
--- a/internal/decision/dispatch/maintenance_test.go
+++ b/internal/decision/dispatch/maintenance_test.go
@@ -111,7 +111,7 @@
 			}
 		}
 	}
-	if step := sim.state.Job(id).Occurrences[0][0]; len(step.Tasks)-running > maxUnavailable {
+	if step := sim.state.Job(id).Steps(0)[0]; len(step.Tasks)-running > maxUnavailable {
 		sim.t.Errorf("%v: %d of %d tasks of %s run, at most %d may be unavailable", sim.now, running, len(step.Tasks), id, maxUnavailable)
 	}
 }
--- a/internal/decision/dispatch/overload.go
+++ b/internal/decision/dispatch/overload.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/workload"
 )
 
 // When callers submit jobs faster than they can be done for a long time, the backlog would exhaust the memory of the
@@ -13,7 +14,10 @@
 	// maxJobs bounds the unfinished jobs. At 6 KiB each for specification and tasks, they take 24 MiB.
 	maxJobs = 4000
 
-	// nonUrgentShare is the share of maxJobs available to jobs of less urgent queues, so that a flood of them leaves
+	// maxLoad bounds the sum of the loads of these jobs (workload.Load). At some 170 bytes for each task they take 85 MB.
+	maxLoad = 500_000
+
+	// nonUrgentShare is the share of maxJobs and maxLoad available to jobs of less urgent queues, so that a flood of them leaves
 	// room for urgent ones.
 	nonUrgentShare = 0.75
 
@@ -22,13 +26,14 @@
 	overloadRetryDelay = 3 * time.Second
 )
 
-// overloaded reports whether the job limit of a queue is reached, and when the caller should retry.
-func (d *Dispatcher) overloaded(queue *controlpb.WorkQueue) (retryAfter time.Duration, isOverloaded bool) {
-	limit := maxJobs
+// overloaded reports whether a job would exceed a limit of its queue, and when the caller should retry.
+func (d *Dispatcher) overloaded(queue *controlpb.WorkQueue, job *controlpb.WorkJob) (retryAfter time.Duration, isOverloaded bool) {
+	share := 1.0
 	if queue.GetPriority() > 0 {
-		limit = int(nonUrgentShare * maxJobs)
+		share = nonUrgentShare
 	}
-	return overloadRetryDelay, d.unfinished() >= limit
+	isOverloaded = d.unfinished() >= int(share*maxJobs) || d.state.Load()+d.submittingLoad+workload.Load(job) > int(share*maxLoad)
+	return overloadRetryDelay, isOverloaded
 }
 
 // unfinished counts the proposed jobs and the accepted ones that are unfinished or still have live runs.
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -336,22 +335,6 @@
 	return step.Waiting > 0 && !step.Job.IsTerminal() && step.IsReady(wall)
 }
 
-// waitingSteps returns the steps that are ready and have waiting tasks.
-func (d *Dispatcher) waitingSteps(wall time.Time) iter.Seq[*workload.Step] {
-	return func(yield func(*workload.Step) bool) {
-		for _, job := range d.state.Jobs() {
-			if job.IsTerminal() {
-				continue
-			}
-			for _, step := range job.WaitingSteps(wall, 0) {
-				if !yield(step) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // candidate rates the timeliness of a step's job: whether the job is expected to finish within its objective.
 func (d *Dispatcher) candidate(wall time.Time, step *workload.Step, queue *controlpb.WorkQueue) candidate {
 	job := step.Job
--- a/internal/decision/dispatch/proof_test.go
+++ b/internal/decision/dispatch/proof_test.go
@@ -49,7 +49,7 @@
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulationWithWorkers(t, 1, 8)
 			sim.submit("urgent", "a", serving(1, "web"))
-			task := sim.state.Job("a").Occurrences[0][0].Tasks[0]
+			task := sim.state.Job("a").Steps(0)[0].Tasks[0]
 			task.Crashes, task.Suspicions = 2, 2
 			sim.workerOf("a")
 			if inherited {
--- a/internal/decision/dispatch/relocation_faults_test.go
+++ b/internal/decision/dispatch/relocation_faults_test.go
@@ -123,7 +123,7 @@
 	if live := sim.state.Job("first").LiveRuns(); live != 1 {
 		t.Fatalf("the end of the first task is recorded")
 	}
-	second := sim.state.Job("second").Occurrences[0][0].Tasks[0]
+	second := sim.state.Job("second").Steps(0)[0].Tasks[0]
 	sim.changeLeader()
 	sim.run(8 * time.Second)
 	if run := second.LastRun; run != 1 {
@@ -162,7 +162,7 @@
 		step := servingWith(1, 30_000)
 		sim.request(submission("urgent", "large", step))
 		sim.run(50 * time.Millisecond)
-		waiting := sim.state.Job("large").Occurrences[0][0]
+		waiting := sim.state.Job("large").Steps(0)[0]
 		c := sim.dispatcher.candidateOf(waiting)
 		sim.dispatcher.relocations.hosts = nil
 		for b.Loop() {
@@ -182,7 +182,7 @@
 	}
 	sim.run(10 * time.Second)
 	for i := range 60 {
-		sim.state.Job(fmt.Sprintf("large-%d", i)).Occurrences[0][0].Tasks[0].LastRun = 1
+		sim.state.Job(fmt.Sprintf("large-%d", i)).Steps(0)[0].Tasks[0].LastRun = 1
 	}
 	for name, ended := range map[string]bool{"with searches": false, "without": true} {
 		b.Run(name, func(b *testing.B) {
@@ -240,7 +240,7 @@
 // A service of which another task isn't ready must not have a task moved beyond its disruption budget.
 func TestNoTaskMovesWhileAnotherIsNotReady(t *testing.T) {
 	sim := newFullHosts(t, 1, 1)
-	d, tasks := sim.dispatcher, sim.state.Job("target").Occurrences[0][0].Tasks
+	d, tasks := sim.dispatcher, sim.state.Job("target").Steps(0)[0].Tasks
 	first, second := d.runs[workload.RunKey{Task: tasks[0].Key(), Run: 1}], d.runs[workload.RunKey{Task: tasks[1].Key(), Run: 1}]
 	if !d.mayMove(first, d.disruptionBudgets()) {
 		t.Fatal("a task may not be moved while all others serve")
--- a/internal/decision/dispatch/relocation_test.go
+++ b/internal/decision/dispatch/relocation_test.go
@@ -77,7 +77,7 @@
 	longest, since := time.Duration(0), waits{}
 	for end := sim.now.Add(d); sim.now.Before(end); sim.run(10 * time.Millisecond) {
 		for _, job := range sim.state.Jobs() {
-			for _, task := range job.Occurrences[0][0].Tasks {
+			for _, task := range job.Steps(0)[0].Tasks {
 				isOut := task.Step.GetPerpetual() && job.Spec.GetId() != except && task.IsWaiting()
 				longest = max(longest, since.observe(task, isOut, sim.now))
 			}
@@ -102,7 +102,7 @@
 // Moving tasks for several waiting ones at once must not exceed the disruption budget of a step to which they belong.
 func TestMovesKeepDisruptionBudget(t *testing.T) {
 	sim := newFullHosts(t, 2, 1)
-	step := sim.state.Job("target").Occurrences[0][0]
+	step := sim.state.Job("target").Steps(0)[0]
 	sim.interrupt()
 	for range 800 {
 		sim.run(10 * time.Millisecond)
@@ -176,7 +176,7 @@
 			}
 			sim.interrupt()
 			job := sim.state.Job("waiting")
-			job.Occurrences[0][0].Tasks[0].LastRun = 0 // as if it had never run
+			job.Steps(0)[0].Tasks[0].LastRun = 0 // as if it had never run
 			for range 20 {
 				arrive()
 				sim.run(250 * time.Millisecond)
--- a/internal/decision/dispatch/relocation_ticket_test.go
+++ b/internal/decision/dispatch/relocation_ticket_test.go
@@ -34,7 +34,7 @@
 			sim.runUntilTicketAsked()
 			sim.run(8 * time.Second)
 			for _, id := range []string{"target", "partner-1"} {
-				for _, task := range sim.state.Job(id).Occurrences[0][0].Tasks {
+				for _, task := range sim.state.Job(id).Steps(0)[0].Tasks {
 					if task.LastRun > 1 || task.IsWaiting() {
 						t.Errorf("%s was moved", task.Key())
 					}
--- a/internal/decision/dispatch/replay_test.go
+++ b/internal/decision/dispatch/replay_test.go
@@ -138,6 +138,6 @@
 	if job == nil {
 		return false
 	}
-	step := job.Occurrences[0][0]
+	step := job.Steps(0)[0]
 	return step.GetPerpetual() && step.Waiting == 0
 }
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -173,8 +173,8 @@
 		d.submitting[id] = append(earlier, r)
 		return nil, true
 	}
-	if retryAfter, isOverloaded := d.overloaded(queue); isOverloaded {
-		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished()), false
+	if retryAfter, isOverloaded := d.overloaded(queue, job); isOverloaded {
+		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished(), "Load", d.state.Load()+d.submittingLoad, "Own", workload.Load(job)), false
 	}
 	if available, needed := d.headroomFor(job); available < needed {
 		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay, "Available", available, "Needed", needed), false
@@ -182,6 +182,7 @@
 	d.awaitReply(r)
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
+	d.submittingLoad += workload.Load(job)
 	received := d.now
 	isWithdrawn := d.isWithdrawn(id)
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}, func(result *controlpb.Result) {
@@ -197,6 +198,7 @@
 			d.reply(waiting, reply)
 		}
 		delete(d.submitting, id)
+		d.submittingLoad -= workload.Load(job)
 	})
 	if isWithdrawn {
 		d.propose(cancellation(id), func(*controlpb.Result) {})
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -791,7 +791,7 @@
 		}
 	}
 	for _, before := range task.Step.GetAfter() {
-		if task.Step.Job.Occurrences[key.Task.Occurrence][before].Unfinished > 0 {
+		if task.Step.Job.Steps(key.Task.Occurrence)[before].Unfinished > 0 {
 			sim.t.Errorf("%s starts before step %d is done", key.Task, before)
 		}
 	}
--- a/internal/decision/workload/assignment_test.go
+++ b/internal/decision/workload/assignment_test.go
@@ -136,7 +136,7 @@
 	t.Helper()
 	s.applyAll(t, 0, beginEpoch())
 	var unsettled []uint32
-	for _, task := range s.Job("a").Occurrences[0][0].Tasks {
+	for _, task := range s.Job("a").Steps(0)[0].Tasks {
 		if _, isUnsettled := s.UnsettledSince(task.Assignment(1)); isUnsettled {
 			unsettled = append(unsettled, task.Index)
 		}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
+
 	"galenamoor/internal/controlpb"
 	"galenamoor/pkg/resource"
 )
@@ -49,16 +51,19 @@
 
 // Job is an accepted job that is unfinished or still has live runs.
 type Job struct {
-	Spec        *controlpb.WorkJob
-	Occurrences [][]*Step // by occurrence and step number
-	Cancelled   bool
-	Failed      bool
-	Started     bool // a run of one of its tasks has been assigned
+	Spec      *controlpb.WorkJob
+	Cancelled bool
+	Failed    bool
+	Started   bool // a run of one of its tasks has been assigned
 
 	unfinished int // tasks that aren't done
 	liveRuns   int // runs that are assigned and not known to have ended
 	order      *stepOrder
 	hasServing bool
+
+	occurrences map[uint32]*occurrence // those that exist
+	completed   *bitset.BitSet         // the occurrences that don't exist any more
+	load        int                    // see Load
 }
 
 // Step is one step of one occurrence of a job.
@@ -215,12 +220,12 @@
 	return controlpb.WorkState_WORK_QUEUED
 }
 
-// Task returns a task of the job, or nil.
+// Task returns a task of the job, or nil if there is none or its whole occurrence is done.
 func (j *Job) Task(key TaskKey) *Task {
-	if int(key.Occurrence) >= len(j.Occurrences) {
+	if key.Occurrence >= j.Occurrences() {
 		return nil
 	}
-	steps := j.Occurrences[key.Occurrence]
+	steps := j.Steps(key.Occurrence)
 	if int(key.Step) >= len(steps) || int(key.Index) >= len(steps[key.Step].Tasks) {
 		return nil
 	}
@@ -237,25 +242,10 @@
 
 // newJob returns a job without any runs.
 func newJob(spec *controlpb.WorkJob) *Job {
-	j := &Job{Spec: spec, order: newStepOrder(spec)}
-	for occurrence := range max(1, spec.GetRepeats()) {
-		steps := make([]*Step, len(spec.GetSteps()))
-		for n, stepSpec := range spec.GetSteps() {
-			count := int(stepSpec.GetCount())
-			step := &Step{
-				WorkStep: stepSpec, Job: j, Occurrence: occurrence, Number: uint32(n), Waiting: count, Unfinished: count,
-				blockers: j.order.graph.Blockers(uint32(n)),
-			}
-			j.hasServing = j.hasServing || step.IsServing()
-			j.order.update(step)
-			step.Tasks = make([]*Task, count)
-			for i := range step.Tasks {
-				step.Tasks[i] = &Task{Step: step, Index: uint32(i)}
-			}
-			j.unfinished += count
-			steps[n] = step
-		}
-		j.Occurrences = append(j.Occurrences, steps)
+	j := &Job{Spec: spec, order: newStepOrder(spec), occurrences: map[uint32]*occurrence{}, completed: bitset.New(uint(occurrencesOf(spec)))}
+	for _, step := range spec.GetSteps() {
+		j.unfinished += int(step.GetCount()) * int(occurrencesOf(spec))
+		j.hasServing = j.hasServing || (&Step{WorkStep: step}).IsServing()
 	}
 	return j
 }
@@ -266,12 +256,18 @@
 		return &controlpb.Result{}
 	}
 	j := newJob(spec)
-	s.jobs[spec.GetId()] = j
-	s.jobOrder = append(s.jobOrder, j)
+	s.addJob(j)
 	s.finalizeJob(j)
 	return &controlpb.Result{}
 }
 
+func (s *State) addJob(j *Job) {
+	s.jobs[j.Spec.GetId()] = j
+	s.jobOrder = append(s.jobOrder, j)
+	j.load = Load(j.Spec)
+	s.load += j.load
+}
+
 // cancel cancels a job that isn't terminal, and remembers the cancellation of one that isn't known. It is idempotent.
 func (s *State) cancel(c *controlpb.CancelWork) *controlpb.Result {
 	j := s.jobs[c.GetId()]
@@ -313,7 +309,7 @@
 	t.Runs = append(t.Runs, Run{Number: start.GetRun(), Worker: start.GetWorker(), AssignedMs: s.time, Assignment: s.assignments})
 	w.addRun(RunKey{Task: t.Key(), Run: start.GetRun()}, t)
 	s.noteAnswered(w)
-	t.Step.Job.liveRuns++
+	t.Step.Job.countRuns(t.Step, 1)
 	t.Step.Job.Started = true
 	return &controlpb.Result{}
 }
@@ -448,11 +444,7 @@
 	if len(t.Runs) == 0 {
 		t.Step.countWaiting(-1)
 	}
-	t.Step.Unfinished--
-	t.Step.Job.unfinished--
-	if t.Step.Unfinished == 0 {
-		t.Step.Job.finishStep(t.Step)
-	}
+	t.Step.Job.countDone(t.Step)
 }
 
 // endRun removes a run from its task and worker.
@@ -474,10 +466,10 @@
 	if len(t.Runs) == before {
 		return
 	}
-	t.Step.Job.liveRuns--
 	if len(t.Runs) == 0 && !t.Done {
 		t.Step.countWaiting(1)
 	}
+	t.Step.Job.countRuns(t.Step, -1)
 }
 
 // finalizeJob records the outcome of a terminal job, and removes the job once it has no live runs.
@@ -493,6 +485,7 @@
 	}
 	if j.liveRuns == 0 && s.jobs[id] == j {
 		delete(s.jobs, id)
+		s.load -= j.load
 		s.jobOrder = slices.DeleteFunc(s.jobOrder, func(other *Job) bool { return other == j })
 	}
 }
--- a/internal/decision/workload/routing.go
+++ b/internal/decision/workload/routing.go
@@ -29,7 +29,9 @@
 // failExhaustedJobs fails the jobs with waiting tasks that have used all attempts that their queues allow now.
 func (s *State) failExhaustedJobs() {
 	for _, j := range slices.Clone(s.jobOrder) {
-		j.forEachTask(s.failIfExhausted)
+		for t := range j.CurrentTasks() {
+			s.failIfExhausted(t)
+		}
 		s.finalizeJob(j)
 	}
 }
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/bits-and-blooms/bitset"
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -53,30 +54,54 @@
 	return snapshot
 }
 
+// maxListedOccurrences is the number of occurrences up to which a snapshot lists all tasks of a job, as earlier versions need it.
+const maxListedOccurrences = 64
+
 func (j *Job) record() *controlpb.WorkJobRecord {
 	record := &controlpb.WorkJobRecord{Job: j.Spec, Cancelled: j.Cancelled, Failed: j.Failed, Started: j.Started}
-	j.forEachTask(func(t *Task) {
-		task := &controlpb.WorkTaskRecord{
-			LastRun: t.LastRun, Failures: t.Failures, FailedRun: t.FailedRun, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions,
-			Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs, StoppedOn: t.StoppedOn, StoppedMs: t.StoppedMs,
+	if j.Occurrences() <= maxListedOccurrences {
+		for number := range j.Occurrences() {
+			record.Tasks = append(record.Tasks, j.taskRecords(number)...)
 		}
-		for _, r := range t.Runs {
-			task.Runs = append(task.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment, StartAnswered: r.startAnswered})
+		return record
+	}
+	record.IsSparse, record.Completed = true, slices.Clone(j.completed.Words())
+	for number := range j.current() {
+		tasks := j.taskRecords(number)
+		if slices.ContainsFunc(tasks, isNotNew) {
+			record.Occurrences = append(record.Occurrences, &controlpb.WorkOccurrence{Number: number, Tasks: tasks})
 		}
-		record.Tasks = append(record.Tasks, task)
-	})
+	}
 	return record
 }
 
-// forEachTask calls visit for every task, ordered by occurrence, step and index.
-func (j *Job) forEachTask(visit func(*Task)) {
-	for _, steps := range j.Occurrences {
-		for _, step := range steps {
+// isNotNew reports whether a record differs from that of a new task.
+func isNotNew(record *controlpb.WorkTaskRecord) bool { return proto.Size(record) > 0 }
+
+// taskRecords returns the records of the tasks of an occurrence.
+func (j *Job) taskRecords(number uint32) []*controlpb.WorkTaskRecord {
+	var records []*controlpb.WorkTaskRecord
+	if o := j.occurrences[number]; o != nil {
+		for _, step := range o.steps {
 			for _, t := range step.Tasks {
-				visit(t)
+				records = append(records, t.record())
 			}
 		}
+		return records
 	}
+	same := &controlpb.WorkTaskRecord{Done: j.completed.Test(uint(number))}
+	return slices.Repeat([]*controlpb.WorkTaskRecord{same}, tasksOfOccurrence(j.Spec))
+}
+
+func (t *Task) record() *controlpb.WorkTaskRecord {
+	record := &controlpb.WorkTaskRecord{
+		LastRun: t.LastRun, Failures: t.Failures, FailedRun: t.FailedRun, Done: t.Done, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Suspicions: t.Suspicions,
+		Pauses: t.Pauses, PausedUntilMs: t.PausedUntilMs, StoppedOn: t.StoppedOn, StoppedMs: t.StoppedMs,
+	}
+	for _, r := range t.Runs {
+		record.Runs = append(record.Runs, &controlpb.WorkRun{Run: r.Number, Worker: r.Worker, AssignedMs: r.AssignedMs, Assignment: r.Assignment, StartAnswered: r.startAnswered})
+	}
+	return record
 }
 
 // Restore replaces the state by that of a snapshot; a nil snapshot gives an empty state. It returns an error if the
@@ -128,21 +153,59 @@
 func (s *State) restoreJob(record *controlpb.WorkJobRecord) error {
 	j := newJob(record.GetJob())
 	j.Cancelled, j.Failed, j.Started = record.GetCancelled(), record.GetFailed(), record.GetStarted()
+	s.addJob(j)
+	if record.GetIsSparse() {
+		return s.restoreOccurrences(j, record)
+	}
 	tasks := record.GetTasks()
 	if len(tasks) != j.unfinished {
 		return trace.BadParameter("job %s: %d task records, expected %d", j.Spec.GetId(), len(tasks), j.unfinished)
 	}
+	size := tasksOfOccurrence(j.Spec)
+	for number := range j.Occurrences() {
+		if err := s.restoreOccurrence(j, number, tasks[int(number)*size:][:size]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restoreOccurrences restores the occurrences of a job with a sparse record.
+func (s *State) restoreOccurrences(j *Job, record *controlpb.WorkJobRecord) error {
+	completed := bitset.From(record.GetCompleted())
+	for number := range completed.EachSet() {
+		if number >= uint(j.Occurrences()) {
+			return trace.BadParameter("job %s: occurrence %d of %d is complete", j.Spec.GetId(), number, j.Occurrences())
+		}
+		j.completeOccurrence(uint32(number))
+	}
+	for _, o := range record.GetOccurrences() {
+		number := o.GetNumber()
+		if number >= j.Occurrences() || completed.Test(uint(number)) || len(o.GetTasks()) != tasksOfOccurrence(j.Spec) {
+			return trace.BadParameter("job %s: %d task records of occurrence %d of %d, expected %d", j.Spec.GetId(), len(o.GetTasks()), number, j.Occurrences(), tasksOfOccurrence(j.Spec))
+		}
+		if err := s.restoreOccurrence(j, number, o.GetTasks()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restoreOccurrence restores the tasks of an occurrence that differ from new ones.
+func (s *State) restoreOccurrence(j *Job, number uint32, records []*controlpb.WorkTaskRecord) error {
+	if !slices.ContainsFunc(records, isNotNew) {
+		return nil
+	}
 	next := 0
-	var err error
-	j.forEachTask(func(t *Task) {
-		if taskErr := s.restoreTask(t, tasks[next]); taskErr != nil {
-			err = taskErr
+	for _, step := range j.Steps(number) {
+		for _, t := range step.Tasks {
+			if err := s.restoreTask(t, records[next]); err != nil {
+				return err
+			}
+			next++
 		}
-		next++
-	})
-	s.jobs[j.Spec.GetId()] = j
-	s.jobOrder = append(s.jobOrder, j)
-	return err
+	}
+	return nil
 }
 
 func (s *State) restoreTask(t *Task, record *controlpb.WorkTaskRecord) error {
@@ -150,15 +213,12 @@
 	t.FailedRun, t.Crashes, t.Suspicions = record.GetFailedRun(), record.GetCrashes(), record.GetSuspicions()
 	t.Pauses, t.PausedUntilMs = record.GetPauses(), record.GetPausedUntilMs()
 	t.StoppedOn, t.StoppedMs = record.GetStoppedOn(), record.GetStoppedMs()
-	if record.GetDone() {
-		s.finishTask(t)
-	}
 	for _, r := range record.GetRuns() {
 		w := s.workers[r.GetWorker()]
 		if w == nil {
 			return trace.BadParameter("task %s: no record of its worker %d", t.Key(), r.GetWorker())
 		}
-		if len(t.Runs) == 0 && !t.Done {
+		if len(t.Runs) == 0 {
 			t.Step.countWaiting(-1)
 		}
 		assignment := r.GetAssignment()
@@ -166,8 +226,11 @@
 			assignment = s.assignments
 		}
 		t.Runs = append(t.Runs, Run{Number: r.GetRun(), Worker: r.GetWorker(), AssignedMs: r.GetAssignedMs(), Assignment: assignment, startAnswered: r.GetStartAnswered()})
-		t.Step.Job.liveRuns++
+		t.Step.Job.countRuns(t.Step, 1)
 		w.addRun(RunKey{Task: t.Key(), Run: r.GetRun()}, t)
 	}
+	if record.GetDone() {
+		s.finishTask(t)
+	}
 	return nil
 }
--- a/internal/decision/workload/start_answered_test.go
+++ b/internal/decision/workload/start_answered_test.go
@@ -21,7 +21,7 @@
 
 // answeredTasks returns which tasks of the first job have a run with an answered start.
 func (s *State) answeredTasks() (answered []uint32) {
-	for _, task := range s.Job("a").Occurrences[0][0].Tasks {
+	for _, task := range s.Job("a").Steps(0)[0].Tasks {
 		if task.IsStartAnswered(1) {
 			answered = append(answered, task.Index)
 		}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -62,6 +62,7 @@
 
 	maintenance map[uint64]*controlpb.Maintenance
 	pairs       map[imagePair]float64 // log-odds that the aggressor interferes with the victim
+	load        int                   // of the jobs, see Load
 	epoch       uint64
 	newestEpoch *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
 	time        int64                 // time of the latest command, in Unix milliseconds
@@ -189,6 +190,9 @@
 // Jobs returns the jobs that are unfinished or still have live runs, in order of submission. The result must not be changed.
 func (s *State) Jobs() []*Job { return s.jobOrder }
 
+// Load returns the sum of the loads of the jobs that are unfinished or still have live runs.
+func (s *State) Load() int { return s.load }
+
 // Job returns a job that is unfinished or still has live runs, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
--- a/internal/decision/workload/steporder.go
+++ b/internal/decision/workload/steporder.go
@@ -17,9 +17,9 @@
 	steps uint // of each occurrence
 	// runnable holds the positions of the steps with waiting tasks and without blockers, whether their occurrence is due or not.
 	runnable *bitset.BitSet
-	// chains counts, by occurrence, the unfinished steps by the length of the longest chain that begins with each, up to the longest one of
-	// an unfinished step. It is nil if no step depends on another.
-	chains [][]uint32
+	// chains counts the unfinished steps of an occurrence by the length of the longest chain that begins with each, up to the longest one of
+	// an unfinished step. An occurrence of which no step is finished has none, nor have those of a job without dependencies.
+	chains map[uint32][]uint32
 }
 
 func newStepOrder(spec *controlpb.WorkJob) *stepOrder {
@@ -27,20 +27,28 @@
 	for n, step := range spec.GetSteps() {
 		dependencies[n] = step.GetAfter()
 	}
-	occurrences := max(1, spec.GetRepeats())
-	o := &stepOrder{graph: dependency.New(dependencies), steps: uint(len(dependencies)), runnable: bitset.New(uint(occurrences) * uint(len(dependencies)))}
-	if o.graph.LongestChain() > 1 {
-		o.chains = make([][]uint32, occurrences)
-		for occurrence := range o.chains {
-			o.chains[occurrence] = make([]uint32, o.graph.LongestChain()+1)
-			for n := range dependencies {
-				o.chains[occurrence][o.graph.Chain(uint32(n))]++
-			}
+	occurrences := uint(occurrencesOf(spec))
+	o := &stepOrder{graph: dependency.New(dependencies), steps: uint(len(dependencies)), runnable: bitset.New(occurrences * uint(len(dependencies))), chains: map[uint32][]uint32{}}
+	for n, step := range spec.GetSteps() {
+		if o.graph.Blockers(uint32(n)) > 0 || step.GetCount() == 0 {
+			continue
+		}
+		for occurrence := range occurrences {
+			o.runnable.Set(occurrence*o.steps + uint(n))
 		}
 	}
 	return o
 }
 
+// newChains returns the counts of an occurrence of which no step is finished.
+func (o *stepOrder) newChains() []uint32 {
+	counts := make([]uint32, o.graph.LongestChain()+1)
+	for n := range uint32(o.steps) {
+		counts[o.graph.Chain(n)]++
+	}
+	return counts
+}
+
 func (o *stepOrder) position(step *Step) uint {
 	return uint(step.Occurrence)*o.steps + uint(step.Number)
 }
@@ -53,14 +61,17 @@
 // finishStep releases the steps that depend on a step whose tasks are all done.
 func (j *Job) finishStep(step *Step) {
 	for _, dependent := range j.order.graph.Dependents(step.Number) {
-		released := j.Occurrences[step.Occurrence][dependent]
+		released := j.occurrences[step.Occurrence].steps[dependent]
 		released.blockers--
 		j.order.update(released)
 	}
-	if j.order.chains == nil {
+	if j.LongestChain() <= 1 {
 		return
 	}
 	counts := j.order.chains[step.Occurrence]
+	if counts == nil {
+		counts = j.order.newChains()
+	}
 	counts[j.order.graph.Chain(step.Number)]--
 	for len(counts) > 0 && counts[len(counts)-1] == 0 {
 		counts = counts[:len(counts)-1]
@@ -74,15 +85,16 @@
 // RemainingChain returns the number of unfinished steps on the longest chain of an occurrence that has unfinished steps. It needs only the
 // chains that begin with unfinished steps, as all steps that depend on one of these are unfinished too.
 func (j *Job) RemainingChain(occurrence uint32) int {
-	if j.order.chains == nil {
-		return 1
+	counts := j.order.chains[occurrence]
+	if counts == nil {
+		return j.LongestChain()
 	}
-	return max(0, len(j.order.chains[occurrence])-1)
+	return max(0, len(counts)-1)
 }
 
 // HasWaiting reports whether a step has waiting tasks that may start now.
 func (j *Job) HasWaiting(now time.Time) bool {
-	for range j.WaitingSteps(now, 0) {
+	for range j.waitingPositions(now, 0) {
 		return true
 	}
 	return false
@@ -91,6 +103,18 @@
 // WaitingSteps returns the steps with waiting tasks that may start now, with their positions in ascending order, from a position on.
 func (j *Job) WaitingSteps(now time.Time, from int) iter.Seq2[int, *Step] {
 	return func(yield func(int, *Step) bool) {
+		for position := range j.waitingPositions(now, from) {
+			steps := j.Steps(uint32(uint(position) / j.order.steps))
+			if !yield(position, steps[uint(position)%j.order.steps]) {
+				return
+			}
+		}
+	}
+}
+
+// waitingPositions returns the positions of these steps.
+func (j *Job) waitingPositions(now time.Time, from int) iter.Seq[int] {
+	return func(yield func(int) bool) {
 		o := j.order
 		for position, ok := o.runnable.NextSet(uint(from)); ok; position, ok = o.runnable.NextSet(position + 1) {
 			occurrence := uint32(position / o.steps)
@@ -101,7 +125,7 @@
 				position = uint(occurrence+1)*o.steps - 1
 				continue
 			}
-			if !yield(int(position), j.Occurrences[occurrence][position%o.steps]) {
+			if !yield(int(position)) {
 				return
 			}
 		}
--- a/internal/decision/workload/steporder_test.go
+++ b/internal/decision/workload/steporder_test.go
@@ -11,16 +11,16 @@
 
 // isRunnable, waitingPositions and remainingChain find by visiting all steps what stepOrder tracks.
 func isRunnable(step *Step, now time.Time) bool {
-	steps := step.Job.Occurrences[step.Occurrence]
+	steps := step.Job.Steps(step.Occurrence)
 	isOpen := func(dependency uint32) bool { return steps[dependency].Unfinished > 0 }
 	return step.Waiting > 0 && !now.Before(step.Job.DueAt(step.Occurrence)) && !slices.ContainsFunc(step.GetAfter(), isOpen)
 }
 
 func waitingPositions(j *Job, now time.Time, from int) []int {
 	var positions []int
-	for _, steps := range j.Occurrences {
-		for _, step := range steps {
-			if position := int(step.Occurrence)*len(steps) + int(step.Number); position >= from && isRunnable(step, now) {
+	for number := range j.Occurrences() {
+		for _, step := range j.Steps(number) {
+			if position := int(step.Occurrence)*len(j.Spec.GetSteps()) + int(step.Number); position >= from && isRunnable(step, now) {
 				positions = append(positions, position)
 			}
 		}
@@ -48,6 +48,9 @@
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		spec := &controlpb.WorkJob{Id: "job", Queue: "q", Repeats: uint32(random.IntN(4)), StartAtMs: 1000, PeriodMs: random.Int64N(300) - 100}
+		if seed%20 == 0 {
+			spec.Repeats = maxListedOccurrences + 1 + uint32(random.IntN(5)) // the snapshot is sparse
+		}
 		for n := range 1 + random.IntN(6) {
 			step := &controlpb.WorkStep{Count: 1 + uint32(random.IntN(3))}
 			for range min(n, random.IntN(3)) {
@@ -87,9 +90,9 @@
 	if j.HasWaiting(now) != (len(waitingPositions(j, now, 0)) > 0) {
 		t.Fatalf("seed %d: a step waits: %v", seed, j.HasWaiting(now))
 	}
-	for occurrence, steps := range j.Occurrences {
-		remaining := remainingChain(steps)
-		if got := j.RemainingChain(uint32(occurrence)); remaining > 0 && got != remaining {
+	for number := range j.Occurrences() {
+		remaining := remainingChain(j.Steps(number))
+		if got := j.RemainingChain(number); remaining > 0 && got != remaining {
 			t.Fatalf("seed %d: %d steps of the longest chain remain, expected %d", seed, got, remaining)
 		}
 	}
@@ -98,11 +101,15 @@
 // stepRandomly starts a task that may start, or ends a run as done or without success.
 func stepRandomly(s *State, j *Job, random *rand.Rand) {
 	var tasks []*Task
-	j.forEachTask(func(t *Task) {
-		if !t.Done && isRunnableOrRuns(t) {
-			tasks = append(tasks, t)
+	for number := range j.Occurrences() {
+		for _, step := range j.Steps(number) {
+			for _, t := range step.Tasks {
+				if !t.Done && isRunnableOrRuns(t) {
+					tasks = append(tasks, t)
+				}
+			}
 		}
-	})
+	}
 	t := tasks[random.IntN(len(tasks))]
 	if len(t.Runs) == 0 {
 		s.startRun(&controlpb.StartRun{Task: t.Key().Ref(), Run: t.LastRun + 1, Worker: 1})
