platform: every number of a submission has a range

Cause: the number of tasks of a job was computed with an overflow, and cpu, period and other numbers had no upper bound, nor had IDs any form.

A job of a log of an earlier version whose number of tasks overflowed is retained as failed.

--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/jobspec"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
 )
@@ -141,6 +142,12 @@
 	if queue == nil {
 		return outcome(controlpb.WorkOutcome_WORK_NO_QUEUE), false
 	}
+	if id != "" && !jobspec.IsID(id) {
+		if c.GetVerb() == controlpb.CallerVerb_VERB_SUBMIT {
+			return outcome(controlpb.WorkOutcome_WORK_INVALID), false
+		}
+		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+	}
 	switch c.GetVerb() {
 	case controlpb.CallerVerb_VERB_SUBMIT:
 		return d.submit(r, queue, id, c.GetJob())
@@ -244,12 +251,9 @@
 	return nil, true
 }
 
-// maxWithdrawnID is the length in bytes up to which the ID of an unknown job is recorded. Callers choose IDs of 16 characters.
-const maxWithdrawnID = 256
-
 // withdraw records the cancellation of an unknown job.
 func (d *Dispatcher) withdraw(r *controlpb.LeaderRequest, id string) (*controlpb.LeaderReply, bool) {
-	if len(id) > maxWithdrawnID || d.state.IsWithdrawn(id) {
+	if d.state.IsWithdrawn(id) {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
 	d.withdrawing[id]++
--- a/internal/decision/dispatch/withdrawn_test.go
+++ b/internal/decision/dispatch/withdrawn_test.go
@@ -63,9 +63,24 @@
 		t.Errorf("%d cancellations are remembered", count)
 	}
 	sim.run(3 * time.Minute)
-	sim.serve(cancellationOf("urgent", strings.Repeat("x", 10_000)))
 	sim.serve(cancellationOf("urgent", "last"))
 	if count := len(sim.state.Snapshot().GetWithdrawn()); count != 1 {
 		t.Errorf("%d cancellations are remembered after three minutes, expected 1", count)
 	}
 }
+
+// TestInvalidIDs guards against jobs whose tasks can't be named: an ID with a dot was accepted, and the polls of its workers couldn't be decoded.
+func TestInvalidIDs(t *testing.T) {
+	sim := newSimulationWithWorkers(t, 1, 1)
+	for _, id := range []string{"a.b", "a/b", "a b", strings.Repeat("x", 4096)} {
+		if got := sim.submit("urgent", id, dedicated(1, time.Second)); got != controlpb.WorkOutcome_WORK_INVALID {
+			t.Errorf("a submission of %q: %v", id, got)
+		}
+		if got := sim.serve(cancellationOf("urgent", id)).GetWork().GetOutcome(); got != controlpb.WorkOutcome_WORK_NOT_FOUND {
+			t.Errorf("a cancellation of %q: %v", id, got)
+		}
+	}
+	if len(sim.state.Jobs()) > 0 || len(sim.state.Snapshot().GetWithdrawn()) > 0 {
+		t.Error("something was committed")
+	}
+}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -10,6 +10,7 @@
 	"github.com/bits-and-blooms/bitset"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/jobspec"
 	"galenamoor/pkg/resource"
 )
 
@@ -255,6 +256,10 @@
 	if state, _ := s.Lookup(spec.GetId()); state != controlpb.WorkState_WORK_UNKNOWN {
 		return &controlpb.Result{}
 	}
+	if jobspec.HasTooManyTasks(spec) { // accepted by an earlier version, in which the number of tasks overflowed
+		s.finish(&controlpb.FinishedWork{Id: spec.GetId(), State: controlpb.WorkState_WORK_FAILED, AtMs: s.time, Queue: spec.GetQueue()})
+		return errorResult(controlpb.ResultCode_RESULT_INVALID, "the job has too many tasks")
+	}
 	j := newJob(spec)
 	s.addJob(j)
 	s.finalizeJob(j)
@@ -472,6 +477,12 @@
 	t.Step.Job.countRuns(t.Step, -1)
 }
 
+// finish retains the outcome of a job.
+func (s *State) finish(outcome *controlpb.FinishedWork) {
+	s.finished[outcome.GetId()] = outcome
+	s.finishedOrder = append(s.finishedOrder, outcome)
+}
+
 // finalizeJob records the outcome of a terminal job, and removes the job once it has no live runs.
 func (s *State) finalizeJob(j *Job) {
 	if !j.IsTerminal() {
@@ -479,9 +490,7 @@
 	}
 	id := j.Spec.GetId()
 	if s.finished[id] == nil {
-		outcome := &controlpb.FinishedWork{Id: id, State: j.state(), AtMs: s.time, Queue: j.Spec.GetQueue()}
-		s.finished[id] = outcome
-		s.finishedOrder = append(s.finishedOrder, outcome)
+		s.finish(&controlpb.FinishedWork{Id: id, State: j.state(), AtMs: s.time, Queue: j.Spec.GetQueue()})
 	}
 	if j.liveRuns == 0 && s.jobs[id] == j {
 		delete(s.jobs, id)
--- a/internal/decision/workload/occurrence_test.go
+++ b/internal/decision/workload/occurrence_test.go
@@ -90,3 +90,18 @@
 		t.Errorf("the job is %v with a load of %d", state, s.Load())
 	}
 }
+
+// TestOverflowingJobInLog guards against a log of an earlier version that no controller can read: it holds a job whose number of tasks overflowed when it
+// was checked.
+func TestOverflowingJobInLog(t *testing.T) {
+	s := New()
+	result := s.submit(&controlpb.WorkJob{Id: "job", Queue: "q", Repeats: 1<<32 - 1, Steps: []*controlpb.WorkStep{{Count: 1<<32 - 1}}})
+	if state, _ := s.Lookup("job"); state != controlpb.WorkState_WORK_FAILED || result.GetCode() != controlpb.ResultCode_RESULT_INVALID {
+		t.Errorf("the job is %v, result %v", state, result)
+	}
+	s.submit(scheduled("other"))
+	restored := New()
+	if err := restored.Restore(s.Snapshot()); err != nil || !restored.jobs["other"].HasWaiting(restored.jobs["other"].DueAt(0)) {
+		t.Errorf("the state can't be restored: %v", err)
+	}
+}
