workload: a job whose starts were refused is still pending

Cause: a job counted as started from its first assignment, also after that was dropped without having started.

Change: a job counts its runs that may have started, and CountQueued says what pending means.

--- a/internal/decision/dispatch/large_job_test.go
+++ b/internal/decision/dispatch/large_job_test.go
@@ -142,7 +142,7 @@
 			}
 			started := 0
 			for n := range test.jobs {
-				if sim.state.Job(fmt.Sprint("large-", n)) == nil || sim.state.Job(fmt.Sprint("large-", n)).Started {
+				if sim.state.Job(fmt.Sprint("large-", n)) == nil || sim.state.Job(fmt.Sprint("large-", n)).HasStarted() {
 					started++
 				}
 			}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -55,8 +55,8 @@
 	Spec      *controlpb.WorkJob
 	Cancelled bool
 	Failed    bool
-	Started   bool // a run of one of its tasks has been assigned
 
+	begun      int // runs of its tasks that were assigned, without those that are certain never to have started
 	unfinished int // tasks that aren't done
 	liveRuns   int // runs that are assigned and not known to have ended
 	order      *stepOrder
@@ -198,6 +198,9 @@
 	return time.UnixMilli(j.Spec.GetStartAtMs() + int64(occurrence)*j.Spec.GetPeriodMs())
 }
 
+// HasStarted reports whether a task of the job may have started: a run is assigned that wasn't dropped without having started.
+func (j *Job) HasStarted() bool { return j.begun > 0 }
+
 // HasServing reports whether the job has serving tasks.
 func (j *Job) HasServing() bool { return j.hasServing }
 
@@ -215,7 +218,7 @@
 		return controlpb.WorkState_WORK_FAILED
 	case j.unfinished == 0:
 		return controlpb.WorkState_WORK_COMPLETED
-	case j.Started:
+	case j.HasStarted():
 		return controlpb.WorkState_WORK_ACTIVE
 	}
 	return controlpb.WorkState_WORK_QUEUED
@@ -315,7 +318,7 @@
 	w.addRun(RunKey{Task: t.Key(), Run: start.GetRun()}, t)
 	s.noteAnswered(w)
 	t.Step.Job.countRuns(t.Step, 1)
-	t.Step.Job.Started = true
+	t.Step.Job.begun++
 	return &controlpb.Result{}
 }
 
@@ -326,8 +329,11 @@
 	if t == nil {
 		return &controlpb.Result{}
 	}
-	if drop.GetLeaseExpired() {
+	switch {
+	case drop.GetLeaseExpired():
 		s.markResumed(t, drop.GetRun())
+	case t.HasRun(drop.GetRun()):
+		t.Step.Job.begun = max(0, t.Step.Job.begun-1) // earlier versions don't record how many there are
 	}
 	s.endRun(t, drop.GetRun())
 	s.failIfExhausted(t)
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -58,7 +58,7 @@
 const maxListedOccurrences = 64
 
 func (j *Job) record() *controlpb.WorkJobRecord {
-	record := &controlpb.WorkJobRecord{Job: j.Spec, Cancelled: j.Cancelled, Failed: j.Failed, Started: j.Started}
+	record := &controlpb.WorkJobRecord{Job: j.Spec, Cancelled: j.Cancelled, Failed: j.Failed, Started: j.HasStarted(), Begun: uint64(j.begun)}
 	if j.Occurrences() <= maxListedOccurrences {
 		for number := range j.Occurrences() {
 			record.Tasks = append(record.Tasks, j.taskRecords(number)...)
@@ -152,7 +152,10 @@
 
 func (s *State) restoreJob(record *controlpb.WorkJobRecord) error {
 	j := newJob(record.GetJob())
-	j.Cancelled, j.Failed, j.Started = record.GetCancelled(), record.GetFailed(), record.GetStarted()
+	j.Cancelled, j.Failed, j.begun = record.GetCancelled(), record.GetFailed(), int(record.GetBegun())
+	if record.GetStarted() && j.begun == 0 {
+		j.begun = 1 // recorded by an earlier version
+	}
 	s.addJob(j)
 	if record.GetIsSparse() {
 		return s.restoreOccurrences(j, record)
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -225,7 +225,8 @@
 	return controlpb.WorkState_WORK_UNKNOWN, ""
 }
 
-// CountQueued returns the number of jobs of a queue of which no run has been assigned yet.
+// CountQueued returns the number of jobs of a queue of which no task has started yet, as far as is known: a job counts as started from the
+// assignment of a run until that is dropped without having started.
 func (s *State) CountQueued(queue string) uint64 {
 	count := uint64(0)
 	for _, j := range s.jobOrder {
