--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -81,8 +81,8 @@
 }
 
 // requestAdvice asks the service about the hosts on which missing tasks of a step would be placed if there were a ticket, and about those on
-// which room is reserved for one. It does nothing for a queue without advice. A host that wouldn't get a task, for example because the task would interfere
-// with others there, isn't asked about: there may be more of these than a call can name.
+// which room is reserved for one. It does nothing for a queue without advice. A host that wouldn't get a task, for example because the task
+// would interfere with others there, isn't asked about: there may be more of these than a call can name.
 func (d *Dispatcher) requestAdvice(c candidate, hosts []host, missing int) {
 	if missing == 0 && len(d.relocations.active) == 0 || !d.mayAskFor(c) {
 		return
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -176,9 +176,9 @@
 	outbox          []proposal // changes to propose by the next flush
 	proposed        map[*controlpb.Command][]proposal
 	submitting      map[string][]*controlpb.LeaderRequest // requests whose job is proposed, by job ID
+	submittingLoad  int                                   // of these jobs, see workload.Load
 	withdrawing     map[string]int                        // number of proposed cancellations of each unknown job
 	openZoneOrders  map[string]int                        // number of orders on each zone that are proposed and not yet decided
-	submittingLoad  int                                   // of these jobs, see workload.Load
 	announced       map[string]bool                       // workers whose change of incarnation is proposed
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
 	pendingRequests map[*controlpb.LeaderRequest]uint64   // requests that wait for a deferred reply, numbered as they came
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -123,8 +123,8 @@
 	return allows(c, w) && !w.preempting[c.step] && !w.isHeldFrom(c) && w.relocation == nil
 }
 
-// requestVictimTickets asks the advice service about the hosts without a ticket for a step on which preempting runs would free room for it. It returns
-// false if there is none or the service may not be asked now.
+// requestVictimTickets asks the advice service about the hosts without a ticket for a step on which preempting runs would free room for it.
+// It returns false if there is none or the service may not be asked now.
 func (d *Dispatcher) requestVictimTickets(c candidate, hosts []host) bool {
 	if !d.mayAskFor(c) {
 		return false
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -189,7 +189,8 @@
 	d.awaitReply(r)
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
-	d.submittingLoad += workload.Load(job)
+	load := workload.Load(job)
+	d.submittingLoad += load
 	received := d.now
 	isWithdrawn := d.isWithdrawn(id)
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}, func(result *controlpb.Result) {
@@ -205,7 +206,7 @@
 			d.reply(waiting, reply)
 		}
 		delete(d.submitting, id)
-		d.submittingLoad -= workload.Load(job)
+		d.submittingLoad -= load
 	})
 	if isWithdrawn {
 		d.propose(cancellation(id), func(*controlpb.Result) {})
