dispatch: the window of a job moves on while starts are scarce

Seen: steps of a job of thousands are never tried while the starts of each pass go to other jobs.

Change: a pass that ends for want of starts moves the windows that it has tried.

--- a/internal/decision/dispatch/large_job_test.go
+++ b/internal/decision/dispatch/large_job_test.go
@@ -259,3 +259,30 @@
 		sim.run(5 * time.Second)
 	}
 }
+
+// TestWindowMovesBesideManyStarts guards against steps that are never tried while the starts of each pass go to another job: the window of their job moved
+// only after passes that had starts left.
+func TestWindowMovesBesideManyStarts(t *testing.T) {
+	const impossible, possible = 8000, 100
+	sim := newSimulationWithWorkers(t, 1, 12)
+	sim.submit("urgent", "behind", manySteps(impossible+possible, func(n int) *controlpb.WorkStep {
+		if n < impossible {
+			return labelled(small(1, time.Second), "none")
+		}
+		return small(1, time.Second)
+	})...)
+	for n := range 15 { // more tasks than start until the test ends
+		sim.request(submission("batch", fmt.Sprint("many-", n), small(18_000, 20*time.Millisecond)))
+	}
+	sim.run(4 * time.Second)
+	waiting := 0
+	for _, step := range sim.state.Job("behind").Steps(0)[impossible:] {
+		waiting += step.Waiting
+	}
+	if sim.dispatcher.state.Job("many-14") == nil {
+		t.Fatal("the other jobs are done too soon for this test")
+	}
+	if waiting > 0 {
+		t.Errorf("%d of %d steps were never tried", waiting, possible)
+	}
+}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -100,6 +100,7 @@
 		case p.starts <= 0:
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.StartLimit
 			clear(d.fruitless)
+			d.windows.advance(candidates[max(0, i-1):]) // the limit may have cut the last one short
 			return len(candidates)
 		case d.isBudgetSpent():
 			d.unreached, d.unreachedCause = candidates[i:], occupancy.RatingLimit
@@ -113,7 +114,7 @@
 		}
 	}
 	clear(d.fruitless)
-	d.windows.advance()
+	d.windows.advance(nil)
 	d.moveLeaving(hosts, leastPriority)
 	return len(candidates)
 }
--- a/internal/decision/dispatch/window.go
+++ b/internal/decision/dispatch/window.go
@@ -76,8 +76,13 @@
 	return true
 }
 
-// advance moves the windows behind the steps that the newest call of steps returned.
-func (s *stepWindows) advance() {
+// advance moves the windows behind the steps that the newest call of steps returned, except those of which some weren't tried.
+func (s *stepWindows) advance(untried []candidate) {
+	for _, c := range untried {
+		if _, isPartial := s.ends[c.step.Job]; isPartial {
+			s.ends[c.step.Job] = s.starts[c.step.Job]
+		}
+	}
 	s.starts, s.ends = s.ends, s.starts
 	clear(s.ends)
 }
