--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -62,8 +62,8 @@
 	order      *stepOrder
 	hasServing bool
 
-	occurrences map[uint32]*occurrence // those that exist
-	completed   *bitset.BitSet         // the occurrences that don't exist any more
+	occurrences map[uint32]*occurrence // by number, those that are created and not dropped
+	completed   *bitset.BitSet         // numbers of the dropped ones, all of whose tasks are done
 	load        int                    // see Load
 }
 
--- a/internal/decision/workload/occurrence.go
+++ b/internal/decision/workload/occurrence.go
@@ -11,8 +11,9 @@
 	"galenamoor/internal/controlpb"
 )
 
-// A job may be scheduled for thousands of times. Its tasks of one time, an occurrence, exist only from when one of them is looked up until
-// all are done, so that a job takes memory only for what may run and is under way. As long as it isn't there, an occurrence is as new.
+// A job may be scheduled for thousands of times. The tasks of one time, an occurrence, are created when one of them is first looked up, and
+// dropped once all are done, so that a job takes memory only for what may run or is under way. An occurrence that hasn't been created is in
+// its initial state.
 
 // occurrence is one time that the steps of a job run.
 type occurrence struct {
@@ -82,7 +83,7 @@
 	return o
 }
 
-// current returns the occurrences that exist, in order.
+// current returns the occurrences that are created and not dropped, in order.
 func (j *Job) current() iter.Seq2[uint32, *occurrence] {
 	return func(yield func(uint32, *occurrence) bool) {
 		for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
--- a/internal/decision/workload/snapshot.go
+++ b/internal/decision/workload/snapshot.go
@@ -68,15 +68,15 @@
 	record.IsSparse, record.Completed = true, slices.Clone(j.completed.Words())
 	for number := range j.current() {
 		tasks := j.taskRecords(number)
-		if slices.ContainsFunc(tasks, isNotNew) {
+		if slices.ContainsFunc(tasks, hasChanged) {
 			record.Occurrences = append(record.Occurrences, &controlpb.WorkOccurrence{Number: number, Tasks: tasks})
 		}
 	}
 	return record
 }
 
-// isNotNew reports whether a record differs from that of a new task.
-func isNotNew(record *controlpb.WorkTaskRecord) bool { return proto.Size(record) > 0 }
+// hasChanged reports whether a record differs from that of a task in its initial state.
+func hasChanged(record *controlpb.WorkTaskRecord) bool { return proto.Size(record) > 0 }
 
 // taskRecords returns the records of the tasks of an occurrence.
 func (j *Job) taskRecords(number uint32) []*controlpb.WorkTaskRecord {
@@ -194,9 +194,9 @@
 	return nil
 }
 
-// restoreOccurrence restores the tasks of an occurrence that differ from new ones.
+// restoreOccurrence restores the tasks of an occurrence, unless all are in their initial state.
 func (s *State) restoreOccurrence(j *Job, number uint32, records []*controlpb.WorkTaskRecord) error {
-	if !slices.ContainsFunc(records, isNotNew) {
+	if !slices.ContainsFunc(records, hasChanged) {
 		return nil
 	}
 	next := 0
