dispatch: one way to propose a counted change; tests share a request

Orders on zones and cancellations of unknown jobs share proposeCounted, and the reply to an undecided change is written once. The load of a submission is computed once. mayStop, which only a test still called, is gone; that test asks allowsStop. Tests that cancel jobs share cancellationOf.

No behaviour changes; the assertions stay.

--- a/internal/decision/dispatch/dispatcher_test.go
+++ b/internal/decision/dispatch/dispatcher_test.go
@@ -201,9 +201,7 @@
 	sim := newSimulationWithWorkers(t, 1, 4)
 	sim.submit("batch", "a", dedicated(10, time.Minute))
 	sim.run(500 * time.Millisecond)
-	sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-		Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/batch/a",
-	}}})
+	sim.serve(cancellationOf("batch", "a"))
 	sim.run(time.Second)
 	for _, worker := range sim.workers {
 		if len(worker.runs) > 0 {
--- a/internal/decision/dispatch/ended_serving_test.go
+++ b/internal/decision/dispatch/ended_serving_test.go
@@ -17,7 +17,7 @@
 	sim.run(10 * time.Second)
 	sim.commitTime = 400 * time.Millisecond
 	first, second := sim.dispatcher.runs[workload.RunKey{Task: workload.TaskKey{Job: "a"}, Run: 1}], sim.dispatcher.runs[workload.RunKey{Task: workload.TaskKey{Job: "a", Index: 1}, Run: 1}]
-	if !sim.dispatcher.mayStop(second) {
+	if !sim.dispatcher.disruptionBudgets().allowsStop(second) {
 		t.Fatal("the other task may not be stopped while both serve")
 	}
 	for _, worker := range sim.workers {
@@ -28,7 +28,7 @@
 	for !first.ended {
 		sim.run(5 * time.Millisecond)
 	}
-	if sim.dispatcher.mayStop(second) {
+	if sim.dispatcher.disruptionBudgets().allowsStop(second) {
 		t.Error("the other task may be stopped although the first one has ended")
 	}
 }
--- a/internal/decision/dispatch/faults_test.go
+++ b/internal/decision/dispatch/faults_test.go
@@ -171,9 +171,7 @@
 // cancel requests that a job is cancelled, unless it has ended.
 func (sim *simulation) cancel(id string) {
 	if job := sim.state.Job(id); job != nil {
-		sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-			Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/" + job.Spec.GetQueue() + "/" + id,
-		}}})
+		sim.request(cancellationOf(job.Spec.GetQueue(), id))
 	}
 }
 
--- a/internal/decision/dispatch/hold_test.go
+++ b/internal/decision/dispatch/hold_test.go
@@ -179,9 +179,7 @@
 	}{
 		"its job is cancelled": {func(sim *simulation, held *worker) {
 			id := held.hold.step.Job.Spec.GetId()
-			sim.request(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-				Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/urgent/" + id,
-			}}})
+			sim.request(cancellationOf("urgent", id))
 		}, 200 * time.Millisecond},
 		"its tasks are placed elsewhere": {func(sim *simulation, _ *worker) {
 			for range 3 {
--- a/internal/decision/dispatch/maintenance.go
+++ b/internal/decision/dispatch/maintenance.go
@@ -152,10 +152,8 @@
 	return disruptionBudgets{dispatcher: d, unavailable: map[*workload.Step]int{}}
 }
 
-// mayStop reports whether a run may be stopped for maintenance or to make room.
-func (d *Dispatcher) mayStop(r *run) bool { return d.disruptionBudgets().allowsStop(r) }
-
-// allowsStop does so too. The step's disruption budget (MayMiss) counts all unavailable tasks, whatever the cause.
+// allowsStop reports whether a run may be stopped for maintenance or to make room. The step's disruption budget (MayMiss) counts all
+// unavailable tasks, whatever the cause.
 func (b disruptionBudgets) allowsStop(r *run) bool {
 	step := r.task.Step
 	if !step.GetPerpetual() || step.GetMayMiss() == 0 || r.progress < servingProgress {
--- a/internal/decision/dispatch/overload.go
+++ b/internal/decision/dispatch/overload.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
-	"galenamoor/internal/decision/workload"
 )
 
 // When callers submit jobs faster than they can be done for a long time, the backlog would exhaust the memory of the
@@ -26,13 +25,13 @@
 	overloadRetryDelay = 3 * time.Second
 )
 
-// overloaded reports whether a job would exceed a limit of its queue, and when the caller should retry.
-func (d *Dispatcher) overloaded(queue *controlpb.WorkQueue, job *controlpb.WorkJob) (retryAfter time.Duration, isOverloaded bool) {
+// overloaded reports whether a job of a load would exceed a limit of its queue, and when the caller should retry.
+func (d *Dispatcher) overloaded(queue *controlpb.WorkQueue, load int) (retryAfter time.Duration, isOverloaded bool) {
 	share := 1.0
 	if queue.GetPriority() > 0 {
 		share = nonUrgentShare
 	}
-	isOverloaded = d.unfinished() >= int(share*maxJobs) || d.state.Load()+d.submittingLoad+workload.Load(job) > int(share*maxLoad)
+	isOverloaded = d.unfinished() >= int(share*maxJobs) || d.state.Load()+d.submittingLoad+load > int(share*maxLoad)
 	return overloadRetryDelay, isOverloaded
 }
 
--- a/internal/decision/dispatch/protocol_faults_test.go
+++ b/internal/decision/dispatch/protocol_faults_test.go
@@ -148,9 +148,7 @@
 func (f *protocolFaults) cancel() {
 	id := fmt.Sprintf("job-%d", f.random.IntN(60))
 	for _, queue := range []string{"urgent", "batch"} {
-		f.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_Caller{Caller: &controlpb.CallerWork{
-			Verb: controlpb.CallerVerb_VERB_CANCEL, Host: "h", Path: "/" + queue + "/" + id,
-		}}}, nil)
+		f.serve(cancellationOf(queue, id), nil)
 	}
 }
 
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -93,18 +93,10 @@
 			return unavailable("another order on the zone is being committed"), false
 		}
 	}
-	d.openZoneOrders[zone]++
-	d.awaitReply(r)
-	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: change}}, func(result *controlpb.Result) {
-		if d.openZoneOrders[zone]--; d.openZoneOrders[zone] == 0 {
-			delete(d.openZoneOrders, zone)
-		}
-		if result == nil {
-			d.reply(r, unknown("the leader has changed"))
-			return
-		}
+	work := &controlpb.WorkChange{Kind: &controlpb.WorkChange_SetZoneOut{SetZoneOut: change}}
+	d.proposeCounted(d.openZoneOrders, zone, r, work, func(result *controlpb.Result) *controlpb.LeaderReply {
 		d.config.Log.Info("operator's change committed", "Change", "zone", "Subject", zone, "Out", change.GetOut(), "Orders", d.state.ZoneOrders(zone), "Epoch", d.epoch)
-		d.reply(r, &controlpb.LeaderReply{Result: result, Work: &controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK}})
+		return &controlpb.LeaderReply{Result: result, Work: &controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK}}
 	})
 	return nil, true
 }
@@ -120,16 +112,31 @@
 
 // proposeAndReply proposes a change and replies to the request once the change is decided.
 func (d *Dispatcher) proposeAndReply(r *controlpb.LeaderRequest, change *controlpb.WorkChange, reply func(*controlpb.Result) *controlpb.LeaderReply) {
+	d.awaitReply(r)
+	d.propose(change, func(result *controlpb.Result) { d.replyDecided(r, result, reply) })
+}
+
+// proposeCounted does so too, and counts the change under a key in open until it is decided.
+func (d *Dispatcher) proposeCounted(open map[string]int, key string, r *controlpb.LeaderRequest, change *controlpb.WorkChange, reply func(*controlpb.Result) *controlpb.LeaderReply) {
+	open[key]++
 	d.awaitReply(r)
 	d.propose(change, func(result *controlpb.Result) {
-		if result == nil {
-			d.reply(r, unknown("the leader has changed"))
-			return
+		if open[key]--; open[key] == 0 {
+			delete(open, key)
 		}
-		d.reply(r, reply(result))
+		d.replyDecided(r, result, reply)
 	})
 }
 
+// replyDecided replies to a request whose change is decided, or whose result is unknown.
+func (d *Dispatcher) replyDecided(r *controlpb.LeaderRequest, result *controlpb.Result, reply func(*controlpb.Result) *controlpb.LeaderReply) {
+	if result == nil {
+		d.reply(r, unknown("the leader has changed"))
+		return
+	}
+	d.reply(r, reply(result))
+}
+
 // serveCaller answers a caller's request about a job or a queue.
 func (d *Dispatcher) serveCaller(r *controlpb.LeaderRequest, c *controlpb.CallerWork) (*controlpb.LeaderReply, bool) {
 	if !d.config.LeaseValid(d.now) {
@@ -180,8 +187,9 @@
 		d.submitting[id] = append(earlier, r)
 		return nil, true
 	}
-	if retryAfter, isOverloaded := d.overloaded(queue, job); isOverloaded {
-		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished(), "Load", d.state.Load()+d.submittingLoad, "Own", workload.Load(job)), false
+	load := workload.Load(job)
+	if retryAfter, isOverloaded := d.overloaded(queue, load); isOverloaded {
+		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished(), "Load", d.state.Load()+d.submittingLoad, "Own", load), false
 	}
 	if available, needed := d.headroomFor(job); available < needed {
 		return d.refuse(queue, id, "NoHeadroom", servingRetryDelay, "Available", available, "Needed", needed), false
@@ -189,7 +197,6 @@
 	d.awaitReply(r)
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
-	load := workload.Load(job)
 	d.submittingLoad += load
 	received := d.now
 	isWithdrawn := d.isWithdrawn(id)
@@ -257,18 +264,9 @@
 	if d.state.IsWithdrawn(id) {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
-	d.withdrawing[id]++
-	d.awaitReply(r)
-	d.propose(cancellation(id), func(result *controlpb.Result) {
-		if d.withdrawing[id]--; d.withdrawing[id] == 0 {
-			delete(d.withdrawing, id)
-		}
-		if result == nil {
-			d.reply(r, unknown("the leader has changed"))
-			return
-		}
+	d.proposeCounted(d.withdrawing, id, r, cancellation(id), func(*controlpb.Result) *controlpb.LeaderReply {
 		d.config.Log.Info("unknown job cancelled", "Job", id)
-		d.reply(r, outcome(controlpb.WorkOutcome_WORK_NOT_FOUND))
+		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
 	})
 	return nil, true
 }
