Client accounts: keys in the configuration, authentication at the leader

Cause: on the platform the product doesn't know who asks; jobs belong to nobody, and any caller may read and cancel any job. The leader finds the account of each request by a digest of its key, rejects requests without a known one on queues that need it, and gives access to the jobs of the account only. Deployments without accounts are served as before.

--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -295,10 +294,7 @@
 	for step := range d.windows.steps(d.state.Jobs(), wall) {
 		found = append(found, d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue())))
 	}
-	slices.SortStableFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.timeliness, b.timeliness),
-			compareInterrupted(a, b), a.due.Compare(b.due))
-	})
+	slices.SortStableFunc(found, compareCandidates)
 	return found
 }
 
@@ -311,21 +307,6 @@
 	return steps
 }
 
-// compareInterrupted orders steps with interrupted tasks before the others. Their jobs may have been accepted later than one that has
-// waited for more room than any host had.
-func compareInterrupted(a, b candidate) int { return compareTrueFirst(a.interrupted, b.interrupted) }
-
-// compareTrueFirst orders what has a property before what hasn't.
-func compareTrueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
 // isInterrupted reports whether a task of a lasting step has had a run and waits for another one.
 func isInterrupted(step *workload.Step) bool {
 	return isLasting(step) && slices.ContainsFunc(step.Tasks, func(task *workload.Task) bool { return task.IsWaiting() && task.LastRun > 0 })
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -149,6 +149,10 @@
 	if queue == nil {
 		return outcome(controlpb.WorkOutcome_WORK_NO_QUEUE), false
 	}
+	requester, isKnown := d.state.Authenticate(queue, c.GetKeyDigest())
+	if !isKnown {
+		return d.refuseUnauthenticated(queue, id, c), false
+	}
 	if id != "" && !jobspec.IsID(id) {
 		if c.GetVerb() == controlpb.CallerVerb_VERB_SUBMIT {
 			return outcome(controlpb.WorkOutcome_WORK_INVALID), false
@@ -157,15 +161,22 @@
 	}
 	switch c.GetVerb() {
 	case controlpb.CallerVerb_VERB_SUBMIT:
+		if id != "" && !d.mayAccess(requester, id) {
+			return outcome(controlpb.WorkOutcome_WORK_INVALID), false
+		}
+		c.GetJob().Account, c.GetJob().KeyDigest = requester.Account, requester.KeyDigest
 		return d.submit(r, queue, id, c.GetJob())
 	case controlpb.CallerVerb_VERB_CANCEL:
+		if !d.mayAccess(requester, id) {
+			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
+		}
 		return d.cancel(r, queue, id)
 	case controlpb.CallerVerb_VERB_READ:
 		if id == "" {
 			return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, IsCount: true, Pending: d.state.CountQueued(queue.GetName())}), false
 		}
 		state, _ := d.state.Lookup(id)
-		if state == controlpb.WorkState_WORK_UNKNOWN {
+		if state == controlpb.WorkState_WORK_UNKNOWN || !d.mayAccess(requester, id) {
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 		}
 		return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, State: state}), false
--- /dev/null
+++ b/internal/decision/workload/access.go
@@ -0,0 +1,69 @@
+package workload
+
+import (
+	"bytes"
+
+	"galenamoor/internal/controlpb"
+)
+
+// Requester is who asks for something about jobs: the holder of a key, or anyone on an open queue.
+type Requester struct {
+	Account   string // empty on an open queue, and where no accounts are configured
+	KeyDigest []byte
+	openQueue string // the queue if it is open
+	isTrusted bool   // no accounts are configured
+}
+
+// owned is a job, or the record of one that has ended, with its owner.
+type owned interface {
+	GetAccount() string
+	GetKeyDigest() []byte
+	GetQueue() string
+}
+
+// MayAccess reports whether the requester may read and cancel a job. Those are the jobs of its account, those submitted with its key while
+// another account held that, and those that belong to no account. An open queue gives access to its own jobs.
+func (r Requester) MayAccess(job owned) bool {
+	switch {
+	case r.isTrusted || job.GetAccount() == "":
+		return true
+	case r.openQueue != "":
+		return job.GetQueue() == r.openQueue
+	}
+	return job.GetAccount() == r.Account || bytes.Equal(job.GetKeyDigest(), r.KeyDigest)
+}
+
+// Authenticate returns who asks for something on a queue, by the digest of the presented key. It reports false if the queue needs a key
+// and no account of the active routing holds this one.
+func (s *State) Authenticate(queue *controlpb.WorkQueue, keyDigest []byte) (Requester, bool) {
+	switch {
+	case !s.routing.GetHasAccounts():
+		return Requester{isTrusted: true}, true
+	case queue.GetOpen():
+		return Requester{openQueue: queue.GetName()}, true
+	}
+	holder := s.accounts.Holder(keyDigest)
+	if holder == nil {
+		return Requester{}, false
+	}
+	return Requester{Account: holder.GetName(), KeyDigest: keyDigest}, true
+}
+
+// ClientAccount returns the named client account of the active routing, or nil.
+func (s *State) ClientAccount(name string) *controlpb.ClientAccount { return s.accounts.Named(name) }
+
+// MayAccess reports whether a requester may read and cancel a job. Unknown jobs count as accessible, so that answers don't tell those of
+// others from them.
+func (s *State) MayAccess(r Requester, id string) bool {
+	if j := s.jobs[id]; j != nil {
+		return r.MayAccess(j.Spec)
+	}
+	return r.MayAccess(s.finished[id])
+}
+
+// outcomeOf returns the record of a job that has ended.
+func outcomeOf(spec *controlpb.WorkJob, state controlpb.WorkState, at int64) *controlpb.FinishedWork {
+	return &controlpb.FinishedWork{
+		Id: spec.GetId(), State: state, AtMs: at, Queue: spec.GetQueue(), Account: spec.GetAccount(), KeyDigest: spec.GetKeyDigest(),
+	}
+}
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -260,7 +260,7 @@
 		return &controlpb.Result{}
 	}
 	if jobspec.HasTooManyTasks(spec) { // accepted by an earlier version, in which the number of tasks overflowed
-		s.finish(&controlpb.FinishedWork{Id: spec.GetId(), State: controlpb.WorkState_WORK_FAILED, AtMs: s.time, Queue: spec.GetQueue()})
+		s.finish(outcomeOf(spec, controlpb.WorkState_WORK_FAILED, s.time))
 		return errorResult(controlpb.ResultCode_RESULT_INVALID, "the job has too many tasks")
 	}
 	j := newJob(spec)
@@ -496,7 +496,7 @@
 	}
 	id := j.Spec.GetId()
 	if s.finished[id] == nil {
-		s.finish(&controlpb.FinishedWork{Id: id, State: j.state(), AtMs: s.time, Queue: j.Spec.GetQueue()})
+		s.finish(outcomeOf(j.Spec, j.state(), s.time))
 	}
 	if j.liveRuns == 0 && s.jobs[id] == j {
 		delete(s.jobs, id)
--- a/internal/decision/workload/routing.go
+++ b/internal/decision/workload/routing.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/account"
 )
 
 // replaceRouting activates a routing configuration if its version is higher than that of the active one. Any other is
@@ -19,6 +20,7 @@
 	for _, pool := range routing.GetPools() {
 		s.pools[pool.GetName()] = pool
 	}
+	s.accounts = account.New(routing.GetAccounts())
 	for _, queue := range routing.GetQueues() {
 		s.queues[queue.GetName()] = queue
 	}
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/account"
 )
 
 const (
@@ -36,6 +37,7 @@
 	routing  *controlpb.Routing
 	queues   map[string]*controlpb.WorkQueue // every queue of any routing so far, in its latest version
 	pools    map[string]*controlpb.WorkPool
+	accounts *account.Directory // of the active routing
 	zonesOut map[string]bool
 
 	zoneOrders map[string]uint64 // number of orders on each zone so far
@@ -75,6 +77,7 @@
 	return &State{
 		queues:      map[string]*controlpb.WorkQueue{},
 		pools:       map[string]*controlpb.WorkPool{},
+		accounts:    account.New(nil),
 		zonesOut:    map[string]bool{},
 		zoneOrders:  map[string]uint64{},
 		workers:     map[uint32]*Worker{},
