Limits of client accounts in the leader's scheduler

Cause: a client account's limits are in the configuration, but starts don't obey them. Change: a ledger of what each account's tasks use, charged where workers are charged; all paths that assign a run ask it for room, a gang for all its tasks. Steps at the limit are left out of the passes (cause AccountLimit), and a task or gang beyond the limit is rejected at submission. Runs that are assigned and not ordered yet are withdrawn if a limit was lowered below what runs. The fleet's log has a line on the ten most loaded accounts.

--- a/internal/decision/dispatch/crash.go
+++ b/internal/decision/dispatch/crash.go
@@ -121,6 +121,9 @@
 		if !d.mustIsolate(task) || !d.isPlaceable(task) {
 			continue
 		}
+		if d.isAtAccountLimit(c.step) {
+			return placed, 0
+		}
 		var chosen *host
 		if waiting == 0 {
 			chosen = d.choose(c, demand, hosts, d.hasFailed(task))
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/decision/allotment"
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/decision/coordinator"
 	"galenamoor/internal/decision/headroom"
@@ -23,6 +24,7 @@
 	"galenamoor/internal/decision/occupancy"
 	"galenamoor/internal/decision/order"
 	"galenamoor/internal/decision/workload"
+	"galenamoor/pkg/resource"
 )
 
 // WorkerCalls sends calls to workers, the advice service and the platform. Send doesn't block; each call is answered exactly
@@ -145,6 +147,8 @@
 	runtimes          *runtimeStats
 	headroom          *headroom.Estimator // for dedicated tasks
 	interference      *imagepair.Ledger
+	allotments        *allotment.Ledger          // use of the client accounts
+	reservedNeeds     map[string]resource.Vector // see reservedNeed; nil if it isn't known
 
 	losses         []loss                         // recently lost workers, oldest first
 	isolationWaits map[workload.TaskKey]time.Time // since when suspect tasks wait for a quiet worker; by unitKey
@@ -216,6 +220,7 @@
 	d.runtimes = newRuntimeStats()
 	d.headroom = &headroom.Estimator{}
 	d.interference = imagepair.New()
+	d.allotments, d.reservedNeeds = allotment.New(), nil
 	d.losses = nil
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
--- a/internal/decision/dispatch/faults_test.go
+++ b/internal/decision/dispatch/faults_test.go
@@ -171,7 +171,9 @@
 // cancel requests that a job is cancelled, unless it has ended.
 func (sim *simulation) cancel(id string) {
 	if job := sim.state.Job(id); job != nil {
-		sim.request(cancellationOf(job.Spec.GetQueue(), id))
+		work := cancellationOf(job.Spec.GetQueue(), id)
+		work.GetCaller().KeyDigest = job.Spec.GetKeyDigest()
+		sim.request(work)
 	}
 }
 
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -9,6 +9,9 @@
 
 // placeGang assigns all tasks of a gang to workers, or none, and returns the number of tasks placed.
 func (d *Dispatcher) placeGang(c candidate, hosts []host) int {
+	if d.isAtAccountLimit(c.step) {
+		return 0
+	}
 	number := uint32(0)
 	d.visitBudget -= len(c.step.Tasks)
 	c.suspect = slices.ContainsFunc(c.step.Tasks, d.mustIsolate)
--- a/internal/decision/dispatch/headroom.go
+++ b/internal/decision/dispatch/headroom.go
@@ -61,14 +61,14 @@
 		return 0, 0
 	}
 	available = total - serving - wanted
-	wall := d.config.Wall()
+	wall, waits := d.config.Wall(), servingWaits{d, map[string]int64{}}
 	for _, other := range d.state.Jobs() {
 		if !other.HasServing() || other.IsTerminal() {
 			continue
 		}
 		for _, step := range other.WaitingSteps(wall, 0) {
 			if kindOf(step) == colocation.Serving {
-				available -= int64(step.Waiting) * step.GetProcessors()
+				available -= waits.of(step)
 			}
 		}
 	}
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -194,16 +194,22 @@
 	p.exhausted[class] = append(slices.DeleteFunc(p.exhausted[class], needed.Fits), needed)
 }
 
-// place assigns the waiting tasks of a step to workers as far as possible. A step for which hosts were rated in vain, other than for
+// place assigns the waiting tasks of a step to workers as far as possible and as the limits of its client account allow. A step for which hosts were rated in vain, other than for
 // preemptions, is noted as fruitless, unless it lasts: whether a lasting task fits is found without ratings.
 func (d *Dispatcher) place(c candidate, p *placement) {
+	if d.isAtAccountLimit(c.step) {
+		d.updateHolds(c, p.hosts, 0)
+		d.relocate(c, p.hosts, 0)
+		d.requestAdvice(c, p.hosts, 0)
+		return
+	}
 	starts, ratings := p.starts, d.ratingBudget-d.victimBudget
 	needed, class := need(c.step), placementClassOf(c)
 	d.visitBudget -= 1 + len(p.exhausted[class])
 	switch {
 	case p.isExhausted(class, needed) && len(d.holds[c.step]) == 0:
 		if isLasting(c.step) {
-			missing := d.countPlaceable(c.step)
+			missing := min(d.countPlaceable(c.step), d.accountRoom(c.step))
 			d.updateHolds(c, p.hosts, missing)
 			d.relocate(c, p.hosts, missing)
 		}
@@ -244,6 +250,7 @@
 	if !triedAll {
 		return // the next pass goes on from here
 	}
+	missing, missingSuspects = d.limitMissing(c.step, missing, missingSuspects)
 	d.updateHolds(c, p.hosts, missing)
 	d.relocate(c, p.hosts, missing)
 	if missing > 0 && p.fleet.allowsThrottled(c) {
@@ -431,6 +438,9 @@
 		}
 		var chosen *host
 		if missing == 0 {
+			if d.isAtAccountLimit(c.step) {
+				return placed, 0, true
+			}
 			if placed > 0 && (placed >= starts || d.isBudgetSpent()) {
 				return placed, 0, false
 			}
--- a/internal/decision/dispatch/refill.go
+++ b/internal/decision/dispatch/refill.go
@@ -37,7 +37,7 @@
 			return
 		}
 		d.visitBudget -= len(hosts)
-		if mayRefill(c.step) && hasRoomFor(c.step, hosts) {
+		if mayRefill(c.step) && hasRoomFor(c.step, hosts) && !d.isAtAccountLimit(c.step) {
 			c.queue, c.interrupted = d.state.Queue(c.step.Job.Spec.GetQueue()), isInterrupted(c.step)
 			placed, _, _ := d.placeTasks(c, hosts, starts)
 			starts -= placed
--- a/internal/decision/dispatch/relocation.go
+++ b/internal/decision/dispatch/relocation.go
@@ -139,7 +139,7 @@
 		case h == nil:
 			hasLeft = hasLeft || !d.isHere(destination) // others may be unusable for a moment only
 		case d.isWaiting(task) && (task != move.waiting || move.isFromLeaving || len(move.destinations) == 1) && task.Step.Demand().Fits(h.Free) &&
-			d.allows(d.candidateOf(task.Step), destination):
+			d.allows(d.candidateOf(task.Step), destination) && d.mayAssignReserved(task.Step):
 			d.unreserve(move, task)
 			d.assign(task, destination, task.LastRun+1, false)
 			h.refresh(d.now)
@@ -230,12 +230,14 @@
 func (d *Dispatcher) reserve(move *relocation, task *workload.Task, destination *worker) {
 	move.destinations[task] = destination
 	d.relocations.reserved[task] = true
+	d.reservedNeeds = nil
 }
 
 // unreserve ends the reservation of room for a task.
 func (d *Dispatcher) unreserve(move *relocation, task *workload.Task) {
 	delete(move.destinations, task)
 	delete(d.relocations.reserved, task)
+	d.reservedNeeds = nil
 }
 
 func (d *Dispatcher) endRelocation(move *relocation, reason string) {
--- a/internal/decision/dispatch/relocation_search.go
+++ b/internal/decision/dispatch/relocation_search.go
@@ -137,5 +137,6 @@
 func (d *Dispatcher) mayMove(r *run, budgets disruptionBudgets) bool {
 	step := r.task.Step
 	return kindOf(step) == colocation.Serving && !step.GetGang() && r.seen && !r.ended && !r.stopRequested && r.progress >= servingProgress &&
-		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 && budgets.allowsStop(r)
+		d.now.Sub(r.began) >= minResidence && len(r.task.Runs) == 1 && !step.Job.IsTerminal() && step.Waiting == 0 &&
+		!d.isAboveAccountLimit(step) && budgets.allowsStop(r)
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -46,6 +46,7 @@
 		"LargestFree", account.LargestFree, "HeldWorkers", d.heldWorkers(), "WaitingFor", causes,
 		"HarmlessPairs", d.interference.Count(d.now, imagepair.Harmless), "HarmfulPairs", d.interference.Count(d.now, imagepair.Harmful))
 	d.reportLasting(&lasting, hosts)
+	d.reportAccounts(candidates)
 }
 
 // lastingWaits sums up why lasting tasks wait, over the steps that a report explains.
@@ -105,18 +106,25 @@
 // timelinessNames are the log names of timeliness values.
 var timelinessNames = [...]string{onTime: "in time", late: "late", tooLate: "too late"}
 
-// waitCauses returns what keeps the most urgent steps from starting, and all steps that the last pass didn't reach. It adds the
-// lasting steps among the first to lasting.
+// waitCauses returns what keeps the most urgent steps from starting, and all steps that the limits of client accounts exclude or that the
+// last pass didn't reach. It adds the lasting steps among the first to lasting.
 func (d *Dispatcher) waitCauses(candidates []candidate, hosts []host, lasting *lastingWaits) iter.Seq2[candidate, occupancy.Cause] {
 	unreached := stepsOf(d.unreached)
 	return func(yield func(candidate, occupancy.Cause) bool) {
-		for i, c := range candidates {
+		explained := 0
+		for _, c := range candidates {
 			switch {
+			case d.isAtAccountLimit(c.step):
+				if !yield(c, occupancy.AccountLimit) {
+					return
+				}
 			case unreached[c.step]:
+				explained++
 				if !yield(c, d.unreachedCause) {
 					return
 				}
-			case i < maxExplainedSteps:
+			case explained < maxExplainedSteps:
+				explained++
 				search := d.explainWait(c, hosts)
 				if isLasting(c.step) {
 					lasting.add(c.step, search.Refusals)
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -199,6 +199,9 @@
 		return nil, true
 	}
 	load := workload.Load(job)
+	if reply := d.refuseForAccount(queue, id, job, load); reply != nil {
+		return reply, false
+	}
 	if retryAfter, isOverloaded := d.overloaded(queue, load); isOverloaded {
 		return d.refuse(queue, id, "Overloaded", retryAfter, "Unfinished", d.unfinished(), "Load", d.state.Load()+d.submittingLoad, "Own", load), false
 	}
--- a/internal/decision/dispatch/run.go
+++ b/internal/decision/dispatch/run.go
@@ -123,11 +123,14 @@
 	d.noteRoom(r)
 	d.noteVacated(r)
 	d.charge(r.worker, r.task.Step, -1)
+	d.reservedNeeds = nil
 	d.dirty = true
 }
 
-// charge adds the demand of one task of a step to a worker's usage, or subtracts it if sign is negative.
+// charge adds the demand of one task of a step to the usage of a worker and of the step's client account, or subtracts it if sign is
+// negative.
 func (d *Dispatcher) charge(w *worker, step *workload.Step, sign int) {
+	d.chargeAccount(step, sign)
 	if sign > 0 {
 		w.used = w.used.Add(step.Demand())
 		w.idle.observe(w.incarnation.GetProcessors() - w.used.Processors)
@@ -214,6 +217,10 @@
 		d.stopGang(r)
 		return
 	}
+	if r.orderedAt.IsZero() && !r.inherited && d.isAboveAccountLimit(r.task.Step) {
+		d.withdrawAboveLimit(r)
+		return
+	}
 	if r.worker.superseded {
 		return // the later incarnation would accept the order under the token that rejects those for the earlier one
 	}
--- a/internal/decision/dispatch/simulation_test.go
+++ b/internal/decision/dispatch/simulation_test.go
@@ -61,6 +61,8 @@
 
 	deadly map[string]bool // tasks that crash each worker that starts them, by name
 
+	accounts []datedAccounts // of the routing configurations so far, the newest last
+
 	audit         startAudit
 	latencyExempt bool // latency targets aren't checked, as faults delay the measurements
 
@@ -397,14 +399,19 @@
 // replaceRouting installs a version of the queues, with a limit of attempts per task.
 func (sim *simulation) replaceRouting(version uint64, maxAttempts uint32) {
 	sim.t.Helper()
-	sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_ReplaceRouting{ReplaceRouting: &controlpb.Routing{
+	sim.serve(&controlpb.WorkRequest{Kind: &controlpb.WorkRequest_ReplaceRouting{ReplaceRouting: routing(version, maxAttempts)}})
+}
+
+// routing returns a version of the queues, with a limit of attempts per task.
+func routing(version uint64, maxAttempts uint32) *controlpb.Routing {
+	return &controlpb.Routing{
 		Version: version, Document: []byte("{}"), Pools: []*controlpb.WorkPool{{Name: "pool"}},
 		Queues: []*controlpb.WorkQueue{
 			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: maxAttempts, Pool: "pool", Stretch: 1.5, TargetRuntimeMs: 250},
 			{Name: "batch", Host: "h", PathPrefix: "/batch/", MaxAttempts: maxAttempts, Pool: "pool", Priority: 2, Stretch: 2, TargetRuntimeMs: 1000},
 			{Name: "advised", Host: "h", PathPrefix: "/advised/", MaxAttempts: maxAttempts, Pool: "pool", Stretch: 2, Advised: true},
 		},
-	}}})
+	}
 }
 
 // addWorker adds a worker of 32 cores and 128 GiB that announces itself every 1.5 s.
@@ -790,6 +797,9 @@
 			}
 		}
 	}
+	if excess := sim.accountExcess(task.Step, sent); excess != "" {
+		sim.t.Errorf("%v: %s run %d starts, and %s", sim.now, key.Task, key.Run, excess)
+	}
 	for _, before := range task.Step.GetAfter() {
 		if task.Step.Job.Steps(key.Task.Occurrence)[before].Unfinished > 0 {
 			sim.t.Errorf("%s starts before step %d is done", key.Task, before)
--- a/internal/decision/dispatch/starts_test.go
+++ b/internal/decision/dispatch/starts_test.go
@@ -29,17 +29,22 @@
 	nextWave    time.Time
 	faults      []func()
 	counts      map[string]int // events by name
+	account     string         // on whose behalf the next job is submitted; empty without accounts
 }
 
 // TestStartsUnderFaults guards against starts that violate the invariants of checkStart and checkAudit, and against jobs that
 // don't end, while workers fail, refuse, crash and are maintained. Late orders and restarts under the same ID aren't combined:
 // nothing can prevent a late order from being carried out by a later incarnation.
 func TestStartsUnderFaults(t *testing.T) {
-	for name, lateOrders := range map[string]bool{"restarts": false, "late orders": true} {
+	for name, kind := range map[string]struct{ lateOrders, accounts bool }{"restarts": {}, "late orders": {lateOrders: true}, "accounts": {accounts: true}} {
 		for seed := *startFirstSeed; seed < *startFirstSeed+*startSeeds; seed++ {
 			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				newStartScenario(t, seed, lateOrders).play()
+				s := newStartScenario(t, seed, kind.lateOrders)
+				if kind.accounts {
+					s.limitAccounts()
+				}
+				s.play()
 			})
 		}
 	}
@@ -78,7 +83,7 @@
 
 // play submits jobs during faults, ends the faults, and checks that all jobs end.
 func (s *startScenario) play() {
-	s.submit("urgent", "serving", servingOnAll(8))
+	s.submitFirst("serving", servingOnAll(8))
 	s.run(time.Second)
 	const jobs = 60
 	for i := range jobs {
@@ -119,8 +124,22 @@
 	s.submitSteps([]string{"urgent", "batch", "advised"}[s.random.IntN(3)], id, steps)
 }
 
+// submitFirst submits a lasting job on behalf of the first account, if there are accounts.
+func (s *startScenario) submitFirst(id string, step *controlpb.WorkStep) {
+	if s.account == "" {
+		s.submit("urgent", id, step)
+		return
+	}
+	s.submitBy("c", "urgent", id, step)
+}
+
 func (s *startScenario) submitSteps(queue, id string, steps []*controlpb.WorkStep) {
 	s.submitted[id] = steps
+	if s.account != "" {
+		s.changeAccount()
+		s.request(submissionBy(s.account, queue, id, steps...))
+		return
+	}
 	s.request(submission(queue, id, steps...))
 }
 
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -110,6 +110,9 @@
 		if !r.straggling && d.silenceOf(r.worker) < unresponsiveAfter {
 			continue
 		}
+		if d.isAtAccountLimit(step) {
+			continue
+		}
 		queue := d.state.Queue(step.Job.Spec.GetQueue())
 		c := candidate{step: step, queue: queue}
 		hasFailed := d.hasFailed(r.task)
--- a/internal/decision/dispatch/throttled.go
+++ b/internal/decision/dispatch/throttled.go
@@ -67,7 +67,7 @@
 // placeThrottled assigns one task of a best-effort step to a worker, throttled and regardless of interference, if its job
 // has no live run. It returns the number of tasks placed.
 func (d *Dispatcher) placeThrottled(c candidate, hosts []host) int {
-	if !mayThrottle(c.step) {
+	if !mayThrottle(c.step) || d.isAtAccountLimit(c.step) {
 		return 0
 	}
 	demand := d.throttledDemand(c)
--- a/internal/decision/occupancy/account.go
+++ b/internal/decision/occupancy/account.go
@@ -16,6 +16,8 @@
 	Interference  Cause = "Interference"  // the hosts with room run tasks that this one would disturb
 	Pending       Cause = "Pending"       // a host accepts it; the assignment is in progress or comes with the next pass
 
+	AccountLimit Cause = "AccountLimit" // a limit of the step's client account allows no further task, or not its gang
+
 	StartLimit  Cause = "StartLimit"  // the last pass didn't reach it, as many starts are in progress
 	RatingLimit Cause = "RatingLimit" // the last pass didn't reach it, as it rated many hosts for more urgent steps
 )
--- a/internal/decision/workload/access.go
+++ b/internal/decision/workload/access.go
@@ -52,6 +52,9 @@
 // ClientAccount returns the named client account of the active routing, or nil.
 func (s *State) ClientAccount(name string) *controlpb.ClientAccount { return s.accounts.Named(name) }
 
+// AccountShare returns the part of a client account's weight in the weights of all accounts of the active routing, 0 for others.
+func (s *State) AccountShare(name string) float64 { return s.accounts.Share(name) }
+
 // MayAccess reports whether a requester may read and cancel a job. Unknown jobs count as accessible, so that answers don't tell those of
 // others from them.
 func (s *State) MayAccess(r Requester, id string) bool {
