dispatch: cancellations of unknown jobs belong to their requester; earlier versions can't drop accounts

Cause: with a key of its own, an account could cancel another one's job before its submission arrived, as the cancellation of an unknown job was recorded by ID alone. A configuration that an earlier controller had decoded served all callers without a key while accounts were in force, and an entry of an earlier version, which passes no key on, got a 401 for valid ones. Each request without a known key wrote a log line with the rest of its path. Change: cancellations and their records carry account, key digest and open queue, and hold for submissions that the requester may access. Routings tell whether accounts were decoded, and requests whether a key was looked for; without that, the leader replies that it hasn't decided.

--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -181,7 +181,8 @@
 	proposed        map[*controlpb.Command][]proposal
 	submitting      map[string][]*controlpb.LeaderRequest // requests whose job is proposed, by job ID
 	submittingLoad  int                                   // of these jobs, see workload.Load
-	withdrawing     map[string]int                        // number of proposed cancellations of each unknown job
+	unauthenticated lineLimit                             // of requests without a known key
+	withdrawing     map[string][]*controlpb.CancelWork    // proposed cancellations of unknown jobs, by ID
 	openZoneOrders  map[string]int                        // number of orders on each zone that are proposed and not yet decided
 	announced       map[string]bool                       // workers whose change of incarnation is proposed
 	replies         []coordinator.DeferredReply           // to return by TakeReplies
@@ -238,7 +239,8 @@
 	d.outbox = nil
 	d.proposed = map[*controlpb.Command][]proposal{}
 	d.submitting, d.submittingLoad = map[string][]*controlpb.LeaderRequest{}, 0
-	d.withdrawing, d.openZoneOrders = map[string]int{}, map[string]int{}
+	d.withdrawing, d.openZoneOrders = map[string][]*controlpb.CancelWork{}, map[string]int{}
+	d.unauthenticated = lineLimit{}
 	d.announced = map[string]bool{}
 	d.pendingRequests = map[*controlpb.LeaderRequest]uint64{}
 	d.epoch, d.epochPending = 0, false
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"galenamoor/internal/controlpb"
@@ -42,6 +43,9 @@
 	case *controlpb.WorkRequest_Leave:
 		return d.leave(r, kind.Leave)
 	case *controlpb.WorkRequest_ReplaceRouting:
+		if d.dropsAccounts(kind.ReplaceRouting) {
+			return unavailable("the configuration was read by a version without client accounts"), false
+		}
 		change := &controlpb.WorkChange{Kind: &controlpb.WorkChange_ReplaceRouting{ReplaceRouting: kind.ReplaceRouting}}
 		return d.commit(r, change, "routing", kind.ReplaceRouting.GetVersion())
 	case *controlpb.WorkRequest_SetZoneOut:
@@ -151,6 +155,9 @@
 	}
 	requester, isKnown := d.state.Authenticate(queue, c.GetKeyDigest())
 	if !isKnown {
+		if !c.GetReadsKey() {
+			return unavailable("the entry is of a version without client accounts"), false
+		}
 		return d.refuseUnauthenticated(queue, id, c), false
 	}
 	if id != "" && !jobspec.IsID(id) {
@@ -165,12 +172,12 @@
 			return outcome(controlpb.WorkOutcome_WORK_INVALID), false
 		}
 		c.GetJob().Account, c.GetJob().KeyDigest = requester.Account, requester.KeyDigest
-		return d.submit(r, queue, id, c.GetJob())
+		return d.submit(r, queue, id, c.GetJob(), requester)
 	case controlpb.CallerVerb_VERB_CANCEL:
 		if !d.mayAccess(requester, id) {
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 		}
-		return d.cancel(r, queue, id)
+		return d.cancel(r, queue, requester.Cancellation(id))
 	case controlpb.CallerVerb_VERB_READ:
 		if id == "" {
 			return workReply(&controlpb.WorkReply{Outcome: controlpb.WorkOutcome_WORK_OK, IsCount: true, Pending: d.state.CountQueued(queue.GetName())}), false
@@ -186,7 +193,7 @@
 
 // submit accepts a job, or rejects it if the job limit of its queue is reached or if its serving tasks would take processors
 // that dedicated tasks need. A repeated submission is acknowledged without effect.
-func (d *Dispatcher) submit(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob) (*controlpb.LeaderReply, bool) {
+func (d *Dispatcher) submit(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob, requester workload.Requester) (*controlpb.LeaderReply, bool) {
 	if id == "" {
 		return outcome(controlpb.WorkOutcome_WORK_INVALID), false
 	}
@@ -213,7 +220,7 @@
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
 	d.submittingLoad += load
 	received := d.now
-	isWithdrawn := d.isWithdrawn(id)
+	isWithdrawn := d.isWithdrawn(job)
 	d.propose(&controlpb.WorkChange{Kind: &controlpb.WorkChange_Submit{Submit: job}}, func(result *controlpb.Result) {
 		reply := unknown("the leader has changed")
 		if result != nil {
@@ -230,18 +237,20 @@
 		d.submittingLoad -= load
 	})
 	if isWithdrawn {
-		d.propose(cancellation(id), func(*controlpb.Result) {})
+		d.propose(cancellation(requester.Cancellation(id)), func(*controlpb.Result) {})
 	}
 	return nil, true
 }
 
-// isWithdrawn reports whether the cancellation of a job that isn't known is recorded or proposed.
-func (d *Dispatcher) isWithdrawn(id string) bool {
-	return d.state.IsWithdrawn(id) || d.withdrawing[id] > 0
+// isWithdrawn reports whether the cancellation of a job that isn't known, by a requester with access to it, is recorded or proposed.
+func (d *Dispatcher) isWithdrawn(job *controlpb.WorkJob) bool {
+	return d.state.IsWithdrawn(job) || slices.ContainsFunc(d.withdrawing[job.GetId()], func(c *controlpb.CancelWork) bool {
+		return workload.RequesterOf(c).MayAccess(job)
+	})
 }
 
-func cancellation(id string) *controlpb.WorkChange {
-	return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: &controlpb.CancelWork{Id: id}}}
+func cancellation(c *controlpb.CancelWork) *controlpb.WorkChange {
+	return &controlpb.WorkChange{Kind: &controlpb.WorkChange_Cancel{Cancel: c}}
 }
 
 // refuse rejects a job that hasn't been proposed, so that it certainly never runs. The inputs of the decision are logged, as
@@ -255,14 +264,15 @@
 
 // cancel cancels a job. The reply says WORK_NOT_FOUND if there is none. That is recorded first, because the submission of the job may be
 // on its way.
-func (d *Dispatcher) cancel(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, id string) (*controlpb.LeaderReply, bool) {
+func (d *Dispatcher) cancel(r *controlpb.LeaderRequest, queue *controlpb.WorkQueue, c *controlpb.CancelWork) (*controlpb.LeaderReply, bool) {
+	id := c.GetId()
 	if id == "" {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
 	if state, _ := d.state.Lookup(id); state == controlpb.WorkState_WORK_UNKNOWN && d.submitting[id] == nil {
-		return d.withdraw(r, id)
+		return d.withdraw(r, c)
 	}
-	d.proposeAndReply(r, cancellation(id), func(result *controlpb.Result) *controlpb.LeaderReply {
+	d.proposeAndReply(r, cancellation(c), func(result *controlpb.Result) *controlpb.LeaderReply {
 		if result.GetCode() == controlpb.ResultCode_RESULT_NOT_FOUND {
 			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
 		}
@@ -274,13 +284,22 @@
 }
 
 // withdraw records the cancellation of an unknown job.
-func (d *Dispatcher) withdraw(r *controlpb.LeaderRequest, id string) (*controlpb.LeaderReply, bool) {
-	if d.state.IsWithdrawn(id) {
+func (d *Dispatcher) withdraw(r *controlpb.LeaderRequest, c *controlpb.CancelWork) (*controlpb.LeaderReply, bool) {
+	if d.state.IsRecorded(c) {
 		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND), false
 	}
-	d.proposeCounted(d.withdrawing, id, r, cancellation(id), func(*controlpb.Result) *controlpb.LeaderReply {
-		d.config.Log.Info("unknown job cancelled", "Job", id)
-		return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
+	id := c.GetId()
+	d.withdrawing[id] = append(d.withdrawing[id], c)
+	d.awaitReply(r)
+	d.propose(cancellation(c), func(result *controlpb.Result) {
+		d.withdrawing[id] = slices.DeleteFunc(d.withdrawing[id], func(open *controlpb.CancelWork) bool { return open == c })
+		if len(d.withdrawing[id]) == 0 {
+			delete(d.withdrawing, id)
+		}
+		d.replyDecided(r, result, func(*controlpb.Result) *controlpb.LeaderReply {
+			d.config.Log.Info("unknown job cancelled", "Job", id)
+			return outcome(controlpb.WorkOutcome_WORK_NOT_FOUND)
+		})
 	})
 	return nil, true
 }
--- a/internal/decision/dispatch/withdrawn_test.go
+++ b/internal/decision/dispatch/withdrawn_test.go
@@ -59,7 +59,7 @@
 		}
 	}
 	sim.run(time.Second)
-	if count := len(sim.state.Snapshot().GetWithdrawn()); count > 4096 || !sim.state.IsWithdrawn("unknown-5999") || sim.state.IsWithdrawn("unknown-0") {
+	if count := len(sim.state.Snapshot().GetWithdrawn()); count > 4096 || !sim.state.IsWithdrawn(&controlpb.WorkJob{Id: "unknown-5999"}) || sim.state.IsWithdrawn(&controlpb.WorkJob{Id: "unknown-0"}) {
 		t.Errorf("%d cancellations are remembered", count)
 	}
 	sim.run(3 * time.Minute)
--- a/internal/decision/workload/access.go
+++ b/internal/decision/workload/access.go
@@ -33,6 +33,27 @@
 	return job.GetAccount() == r.Account || bytes.Equal(job.GetKeyDigest(), r.KeyDigest)
 }
 
+// Cancellation returns the requester's cancellation of a job.
+func (r Requester) Cancellation(id string) *controlpb.CancelWork {
+	return &controlpb.CancelWork{Id: id, Account: r.Account, KeyDigest: r.KeyDigest, OpenQueue: r.openQueue}
+}
+
+// cancelled is a cancellation, or the record of one.
+type cancelled interface {
+	GetAccount() string
+	GetKeyDigest() []byte
+	GetOpenQueue() string
+}
+
+// RequesterOf returns who has cancelled a job. A cancellation without a requester is of a deployment without accounts, or of an earlier
+// version.
+func RequesterOf(c cancelled) Requester {
+	return Requester{
+		Account: c.GetAccount(), KeyDigest: c.GetKeyDigest(), openQueue: c.GetOpenQueue(),
+		isTrusted: c.GetAccount() == "" && c.GetOpenQueue() == "",
+	}
+}
+
 // Authenticate returns who asks for something on a queue, by the digest of the presented key. It reports false if the queue needs a key
 // and no account of the active routing holds this one.
 func (s *State) Authenticate(queue *controlpb.WorkQueue, keyDigest []byte) (Requester, bool) {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -283,7 +283,7 @@
 		if s.finished[c.GetId()] != nil {
 			return &controlpb.Result{}
 		}
-		s.withdraw(c.GetId())
+		s.withdraw(c)
 		return errorResult(controlpb.ResultCode_RESULT_NOT_FOUND, "no such job")
 	}
 	if !j.IsTerminal() {
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -59,8 +59,8 @@
 	finished      map[string]*controlpb.FinishedWork
 	finishedOrder []*controlpb.FinishedWork // in order of completion, oldest first
 
-	withdrawn      map[string]*controlpb.WithdrawnWork
-	withdrawnOrder []*controlpb.WithdrawnWork // in order of cancellation, oldest first
+	withdrawn      map[string][]*controlpb.WithdrawnWork // by ID of the job, oldest first
+	withdrawnOrder []*controlpb.WithdrawnWork            // in order of cancellation, oldest first
 
 	maintenance map[uint64]*controlpb.Maintenance
 	pairs       map[imagePair]float64 // log-odds that the aggressor interferes with the victim
@@ -86,7 +86,7 @@
 		unsettled:   map[string]*controlpb.UnsettledLoss{},
 		jobs:        map[string]*Job{},
 		finished:    map[string]*controlpb.FinishedWork{},
-		withdrawn:   map[string]*controlpb.WithdrawnWork{},
+		withdrawn:   map[string][]*controlpb.WithdrawnWork{},
 		maintenance: map[uint64]*controlpb.Maintenance{},
 		pairs:       map[imagePair]float64{},
 	}
--- a/internal/decision/workload/withdrawn.go
+++ b/internal/decision/workload/withdrawn.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"bytes"
 	"slices"
 
 	"galenamoor/internal/controlpb"
@@ -11,16 +12,25 @@
 // maxWithdrawn bounds the remembered cancellations of unknown jobs. The oldest ones are dropped when the limit is reached.
 const maxWithdrawn = 4096
 
-// IsWithdrawn reports whether a job was cancelled within finishedRetention while it was unknown.
-func (s *State) IsWithdrawn(id string) bool { return s.withdrawn[id] != nil }
+// IsWithdrawn reports whether a submitted job was cancelled within finishedRetention while it was unknown, by a requester with access to it.
+func (s *State) IsWithdrawn(job *controlpb.WorkJob) bool {
+	return slices.ContainsFunc(s.withdrawn[job.GetId()], func(w *controlpb.WithdrawnWork) bool { return RequesterOf(w).MayAccess(job) })
+}
+
+// IsRecorded reports whether the cancellation of an unknown job is remembered already.
+func (s *State) IsRecorded(c *controlpb.CancelWork) bool {
+	return slices.ContainsFunc(s.withdrawn[c.GetId()], func(w *controlpb.WithdrawnWork) bool {
+		return w.GetAccount() == c.GetAccount() && bytes.Equal(w.GetKeyDigest(), c.GetKeyDigest()) && w.GetOpenQueue() == c.GetOpenQueue()
+	})
+}
 
 // withdraw remembers the cancellation of an unknown job.
-func (s *State) withdraw(id string) {
-	if s.IsWithdrawn(id) {
+func (s *State) withdraw(c *controlpb.CancelWork) {
+	if s.IsRecorded(c) {
 		return
 	}
-	w := &controlpb.WithdrawnWork{Id: id, AtMs: s.time}
-	s.withdrawn[id] = w
+	w := &controlpb.WithdrawnWork{Id: c.GetId(), AtMs: s.time, Account: c.GetAccount(), KeyDigest: c.GetKeyDigest(), OpenQueue: c.GetOpenQueue()}
+	s.withdrawn[c.GetId()] = append(s.withdrawn[c.GetId()], w)
 	s.withdrawnOrder = append(s.withdrawnOrder, w)
 }
 
@@ -32,7 +42,9 @@
 		dropped++
 	}
 	for _, w := range s.withdrawnOrder[:dropped] {
-		delete(s.withdrawn, w.GetId())
+		if s.withdrawn[w.GetId()] = s.withdrawn[w.GetId()][1:]; len(s.withdrawn[w.GetId()]) == 0 {
+			delete(s.withdrawn, w.GetId())
+		}
 	}
 	s.withdrawnOrder = s.withdrawnOrder[dropped:]
 }
@@ -40,6 +52,6 @@
 func (s *State) restoreWithdrawn(records []*controlpb.WithdrawnWork) {
 	s.withdrawnOrder = slices.Clone(records)
 	for _, w := range records {
-		s.withdrawn[w.GetId()] = w
+		s.withdrawn[w.GetId()] = append(s.withdrawn[w.GetId()], w)
 	}
 }
