dispatch: a step in a test belongs to a job

Cause: charges count in the use of the step's client account, which its job names; TestShortTaskUsesPiece charges a step without a job and ended with a nil pointer on, and the package's run with it. Change: the test's step has a job, as every step of the state.

--- a/internal/decision/dispatch/idle_test.go
+++ b/internal/decision/dispatch/idle_test.go
@@ -91,7 +91,7 @@
 func TestShortTaskUsesPiece(t *testing.T) {
 	sim := newSimulationWithWorkers(t, 1, 1)
 	d, w := sim.dispatcher, sim.dispatcher.orderedWorkers[0]
-	step := &workload.Step{WorkStep: dedicated(1, time.Millisecond)}
+	step := &workload.Step{WorkStep: dedicated(1, time.Millisecond), Job: &workload.Job{}}
 	free := w.incarnation.Capacity()
 	if idle := w.idle.atMost(free); idle != free {
 		t.Fatalf("%v of %v is idle on an unused worker", idle, free)
