Weighted shares of client accounts when all is full

Cause: a flood of one client account takes the place of others, in the order of waiting jobs and in the bounds on unfinished ones. Change: at submission the leader compares an account's jobs with its weight (generic cell rate algorithm with a burst) and records the excess in the job. Inside a priority, jobs in excess wait behind those within the shares, too late ones last; preemption counts half of their lost work. While a bound is over half full, an account holds at most its part of it by weight.

--- a/internal/decision/dispatch/accounts.go
+++ b/internal/decision/dispatch/accounts.go
@@ -203,12 +203,16 @@
 	d.config.Log.Info("client accounts", "Accounts", len(busiest), "AtLimit", len(atLimit), "MostLoaded", busiest[:min(len(busiest), maxReportedAccounts)])
 }
 
-// refuseForAccount rejects a job that can never start within the limits of its client account. It returns nil if the job may be accepted.
-func (d *Dispatcher) refuseForAccount(queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob, _ int) *controlpb.LeaderReply {
+// refuseForAccount rejects a job that can never start within the limits of its client account, or that would bring what the account holds
+// above its share of the bounds. It returns nil if the job may be accepted.
+func (d *Dispatcher) refuseForAccount(queue *controlpb.WorkQueue, id string, job *controlpb.WorkJob, load int) *controlpb.LeaderReply {
 	if d.neverFitsAccount(job) {
 		d.config.Count("JobsRefused.NeverFitsAccount")
 		d.config.Log.Info("job refused", "Job", id, "Queue", queue.GetName(), "Reason", "NeverFitsAccount", "Account", job.GetAccount())
 		return outcome(controlpb.WorkOutcome_WORK_INVALID)
 	}
+	if d.exceedsHeldShare(queue, job, load) {
+		return d.refuse(queue, id, "AccountShare", overloadRetryDelay, "Account", job.GetAccount(), "Unfinished", d.unfinished(), "Load", d.state.Load()+d.submittingLoad, "Own", load)
+	}
 	return nil
 }
--- a/internal/decision/dispatch/dispatcher.go
+++ b/internal/decision/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	"galenamoor/internal/decision/allotment"
 	"galenamoor/internal/decision/controlstate"
 	"galenamoor/internal/decision/coordinator"
+	"galenamoor/internal/decision/fairshare"
 	"galenamoor/internal/decision/headroom"
 	"galenamoor/internal/decision/imagepair"
 	"galenamoor/internal/decision/occupancy"
@@ -148,6 +149,7 @@
 	headroom          *headroom.Estimator // for dedicated tasks
 	interference      *imagepair.Ledger
 	allotments        *allotment.Ledger          // use of the client accounts
+	submissions       *fairshare.Meter           // of the client accounts
 	reservedNeeds     map[string]resource.Vector // see reservedNeed; nil if it isn't known
 
 	losses         []loss                         // recently lost workers, oldest first
@@ -221,6 +223,7 @@
 	d.headroom = &headroom.Estimator{}
 	d.interference = imagepair.New()
 	d.allotments, d.reservedNeeds = allotment.New(), nil
+	d.submissions = fairshare.New()
 	d.losses = nil
 	d.isolationWaits = map[workload.TaskKey]time.Time{}
 	d.reservations = map[*workload.Step]time.Time{}
@@ -296,6 +299,7 @@
 	d.hasUnboundCalls = d.state.HasUnboundCalls()
 	d.observeAssignments()
 	d.inheritCrashes()
+	d.inheritSubmissions()
 	d.config.Log.Info("leading", "Epoch", epoch, "Workers", len(d.state.Workers()), "Jobs", len(d.state.Jobs()),
 		"Routing", d.state.Routing().GetVersion(), "EarlierLeasesExpireIn", d.inheritedLeasesExpire.Sub(d.now).String(), "RecentCrashes", len(d.losses))
 	for _, incarnation := range d.state.Workers() {
--- a/internal/decision/dispatch/overload.go
+++ b/internal/decision/dispatch/overload.go
@@ -27,13 +27,18 @@
 
 // overloaded reports whether a job of a load would exceed a limit of its queue, and when the caller should retry.
 func (d *Dispatcher) overloaded(queue *controlpb.WorkQueue, load int) (retryAfter time.Duration, isOverloaded bool) {
-	share := 1.0
-	if queue.GetPriority() > 0 {
-		share = nonUrgentShare
-	}
+	share := queueShare(queue)
 	isOverloaded = d.unfinished() >= int(share*maxJobs) || d.state.Load()+d.submittingLoad+load > int(share*maxLoad)
 	return overloadRetryDelay, isOverloaded
 }
 
+// queueShare returns the share of the bounds that is available to jobs of a queue.
+func queueShare(queue *controlpb.WorkQueue) float64 {
+	if queue.GetPriority() > 0 {
+		return nonUrgentShare
+	}
+	return 1
+}
+
 // unfinished counts the proposed jobs and the accepted ones that are unfinished or still have live runs.
 func (d *Dispatcher) unfinished() int { return len(d.state.Jobs()) + len(d.submitting) }
--- a/internal/decision/dispatch/pass.go
+++ b/internal/decision/dispatch/pass.go
@@ -63,6 +63,7 @@
 	due        time.Time // when the job should be finished
 
 	interrupted bool // see isInterrupted
+	inExcess    bool // its job is in excess of its client account's share
 	suspect     bool // a suspect task of the step is to be placed
 }
 
@@ -299,7 +300,9 @@
 	wall := d.config.Wall()
 	var found []candidate
 	for step := range d.windows.steps(d.state.Jobs(), wall) {
-		found = append(found, d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue())))
+		c := d.candidate(wall, step, d.state.Queue(step.Job.Spec.GetQueue()))
+		d.rankByShare(&c)
+		found = append(found, c)
 	}
 	slices.SortStableFunc(found, compareCandidates)
 	return found
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -157,7 +157,7 @@
 		case r.stopRequested:
 			free = free.Add(r.task.Step.Demand())
 		case d.isPreemptible(r, priority):
-			preemptible = append(preemptible, preemptibleRun{r, d.preemptionCost(r)})
+			preemptible = append(preemptible, preemptibleRun{r, d.preemptionLoss(r)})
 		}
 	}
 	slices.SortFunc(preemptible, func(a, b preemptibleRun) int {
--- a/internal/decision/dispatch/ranking.go
+++ b/internal/decision/dispatch/ranking.go
@@ -4,7 +4,7 @@
 
 // compareCandidates orders steps with waiting tasks, the most urgent first.
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.timeliness, b.timeliness),
+	return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareShares(a, b), cmp.Compare(a.timeliness, b.timeliness),
 		compareInterrupted(a, b), a.due.Compare(b.due))
 }
 
--- a/internal/decision/dispatch/requests.go
+++ b/internal/decision/dispatch/requests.go
@@ -210,6 +210,7 @@
 	}
 	d.awaitReply(r)
 	job.Id, job.Queue, job.AcceptedMs = id, queue.GetName(), d.config.Wall().UnixMilli()
+	d.meterSubmission(job)
 	d.submitting[id] = []*controlpb.LeaderRequest{r}
 	d.submittingLoad += load
 	received := d.now
--- a/internal/decision/workload/access.go
+++ b/internal/decision/workload/access.go
@@ -55,6 +55,28 @@
 // AccountShare returns the part of a client account's weight in the weights of all accounts of the active routing, 0 for others.
 func (s *State) AccountShare(name string) float64 { return s.accounts.Share(name) }
 
+// held is what the unfinished jobs of a client account, and those with live runs, take of the bounds on all jobs.
+type held struct{ jobs, load int }
+
+// HeldBy returns the number of the jobs of a client account that are unfinished or still have live runs, and the sum of their loads.
+func (s *State) HeldBy(account string) (jobs, load int) {
+	return s.held[account].jobs, s.held[account].load
+}
+
+// countHeld adds a job to what its client account holds, or subtracts it if sign is negative.
+func (s *State) countHeld(j *Job, sign int) {
+	name := j.Spec.GetAccount()
+	if name == "" {
+		return
+	}
+	h := held{s.held[name].jobs + sign, s.held[name].load + sign*j.load}
+	if h.jobs == 0 {
+		delete(s.held, name)
+		return
+	}
+	s.held[name] = h
+}
+
 // MayAccess reports whether a requester may read and cancel a job. Unknown jobs count as accessible, so that answers don't tell those of
 // others from them.
 func (s *State) MayAccess(r Requester, id string) bool {
--- a/internal/decision/workload/job.go
+++ b/internal/decision/workload/job.go
@@ -274,6 +274,7 @@
 	s.jobOrder = append(s.jobOrder, j)
 	j.load = Load(j.Spec)
 	s.load += j.load
+	s.countHeld(j, 1)
 }
 
 // cancel cancels a job that isn't terminal, and remembers the cancellation of one that isn't known. It is idempotent.
@@ -501,6 +502,7 @@
 	if j.liveRuns == 0 && s.jobs[id] == j {
 		delete(s.jobs, id)
 		s.load -= j.load
+		s.countHeld(j, -1)
 		s.jobOrder = slices.DeleteFunc(s.jobOrder, func(other *Job) bool { return other == j })
 	}
 }
--- a/internal/decision/workload/state.go
+++ b/internal/decision/workload/state.go
@@ -65,6 +65,7 @@
 	maintenance map[uint64]*controlpb.Maintenance
 	pairs       map[imagePair]float64 // log-odds that the aggressor interferes with the victim
 	load        int                   // of the jobs, see Load
+	held        map[string]held       // by client account
 	epoch       uint64
 	newestEpoch *controlpb.BeginEpoch // nil before the first one, and after a snapshot of an earlier version
 	time        int64                 // time of the latest command, in Unix milliseconds
@@ -89,6 +90,7 @@
 		withdrawn:   map[string]*controlpb.WithdrawnWork{},
 		maintenance: map[uint64]*controlpb.Maintenance{},
 		pairs:       map[imagePair]float64{},
+		held:        map[string]held{},
 	}
 }
 
