--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Runs the tests, except those listed in KNOWN-RED.txt (lines "Test: NAME"), which are printed.
+# Crowds of clients (platform/soak) run after all other packages, apart from their load, unless packages are given.
 # Usage: tools/test.sh [go test flags] [packages]; the default is all packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -19,4 +20,9 @@
     ./*) packages=() ;;
   esac
 done
-go test -count=1 -timeout 20m "${skip[@]}" "$@" "${packages[@]}"
+if [ ${#packages[@]} -eq 0 ]; then
+  exec go test -count=1 -timeout 20m "${skip[@]}" "$@"
+fi
+crowds='^Test(Peer)?Crowds$'
+go test -count=1 -timeout 20m -skip "${skip[1]:+${skip[1]}|}$crowds" "$@" "${packages[@]}"
+go test -count=1 -timeout 20m "${skip[@]}" -run "$crowds" "$@" ./platform/soak
