Bound what the clients of a process may hold

Bodies were read whole for as many clients as there were, without a bound on time; connections were bounded by descriptors only; a decoded document took up to 60 times its text; a message between daemons could take 256 MB.

Change: budget derives from the memory and the descriptors in the settings how many bytes all requests may hold and how many connections each listener may have. intake reads bodies in front of the handlers, reserves memory step by step before it reads, and refuses with 413, 408 or 503; an announced body over the limit isn't read. connlimit replaces the oldest idle connection at the bound, or one whose body has stalled, never a request that keeps its pace, and bounds the time in which an answer is read. Decoding reserves memory by the number of objects. Headers are bounded by 16 KiB. Between daemons, messages are bounded by a quarter of the memory, and unused connections, streams and headers are bounded. Refusals are counted by listener and reason under Clients on the metrics address; a crowd is logged when it begins and when it ends.

--- a/internal/shell/controller/controller.go
+++ b/internal/shell/controller/controller.go
@@ -22,6 +22,7 @@
 	"galenamoor/internal/decision/voters"
 	"galenamoor/internal/decision/workload"
 	"galenamoor/internal/shell/bootstrap"
+	"galenamoor/internal/shell/budget"
 	"galenamoor/internal/shell/kernel"
 	"galenamoor/internal/shell/latency"
 	"galenamoor/internal/shell/listener"
@@ -59,6 +60,9 @@
 	ToleratedFailures int // number of simultaneous host failures to tolerate
 	Client            workercall.Client
 	Handler           func(leader *replica.Replica) http.Handler
+	// MaxBody returns the largest body of a request of an operator or a worker in bytes.
+	MaxBody func(*http.Request) int64
+	Budget  *budget.Budget
 	// Reloads delivers the seeds each time the settings are reloaded.
 	Reloads <-chan []netip.AddrPort
 	Clock   clockwork.Clock
@@ -105,7 +109,7 @@
 	}
 	defer store.Close()
 	c.store, c.recovered = store, recovered
-	c.transport, err = transport.New(transport.Options{Host: c.Name, Listen: c.Peers, Log: c.Log})
+	c.transport, err = transport.New(transport.Options{Host: c.Name, Listen: c.Peers, Log: c.Log, Budget: c.Budget})
 	if err != nil {
 		return trace.Wrap(err, "open peer address %s", c.Peers)
 	}
@@ -158,7 +162,9 @@
 	if err := c.components.Register(serviceReplica, localReplica); err != nil {
 		return err
 	}
-	control, err := listener.New(c.Control, c.Handler(localReplica))
+	control, err := listener.New(listener.Options{
+		Name: budget.Public, Address: c.Control, Handler: c.Handler(localReplica), Budget: c.Budget, MaxBody: c.MaxBody,
+	})
 	if err != nil {
 		return err
 	}
@@ -174,7 +180,7 @@
 			return trace.Wrap(err, "serve peers")
 		}
 	})
-	c.components.Go("metrics", listener.Metrics(c.Metrics, c.Log))
+	c.components.Go("metrics", listener.Metrics(c.Metrics, c.Budget, c.Log))
 	c.Log.Info("controller started", "Replica", c.recovered.Identity, "Control", c.Control.String(), "Entries", len(c.recovered.Entries),
 		"Truncated", c.recovered.Truncated)
 	err = c.components.Run(shutdownContext(ctx, localReplica, c.Log))
--- a/internal/shell/daemon/run.go
+++ b/internal/shell/daemon/run.go
@@ -14,12 +14,12 @@
 // runServices runs all components until the context is done or one of them fails.
 func (d *Daemon) runServices(ctx context.Context, localReplica *replica.Replica, transportDone <-chan error) error {
 	k := d.kernel
-	calls, err := listener.New(d.settings.Calls, limitCalls(d.gateway, d.settings.CallsInProgress))
+	calls, err := listener.New(listener.Options{Address: d.settings.Calls, Handler: limitCalls(d.gateway, d.settings.CallsInProgress)})
 	if err != nil {
 		return err
 	}
 	control := &control{daemon: d, replica: localReplica}
-	operators, err := listener.New(d.settings.Control, httpapi.New(control, d.collector, d.clock).Handler())
+	operators, err := listener.New(listener.Options{Address: d.settings.Control, Handler: httpapi.New(control, d.collector, d.clock).Handler()})
 	if err != nil {
 		_ = calls.Close()
 		return err
--- a/internal/shell/entry/entry.go
+++ b/internal/shell/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"galenamoor/internal/shell/budget"
 	"galenamoor/internal/shell/kernel"
 	"galenamoor/internal/shell/latency"
 	"galenamoor/internal/shell/leaderclient"
@@ -42,6 +43,9 @@
 	Seeds     []netip.AddrPort // peer addresses of the initial controllers
 	StopGrace time.Duration    // time between the stop signal and the kill
 	Handler   func(leader *leaderclient.Client) http.Handler
+	// MaxBody returns the largest body of a request of a caller in bytes.
+	MaxBody func(*http.Request) int64
+	Budget  *budget.Budget
 	// Reloads delivers the seeds each time the settings are reloaded.
 	Reloads <-chan []netip.AddrPort
 	Clock   clockwork.Clock
@@ -51,18 +55,23 @@
 // Run runs an entry until the context is done, and then drains requests in progress.
 func Run(ctx context.Context, options Options) error {
 	log := options.Log
-	peers, err := transport.New(transport.Options{Host: options.Name, Listen: options.Peers, Log: log})
+	peers, err := transport.New(transport.Options{Host: options.Name, Listen: options.Peers, Log: log, Budget: options.Budget})
 	if err != nil {
 		return trace.Wrap(err, "open peer address %s", options.Peers)
 	}
 	defer peers.Close()
 	leader := leaderclient.New(peers, options.Seeds, latency.New("Latency"), options.Clock, log)
-	callers, err := listener.New(options.Callers, limitRequests(ctx, options.Handler(leader)))
+	callers, err := listener.New(listener.Options{
+		Name: budget.Public, Address: options.Callers, Handler: limitRequests(ctx, options.Handler(leader)),
+		Budget: options.Budget, MaxBody: options.MaxBody,
+	})
 	if err != nil {
 		return err
 	}
 	callers.CloseTimeout = time.Duration(float64(options.StopGrace) * (1 - drainFraction) * 0.8)
-	readiness, err := listener.New(options.Readiness, readinessHandler(ctx, leader))
+	readiness, err := listener.New(listener.Options{
+		Name: budget.Readiness, Address: options.Readiness, Handler: readinessHandler(ctx, leader), Budget: options.Budget,
+	})
 	if err != nil {
 		_ = callers.Close()
 		return err
@@ -72,7 +81,7 @@
 	components.Go("callers", callers.Run)
 	components.Go("readiness", readiness.Run)
 	components.Go("reload", func(ctx context.Context) error { return reload(ctx, options, leader) })
-	components.Go("metrics", listener.Metrics(options.Metrics, log))
+	components.Go("metrics", listener.Metrics(options.Metrics, options.Budget, log))
 	log.Info("entry started", "Callers", options.Callers.String(), "Seeds", len(options.Seeds))
 	err = components.Run(shutdownContext(ctx, options))
 	log.Info("entry stopped")
--- a/internal/shell/transport/transport.go
+++ b/internal/shell/transport/transport.go
@@ -19,12 +19,15 @@
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"galenamoor/internal/controlpb"
+	"galenamoor/internal/shell/budget"
+	"galenamoor/internal/shell/connlimit"
 )
 
 const (
@@ -32,9 +35,21 @@
 	// to one peer.
 	DefaultQueueLength = 256
 
-	// maxMessageBytes is the maximum size of a message. A snapshot is sent as a single message.
+	// maxMessageBytes is the maximum size of a message. A snapshot is sent as a single message. Options.Budget may allow less.
 	maxMessageBytes = 256 << 20
 
+	// minMessageBytes is a lower bound of the maximum size, which leaves room for the largest configuration.
+	minMessageBytes = 16 << 20
+
+	// messageShare is the part of the process's memory that one received message may take.
+	messageShare = 4
+	// handshakeTimeout bounds the time until a new connection speaks HTTP/2.
+	handshakeTimeout = 5 * time.Second
+	// maxStreams bounds the calls in progress on a connection. An entry forwards at most 512 requests at a time.
+	maxStreams = 1024
+	// maxHeaderListBytes bounds the headers of a call. Daemons send less than 1 KiB.
+	maxHeaderListBytes = 16 << 10
+
 	// windowBytes is the flow control window of a stream and of a connection. A fixed window disables gRPC's bandwidth
 	// estimation, which would add a ping to most heartbeats.
 	windowBytes = 1 << 20
@@ -71,6 +86,17 @@
 	Listen      netip.AddrPort // port 0 selects a free port
 	QueueLength int            // maximum number of queued messages per peer; DefaultQueueLength if 0
 	Log         logr.Logger
+	Budget      Budget // bounds what other daemons may hold; nil means that there is no bound
+}
+
+// Budget bounds what other daemons may hold.
+type Budget interface {
+	// Connections returns the number of connections of a listener, or 0 if it is unlimited.
+	Connections(listener string) int
+	// Memory returns the memory limit of the process in bytes, or 0 if there is none.
+	Memory() int64
+	// Refused counts a closed connection.
+	Refused(listener, reason string)
 }
 
 // NotSentError reports that a request was definitely not sent, so that retrying it is safe.
@@ -115,10 +141,25 @@
 	if err != nil {
 		return nil, trace.Wrap(trace.ConvertSystemError(err), "listen on %s", options.Listen)
 	}
+	if options.Budget != nil {
+		listener = connlimit.New(listener, connlimit.Options{
+			Bound: options.Budget.Connections(budget.Peers), BusyOnRead: true, Clock: clockwork.NewRealClock(),
+			Refused: func(reason string) { options.Budget.Refused(budget.Peers, reason) },
+		})
+	}
 	t.listener = &countingListener{Listener: listener, counters: t.counters}
 	return t, nil
 }
 
+// maxReceived returns the maximum size of a message from another daemon, in bytes. Every message between daemons of the same limits is smaller:
+// the state of a snapshot takes several times its size.
+func (t *Transport) maxReceived() int {
+	if t.options.Budget == nil || t.options.Budget.Memory() == 0 {
+		return maxMessageBytes
+	}
+	return int(min(maxMessageBytes, max(minMessageBytes, t.options.Budget.Memory()/messageShare)))
+}
+
 // Address returns the listening address.
 func (t *Transport) Address() netip.AddrPort {
 	return t.listener.Addr().(*net.TCPAddr).AddrPort()
@@ -137,7 +178,10 @@
 	t.server = grpc.NewServer(
 		grpc.StatsHandler(&statsHandler{counters: t.counters}),
 		grpc.UnaryInterceptor(t.interceptServer),
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(t.maxReceived()),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
