--- a/review/harness3/cluster.go
+++ b/review/harness3/cluster.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,6 +53,8 @@
 	controllers []*process
 	entries     []*process
 	watchers    sync.WaitGroup
+
+	started sync.Map // number of starts that executors have carried out (*atomic.Int64), by job
 }
 
 // newCluster starts controllers and entries.
@@ -99,6 +102,22 @@
 	return fmt.Errorf("other runs use all loopback networks")
 }
 
+// noteStart counts a start that an executor has carried out.
+func (c *cluster) noteStart(task string) {
+	job, _, _ := strings.Cut(task, ".")
+	count, _ := c.started.LoadOrStore(job, &atomic.Int64{})
+	count.(*atomic.Int64).Add(1)
+}
+
+// starts returns the number of starts of a job's tasks.
+func (c *cluster) starts(job string) int64 {
+	count, ok := c.started.Load(job)
+	if !ok {
+		return 0
+	}
+	return count.(*atomic.Int64).Load()
+}
+
 func (c *cluster) address(group, host int) string {
 	return fmt.Sprintf("127.%d.%d.%d", c.network, group, host)
 }
--- a/review/harness3/executor.go
+++ b/review/harness3/executor.go
@@ -266,6 +266,7 @@
 		return http.StatusBadRequest, l.reply()
 	}
 	l.runs[order.Task] = &taskRun{number: order.Run, began: time.Now(), work: time.Duration(work) * time.Millisecond}
+	l.executor.cluster.noteStart(order.Task)
 	l.executor.cluster.record.add("executor %s: run %s/%d starts", l.executor.id, order.Task, order.Run)
 	return http.StatusOK, l.reply()
 }
@@ -284,6 +285,8 @@
 		l.extend(order.UntilMs)
 	}
 	for len(l.ended) > 0 && l.ended[0].number <= order.LastSeen {
+		e := l.ended[0]
+		l.executor.cluster.record.add("executor %s: last_seen %d takes note of the end of run %s/%d", l.executor.id, order.LastSeen, e.task, e.run)
 		l.ended = l.ended[1:]
 	}
 	if added := l.endAdded; order.WaitMs > 0 && len(l.ended) == 0 {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"dependencies": dependencies,
 	"flapping":     flapping,
+	"forgotten":    forgotten,
 	"steps":        wrongSteps,
 }
 
