--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -112,7 +112,7 @@
 
 // ordinary submits a small job every 300 ms until stop is closed, and returns the IDs of those that were accepted.
 func (c *client) ordinary(stop <-chan struct{}) []string {
-	body := []byte(`{"spec":"a waiver","steps":[{"count":2,"cpu":1000,"mem_mb":256,"estimate_ms":800}]}`)
+	body := []byte(`{"spec":"800","steps":[{"count":2,"cpu":1000,"mem_mb":256,"estimate_ms":800}]}`)
 	var accepted []string
 	for n := 0; ; n++ {
 		select {
--- a/review/harness3/executor.go
+++ b/review/harness3/executor.go
@@ -260,11 +260,12 @@
 	case order.UntilMs <= l.clock().Milliseconds():
 		return http.StatusConflict, l.refuse("late")
 	}
-	l.extend(order.UntilMs)
-	work, err := strconv.Atoi(order.Spec)
-	if err != nil {
+	work, err := strconv.Atoi(strings.TrimSpace(order.Spec))
+	if err != nil || len(order.Spec) > maxSpecBytes {
+		l.executor.cluster.record.add("executor %s: run %s/%d is refused with 400: a spec of %d bytes", l.executor.id, order.Task, order.Run, len(order.Spec))
 		return http.StatusBadRequest, l.reply()
 	}
+	l.extend(order.UntilMs)
 	l.runs[order.Task] = &taskRun{number: order.Run, began: time.Now(), work: time.Duration(work) * time.Millisecond}
 	l.executor.cluster.noteStart(order.Task)
 	l.executor.cluster.record.add("executor %s: run %s/%d starts", l.executor.id, order.Task, order.Run)
--- a/review/harness3/hostile.go
+++ b/review/harness3/hostile.go
@@ -49,7 +49,7 @@
 	callers := newClient(c)
 	body := fill(`{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10},{"count":1,"cpu":100,"mem_mb":10,"after":[`, "0", `]}]}`)
 	const share = 100
-	lost, err := besideOrdinary(c, callers, func(stop <-chan struct{}) {
+	accepted, err := besideOrdinary(c, callers, func(stop <-chan struct{}) {
 		if trouble {
 			press(c, callers, hostileClients, share, body, stop)
 		}
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	var broken []string
-	if len(lost) > 0 {
+	if lost := callers.unanswered(accepted); len(lost) > 0 {
 		broken = append(broken, fmt.Sprintf("LOST: %d accepted ordinary jobs get no answer finish_s after the end of the traffic", len(lost)))
 	}
 	if often := endedOften(c.controllers); 2*len(often) >= len(c.controllers) {
@@ -72,7 +72,7 @@
 	callers := newClient(c)
 	body := fill(`{"spec":"x","steps":[`, "0", `]}`)
 	const clients, share = 36, 1_000_000
-	lost, err := besideOrdinary(c, callers, func(stop <-chan struct{}) {
+	accepted, err := besideOrdinary(c, callers, func(stop <-chan struct{}) {
 		if trouble {
 			press(c, callers, clients, share, body, stop)
 		}
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	var broken []string
-	if len(lost) > 0 {
+	if lost := callers.unanswered(accepted); len(lost) > 0 {
 		broken = append(broken, fmt.Sprintf("LOST: %d accepted ordinary jobs get no answer finish_s after the end of the traffic", len(lost)))
 	}
 	if often := endedOften(c.entries); len(often) >= 2 {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -25,6 +25,7 @@
 	"dependencies": dependencies,
 	"flapping":     flapping,
 	"forgotten":    forgotten,
+	"oversized":    oversized,
 	"steps":        wrongSteps,
 }
 
@@ -84,13 +85,14 @@
 	attended = time.Second      // for the ordinary clients to end
 )
 
-// besideOrdinary plays trouble beside ordinary clients, and then asks for what these were told was accepted.
-func besideOrdinary(c *cluster, callers *client, trouble func(stop <-chan struct{})) (lost []string, err error) {
+// besideOrdinary plays trouble beside ordinary clients, and returns the jobs that these were told were accepted, finish_s after the end of all
+// traffic.
+func besideOrdinary(c *cluster, callers *client, trouble func(stop <-chan struct{})) (accepted []string, err error) {
 	if err := callers.configure(); err != nil {
 		return nil, err
 	}
-	stop, accepted := make(chan struct{}), make(chan []string, 1)
-	go func() { accepted <- callers.ordinary(stop) }()
+	stop, ended := make(chan struct{}), make(chan []string, 1)
+	go func() { ended <- callers.ordinary(stop) }()
 	time.Sleep(calm)
 	stopTrouble := make(chan struct{})
 	var group sync.WaitGroup
@@ -103,12 +105,12 @@
 	close(stopTrouble)
 	close(stop)
 	group.Wait()
-	ids := <-accepted
+	accepted = <-ended
 	time.Sleep(attended)
-	c.record.add("end of the traffic; %d ordinary jobs were accepted", len(ids))
-	if len(ids) == 0 {
+	c.record.add("end of the traffic; %d ordinary jobs were accepted", len(accepted))
+	if len(accepted) == 0 {
 		return nil, fmt.Errorf("no ordinary job was accepted")
 	}
 	time.Sleep(finish)
-	return callers.unanswered(ids), nil
+	return accepted, nil
 }
