review: case 13, scheduled jobs whose times are past end each controller that leads

Fault breaks. Order of events: a client submits a hundred scheduled jobs of 142 bytes whose times are all past; all are accepted; each controller that leads builds their tasks, uses more than memory_mb within 2 s and is killed; so does its successor, without end. It shows what docs/incidents/scheduled-jobs-memory.md lists as remaining.

--- a/review/harness3/hostile.go
+++ b/review/harness3/hostile.go
@@ -57,6 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return judgeCore(c, callers, accepted), nil
+}
+
+// judgeCore returns which of LOST and Fault the accepted jobs and the ends of controllers show.
+func judgeCore(c *cluster, callers *client, accepted []string) []string {
 	var broken []string
 	if lost := callers.unanswered(accepted); len(lost) > 0 {
 		broken = append(broken, fmt.Sprintf("LOST: %d accepted ordinary jobs get no answer finish_s after the end of the traffic", len(lost)))
@@ -64,7 +69,7 @@
 	if often := endedOften(c.controllers); 2*len(often) >= len(c.controllers) {
 		broken = append(broken, fmt.Sprintf("Fault: processes of half of the core ended three times for memory over their limit: %v", often))
 	}
-	return broken, nil
+	return broken
 }
 
 // wrongSteps has clients submit jobs whose steps are numbers. All are rejected.
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -22,6 +22,7 @@
 type scenario func(c *cluster, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
+	"backlog":      backlog,
 	"dependencies": dependencies,
 	"flapping":     flapping,
 	"forgotten":    forgotten,
